--- /dev/null
+++ b/adapter/admin/handler.go
@@ -0,0 +1,184 @@
+// Package admin serves the HTTP interface of operators: the two lists, status, the timeline,
+// counters and health.
+package admin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/go-chi/chi/v5"
+
+	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/control/config"
+	"hyssopcroft.example/kernel/timeline"
+)
+
+const (
+	maxEditBytes = 64 << 10
+	// HeaderIfRevision carries the revision at which an entry was read; "0" creates it.
+	HeaderIfRevision = "If-Revision"
+	// HeaderEdit carries the id of an edit, so that a resend after a lost answer is recognised.
+	HeaderEdit = "Edit-Id"
+)
+
+// Edit is a change of one entry.
+type Edit struct {
+	// ID identifies the edit over resends.
+	ID string
+	// Expected is the revision at which the entry was read, 0 if it must not exist.
+	Expected config.Revision
+}
+
+// Accepted is the body of a successful edit.
+type Accepted struct {
+	Revision config.Revision `json:"revision"`
+	Edit     string          `json:"edit"`
+}
+
+// MemberStatus is one member as an instance knows it.
+type MemberStatus struct {
+	ID             string          `json:"id"`
+	Address        string          `json:"address"`
+	FailureDomain  string          `json:"failure_domain"`
+	State          string          `json:"state"`
+	ConfigSequence config.Revision `json:"config_sequence"`
+}
+
+// Status is the state of one instance.
+type Status struct {
+	Instance       string          `json:"instance"`
+	FailureDomain  string          `json:"failure_domain"`
+	Ready          bool            `json:"ready"`
+	ConfigSequence config.Revision `json:"config_sequence"`
+	Members        []MemberStatus  `json:"members"`
+}
+
+// Backend does the work of the interface.
+type Backend interface {
+	Lists(ctx context.Context) (config.Lists, *problem.Problem)
+	PutPlan(ctx context.Context, p config.Plan, e Edit) (Accepted, *problem.Problem)
+	DeletePlan(ctx context.Context, name string, e Edit) (Accepted, *problem.Problem)
+	PutLimit(ctx context.Context, l config.Limit, e Edit) (Accepted, *problem.Problem)
+	DeleteLimit(ctx context.Context, plan string, e Edit) (Accepted, *problem.Problem)
+	Status() Status
+	Ready() bool
+	Timeline() []timeline.Event
+}
+
+// Routes adds the operator interface to a router. vars serves the counters.
+func Routes(r chi.Router, b Backend, vars http.Handler) {
+	r.Get("/v1/plans", listRoute(b, func(l config.Lists) map[string]config.Entry[config.Plan] { return l.Plans }))
+	r.Get("/v1/plans/{name}", entryRoute(b, func(l config.Lists) map[string]config.Entry[config.Plan] { return l.Plans }))
+	r.Put("/v1/plans/{name}", putRoute(func(p config.Plan) string { return p.Name }, b.PutPlan))
+	r.Delete("/v1/plans/{name}", deleteRoute(b.DeletePlan))
+	r.Get("/v1/limits", listRoute(b, func(l config.Lists) map[string]config.Entry[config.Limit] { return l.Limits }))
+	r.Get("/v1/limits/{name}", entryRoute(b, func(l config.Lists) map[string]config.Entry[config.Limit] { return l.Limits }))
+	r.Put("/v1/limits/{name}", putRoute(func(l config.Limit) string { return l.Plan }, b.PutLimit))
+	r.Delete("/v1/limits/{name}", deleteRoute(b.DeleteLimit))
+	r.Get("/v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		problem.WriteJSON(w, http.StatusOK, b.Status())
+	})
+	r.Get("/v1/timeline", func(w http.ResponseWriter, _ *http.Request) {
+		problem.WriteJSON(w, http.StatusOK, b.Timeline())
+	})
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(readyStatus(b.Ready())) })
+	r.Handle("/debug/vars", vars)
+}
+
+func readyStatus(ready bool) int {
+	if ready {
+		return http.StatusOK
+	}
+	return http.StatusServiceUnavailable
+}
+
+func listRoute[T any](b Backend, pick func(config.Lists) map[string]config.Entry[T]) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		lists, p := b.Lists(r.Context())
+		if p != nil {
+			problem.Write(w, p)
+			return
+		}
+		problem.WriteJSON(w, http.StatusOK, pick(lists))
+	}
+}
+
+func entryRoute[T any](b Backend, pick func(config.Lists) map[string]config.Entry[T]) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		lists, p := b.Lists(r.Context())
+		if p != nil {
+			problem.Write(w, p)
+			return
+		}
+		name := chi.URLParam(r, "name")
+		entry, ok := pick(lists)[name]
+		if !ok {
+			problem.Write(w, notFound(name))
+			return
+		}
+		problem.WriteJSON(w, http.StatusOK, entry)
+	}
+}
+
+func putRoute[T any](nameOf func(T) string, put func(context.Context, T, Edit) (Accepted, *problem.Problem)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var value T
+		if p := problem.DecodeBody(w, r, maxEditBytes, &value); p != nil {
+			p.Run = ""
+			problem.Write(w, p)
+			return
+		}
+		edit, p := editOf(r)
+		if p == nil && nameOf(value) != chi.URLParam(r, "name") {
+			p = badEdit("the name in the body differs from the name in the path")
+		}
+		if p != nil {
+			problem.Write(w, p)
+			return
+		}
+		accepted, p := put(r.Context(), value, edit)
+		respond(w, accepted, p)
+	}
+}
+
+func deleteRoute(del func(context.Context, string, Edit) (Accepted, *problem.Problem)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		edit, p := editOf(r)
+		if p != nil {
+			problem.Write(w, p)
+			return
+		}
+		accepted, p := del(r.Context(), chi.URLParam(r, "name"), edit)
+		respond(w, accepted, p)
+	}
+}
+
+func respond(w http.ResponseWriter, accepted Accepted, p *problem.Problem) {
+	if p != nil {
+		problem.Write(w, p)
+		return
+	}
+	problem.WriteJSON(w, http.StatusOK, accepted)
+}
+
+func editOf(r *http.Request) (Edit, *problem.Problem) {
+	expected, err := strconv.ParseUint(r.Header.Get(HeaderIfRevision), 10, 64)
+	if err != nil {
+		return Edit{}, badEdit("header " + HeaderIfRevision + ": must be the revision at which the entry was read, 0 to create it")
+	}
+	id := r.Header.Get(HeaderEdit)
+	if id == "" {
+		return Edit{}, badEdit("header " + HeaderEdit + ": must hold an id that is unique to the edit")
+	}
+	return Edit{ID: id, Expected: config.Revision(expected)}, nil
+}
+
+func badEdit(message string) *problem.Problem {
+	return &problem.Problem{Status: http.StatusBadRequest, Code: problem.BadRequest, Message: message}
+}
+
+func notFound(name string) *problem.Problem {
+	return &problem.Problem{Status: http.StatusNotFound, Code: problem.NotFound, Message: "no entry is named " + name}
+}
--- /dev/null
+++ b/adapter/caller/handler.go
@@ -0,0 +1,145 @@
+// Package caller serves the HTTP interface of callers: searches and requests that may not be
+// repeated.
+package caller
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/query"
+)
+
+const (
+	// maxBodyBytes bounds the body of a request.
+	maxBodyBytes = 64 << 10
+	// defaultLimit is the number of hits if the request names none.
+	defaultLimit = 10
+	// maxLimit is the largest number of hits.
+	maxLimit = 1000
+)
+
+// Search is the body of POST /v1/search.
+type Search struct {
+	Plan  string `json:"plan"`
+	Index string `json:"index"`
+	Query string `json:"query"`
+	// Limit is the largest number of hits, 10 if it is 0.
+	Limit int `json:"limit,omitempty"`
+	// DeadlineMillis shortens the plan's deadline; 0 leaves it.
+	DeadlineMillis int `json:"deadline_ms,omitempty"`
+}
+
+// Result is the body of a successful search.
+type Result struct {
+	Request  string         `json:"request"`
+	Instance string         `json:"instance"`
+	Index    string         `json:"index"`
+	Snapshot query.Version  `json:"snapshot"`
+	Complete bool           `json:"complete"`
+	Coverage query.Coverage `json:"coverage"`
+	Hits     []query.Hit    `json:"hits"`
+}
+
+// Execute is the body of POST /v1/execute.
+type Execute struct {
+	Plan  string `json:"plan"`
+	Index string `json:"index"`
+	// Key identifies the request over resends: "<unix milliseconds>-<random>".
+	Key  string `json:"key"`
+	Body string `json:"body"`
+	// FirstSubmission is set if the caller has not sent the key before.
+	FirstSubmission bool `json:"first_submission,omitempty"`
+}
+
+// Execution is the body of a successful execute.
+type Execution struct {
+	Key      string `json:"key"`
+	Instance string `json:"instance"`
+	Result   string `json:"result"`
+	// Repeated is set if the result comes from an earlier submission of the key.
+	Repeated bool `json:"repeated"`
+}
+
+// Backend runs the requests of callers.
+type Backend interface {
+	Search(ctx context.Context, s Search) (Result, *problem.Problem)
+	Execute(ctx context.Context, e Execute) (Execution, *problem.Problem)
+}
+
+// Routes adds the caller interface to a router.
+func Routes(r chi.Router, b Backend) {
+	r.Post("/v1/search", func(w http.ResponseWriter, req *http.Request) {
+		var s Search
+		if p := problem.DecodeBody(w, req, maxBodyBytes, &s); p != nil {
+			problem.Write(w, p)
+			return
+		}
+		if p := s.check(); p != nil {
+			problem.Write(w, p)
+			return
+		}
+		result, p := b.Search(req.Context(), s)
+		respond(w, result, p)
+	})
+	r.Post("/v1/execute", func(w http.ResponseWriter, req *http.Request) {
+		var e Execute
+		if p := problem.DecodeBody(w, req, maxBodyBytes, &e); p != nil {
+			problem.Write(w, p)
+			return
+		}
+		if p := e.check(); p != nil {
+			problem.Write(w, p)
+			return
+		}
+		result, p := b.Execute(req.Context(), e)
+		respond(w, result, p)
+	})
+}
+
+func respond(w http.ResponseWriter, v any, p *problem.Problem) {
+	if p != nil {
+		problem.Write(w, p)
+		return
+	}
+	problem.WriteJSON(w, http.StatusOK, v)
+}
+
+func (s *Search) check() *problem.Problem {
+	switch {
+	case s.Plan == "":
+		return missing("plan")
+	case s.Index == "":
+		return missing("index")
+	case s.Limit < 0 || s.Limit > maxLimit:
+		return badRequest("limit: must be from 0 to 1000")
+	case s.DeadlineMillis < 0:
+		return badRequest("deadline_ms: must not be negative")
+	}
+	if s.Limit == 0 {
+		s.Limit = defaultLimit
+	}
+	return nil
+}
+
+func (e *Execute) check() *problem.Problem {
+	switch {
+	case e.Plan == "":
+		return missing("plan")
+	case e.Index == "":
+		return missing("index")
+	case e.Key == "":
+		return missing("key")
+	}
+	return nil
+}
+
+func missing(field string) *problem.Problem { return badRequest(field + ": must not be empty") }
+
+func badRequest(message string) *problem.Problem {
+	return &problem.Problem{
+		Status: http.StatusBadRequest, Code: problem.BadRequest, Message: message, Run: problem.NotRun,
+	}
+}
--- /dev/null
+++ b/adapter/platform/client.go
@@ -0,0 +1,146 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// callTimeout bounds every call but a watch, which may take its waiting time in addition.
+const callTimeout = 2 * time.Second
+
+// Purpose says what a call is for, so that the store's load can be split by it.
+type Purpose string
+
+// Client calls the object API. It is safe for concurrent use.
+type Client struct {
+	base string
+	http *http.Client
+	// counted is called once for every call with its purpose.
+	counted func(Purpose)
+}
+
+// NewClient returns a client of the API at the base URL, for example "http://127.0.0.1:7000".
+// counted may be nil.
+func NewClient(base string, transport http.RoundTripper, counted func(Purpose)) *Client {
+	if counted == nil {
+		counted = func(Purpose) {}
+	}
+	return &Client{base: base, http: &http.Client{Transport: transport}, counted: counted}
+}
+
+// Get returns an object. It fails with ErrNotFound or ErrUnavailable.
+func (c *Client) Get(ctx context.Context, p Purpose, kind, name string) (Object, error) {
+	var obj Object
+	err := c.call(ctx, p, http.MethodGet, objectPath(kind, name), nil, nil, &obj)
+	return obj, err
+}
+
+// Put writes an object if its present version is expected; 0 expects that it does not exist. A
+// ttl above 0 makes the object expire. It fails with a *ConflictError, which means that nothing
+// was written, or with ErrUnavailable, after which the write may or may not have taken effect.
+func (c *Client) Put(ctx context.Context, p Purpose, obj Object, expected Version, ttl time.Duration) (Version, error) {
+	header := http.Header{HeaderIfVersion: {strconv.FormatUint(uint64(expected), 10)}}
+	if ttl > 0 {
+		header.Set(HeaderTTL, strconv.FormatInt(ttl.Milliseconds(), 10))
+	}
+	var written Object
+	err := c.call(ctx, p, http.MethodPut, objectPath(obj.Kind, obj.Name), header, obj.Data, &written)
+	return written.Version, withExpected(err, expected)
+}
+
+// Delete removes an object if its present version is expected. It fails as Put does.
+func (c *Client) Delete(ctx context.Context, p Purpose, kind, name string, expected Version) error {
+	header := http.Header{HeaderIfVersion: {strconv.FormatUint(uint64(expected), 10)}}
+	err := c.call(ctx, p, http.MethodDelete, objectPath(kind, name), header, nil, nil)
+	return withExpected(err, expected)
+}
+
+// Watch returns the objects of a kind that changed after a revision, waiting up to wait for the
+// first change. Revision 0 returns all objects at once.
+func (c *Client) Watch(ctx context.Context, p Purpose, kind string, after Version, wait time.Duration) (Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	path := fmt.Sprintf("/v1/watch/%s?after=%d&wait_ms=%d", url.PathEscape(kind), after, wait.Milliseconds())
+	var changes Changes
+	err := c.do(ctx, p, http.MethodGet, path, nil, nil, &changes)
+	return changes, err
+}
+
+// Instances returns the platform's list of instances, which lags.
+func (c *Client) Instances(ctx context.Context, p Purpose) ([]Instance, error) {
+	var list []Instance
+	err := c.call(ctx, p, http.MethodGet, "/v1/instances", nil, nil, &list)
+	return list, err
+}
+
+func objectPath(kind, name string) string {
+	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func withExpected(err error, expected Version) error {
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		conflict.Expected = expected
+	}
+	return err
+}
+
+func (c *Client) call(ctx context.Context, p Purpose, method, path string, header http.Header, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.do(ctx, p, method, path, header, body, into)
+}
+
+func (c *Client) do(ctx context.Context, p Purpose, method, path string, header http.Header, body []byte, into any) error {
+	c.counted(p)
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build platform request")
+	}
+	if header != nil {
+		req.Header = header
+	}
+	req.Header.Set(HeaderPurpose, string(p))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrapf(ErrUnavailable, "%s %s: %v", method, path, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, 64*MaxValueBytes))
+	if err != nil {
+		return errors.Wrapf(ErrUnavailable, "%s %s: %v", method, path, err)
+	}
+	return decode(resp.StatusCode, raw, method, path, into)
+}
+
+func decode(status int, raw []byte, method, path string, into any) error {
+	switch {
+	case status == http.StatusNotFound:
+		return errors.Wrap(ErrNotFound, path)
+	case status == http.StatusConflict:
+		var present Object
+		if err := json.Unmarshal(raw, &present); err != nil {
+			return errors.Wrapf(ErrUnavailable, "%s %s: bad conflict body: %v", method, path, err)
+		}
+		return &ConflictError{Kind: present.Kind, Name: present.Name, Actual: present.Version}
+	case status >= http.StatusInternalServerError:
+		return errors.Wrapf(ErrUnavailable, "%s %s: status %d", method, path, status)
+	case status >= http.StatusBadRequest:
+		return errors.Errorf("%s %s: status %d: %s", method, path, status, raw)
+	case into == nil:
+		return nil
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return errors.Wrapf(ErrUnavailable, "%s %s: bad body: %v", method, path, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/adapter/problem/decode.go
@@ -0,0 +1,26 @@
+package problem
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// DecodeBody reads a JSON request body of at most limit bytes into v. Unknown keys are refused.
+func DecodeBody(w http.ResponseWriter, r *http.Request, limit int64, v any) *Problem {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(v)
+	if err == nil {
+		return nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &Problem{
+			Status: http.StatusRequestEntityTooLarge, Code: TooLarge, Run: NotRun,
+			Message: errors.Errorf("the body has more than %d bytes", limit).Error(),
+		}
+	}
+	return &Problem{Status: http.StatusBadRequest, Code: BadRequest, Run: NotRun, Message: "body: " + err.Error()}
+}
--- /dev/null
+++ b/adapter/target/client.go
@@ -0,0 +1,170 @@
+// Package target speaks to targets: protobuf messages in the bodies of HTTP requests over
+// unencrypted HTTP/2, one connection for each target.
+package target
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"hyssopcroft.example/adapter/wire/targetpb"
+	"hyssopcroft.example/query"
+)
+
+const (
+	// PathSearch and PathExecute are the paths of the two calls.
+	PathSearch  = "/v1/search"
+	PathExecute = "/v1/execute"
+	// ContentType is the type of request and response bodies.
+	ContentType = "application/x-protobuf"
+	// maxResponseBytes bounds what is read of one answer.
+	maxResponseBytes = 4 << 20
+)
+
+// Client calls targets. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client that sends through the given transport.
+func NewClient(transport http.RoundTripper) *Client {
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// NewTransport returns a transport that keeps one unencrypted HTTP/2 connection to each target and
+// closes a connection that has been silent for pingAfter plus pingTimeout.
+func NewTransport(pingAfter, pingTimeout time.Duration) *http.Transport {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		Protocols:          &protocols,
+		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		DisableCompression: true,
+	}
+}
+
+// Search is one attempt at one shard.
+type Search struct {
+	Address  string
+	Request  query.RequestID
+	Attempt  query.AttemptID
+	Index    string
+	Shard    query.Shard
+	Snapshot query.Version
+	Query    string
+	Limit    int
+	TimeLeft time.Duration
+}
+
+// Search sends an attempt and waits for what becomes of it. It always returns a reply; failures
+// are outcomes.
+func (c *Client) Search(ctx context.Context, s Search) query.Reply {
+	req := &targetpb.SearchRequest{
+		RequestId:  uint64(s.Request),
+		AttemptId:  uint64(s.Attempt),
+		Index:      s.Index,
+		Shard:      uint32(s.Shard),
+		Snapshot:   uint64(s.Snapshot),
+		Query:      s.Query,
+		Limit:      uint32(s.Limit),
+		TimeLeftUs: uint32(s.TimeLeft.Microseconds()),
+	}
+	var resp targetpb.SearchResponse
+	if outcome, err := c.post(ctx, s.Address+PathSearch, req, &resp); err != nil {
+		return query.Reply{Attempt: s.Attempt, Request: s.Request, Shard: s.Shard, Snapshot: s.Snapshot, Outcome: outcome}
+	}
+	return replyOf(&resp)
+}
+
+func replyOf(resp *targetpb.SearchResponse) query.Reply {
+	r := query.Reply{
+		Attempt:  query.AttemptID(resp.AttemptId),
+		Request:  query.RequestID(resp.RequestId),
+		Shard:    query.Shard(resp.Shard),
+		Snapshot: query.Version(resp.Snapshot),
+		Outcome:  outcomeOf(resp.Outcome),
+		Cold:     resp.Cold,
+	}
+	for _, h := range resp.Hits {
+		r.Hits = append(r.Hits, query.Hit{ID: h.Id, Score: h.Score, Text: h.Text})
+	}
+	for _, v := range resp.Held {
+		r.Held = append(r.Held, query.Version(v))
+	}
+	return r
+}
+
+// Execution is the single attempt at a request that may not be repeated.
+type Execution struct {
+	Address  string
+	Key      string
+	Attempt  query.AttemptID
+	Index    string
+	Body     []byte
+	TimeLeft time.Duration
+}
+
+// Execute sends the request once. The result is valid if the outcome is OutcomeAnswered.
+func (c *Client) Execute(ctx context.Context, e Execution) ([]byte, query.Outcome) {
+	req := &targetpb.ExecuteRequest{
+		Key: e.Key, AttemptId: uint64(e.Attempt), Index: e.Index, Body: e.Body,
+		TimeLeftUs: uint32(e.TimeLeft.Microseconds()),
+	}
+	var resp targetpb.ExecuteResponse
+	if outcome, err := c.post(ctx, e.Address+PathExecute, req, &resp); err != nil {
+		return nil, outcome
+	}
+	if resp.Key != e.Key || resp.AttemptId != uint64(e.Attempt) {
+		return nil, query.OutcomeUnknown
+	}
+	return resp.Result, outcomeOf(resp.Outcome)
+}
+
+func outcomeOf(o targetpb.Outcome) query.Outcome {
+	switch o {
+	case targetpb.Outcome_OUTCOME_ANSWERED:
+		return query.OutcomeAnswered
+	case targetpb.Outcome_OUTCOME_SHED:
+		return query.OutcomeShed
+	case targetpb.Outcome_OUTCOME_DRAINING:
+		return query.OutcomeDraining
+	case targetpb.Outcome_OUTCOME_SNAPSHOT_GONE:
+		return query.OutcomeSnapshotGone
+	case targetpb.Outcome_OUTCOME_ABORTED:
+		return query.OutcomeAborted
+	case targetpb.Outcome_OUTCOME_WRONG_SHARD:
+		return query.OutcomeWrongShard
+	}
+	return query.OutcomeUnknown
+}
+
+// post returns an error together with what it says about the request having run.
+func (c *Client) post(ctx context.Context, url string, in, out proto.Message) (query.Outcome, error) {
+	body, err := proto.Marshal(in)
+	if err != nil {
+		return query.OutcomeNotRun, errors.Wrap(err, "encode target request")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, bytes.NewReader(body))
+	if err != nil {
+		return query.OutcomeNotRun, errors.Wrap(err, "build target request")
+	}
+	req.Header.Set("Content-Type", ContentType)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return failureOutcome(err), errors.Wrap(err, "call target")
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err != nil {
+		return query.OutcomeUnknown, errors.Wrap(err, "read target response")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return query.OutcomeUnknown, errors.Errorf("target response has status %d", resp.StatusCode)
+	}
+	return query.OutcomeAnswered, errors.Wrap(proto.Unmarshal(raw, out), "decode target response")
+}
--- /dev/null
+++ b/emulator/fleet/fleet.go
@@ -0,0 +1,178 @@
+// Package fleet starts the stand-ins of a small deployment inside one process: the platform and
+// the searchers of a few indexes.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	api "hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/control/config"
+	"hyssopcroft.example/emulator/platform"
+	"hyssopcroft.example/emulator/target"
+	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/query"
+)
+
+// Index describes one index of a deployment.
+type Index struct {
+	Name        string
+	Shards      int
+	Replicas    int
+	Slots       int
+	Connections int
+}
+
+// Deployment describes what the fleet starts.
+type Deployment struct {
+	Host           string
+	PlatformPort   int // 0 takes a free port
+	FailureDomains []string
+	Indexes        []Index
+	Lists          config.Lists
+	// MeanServiceTime is the mean of the exponential service time of a search.
+	MeanServiceTime time.Duration
+	Seed            uint64
+}
+
+// Fleet is a running set of stand-ins.
+type Fleet struct {
+	Store     *platform.Store
+	Platform  *platform.Server
+	Searchers map[query.TargetID]*target.Searcher
+
+	platformURL string
+	servers     []*http.Server
+}
+
+// firstSnapshot is the version of every index at the start.
+const firstSnapshot query.Version = 1
+
+// Start listens on free ports and fills the store. Stop ends it.
+func Start(d Deployment) (*Fleet, error) {
+	store := platform.NewStore()
+	f := &Fleet{Store: store, Platform: platform.NewServer(store), Searchers: map[query.TargetID]*target.Searcher{}}
+	address, err := f.serve(d.Host, d.PlatformPort, &http.Server{Handler: f.Platform})
+	if err != nil {
+		return nil, err
+	}
+	f.platformURL = "http://" + address
+	for _, ix := range d.Indexes {
+		if err := f.startIndex(d, ix); err != nil {
+			f.Stop()
+			return nil, err
+		}
+	}
+	return f, f.put(configsync.KindConfig, configsync.NameCurrent, d.Lists)
+}
+
+// PlatformURL returns the base URL of the object API.
+func (f *Fleet) PlatformURL() string { return f.platformURL }
+
+// Stop closes all listeners and connections.
+func (f *Fleet) Stop() {
+	for _, s := range f.servers {
+		_ = s.Close() // Nothing can be done about a listener that fails to close.
+	}
+}
+
+// StopPlatform closes the platform only. The targets go on.
+func (f *Fleet) StopPlatform() { _ = f.servers[0].Close() }
+
+// Shutdown waits for requests in flight before it closes connections.
+func (f *Fleet) Shutdown(ctx context.Context) {
+	for _, s := range f.servers {
+		_ = s.Shutdown(ctx) // A request that outlives ctx is cut by the end of the process.
+	}
+}
+
+func (f *Fleet) serve(host string, port int, server *http.Server) (string, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, fmt.Sprint(port)))
+	if err != nil {
+		return "", errors.Wrap(err, "listen for a stand-in")
+	}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }() // Serve always returns an error, at the latest on Close.
+	return listener.Addr().String(), nil
+}
+
+func (f *Fleet) startIndex(d Deployment, ix Index) error {
+	shards := make([]query.Shard, ix.Shards)
+	for i := range shards {
+		shards[i] = query.Shard(i)
+	}
+	var targets []query.Target
+	for i, shard := range shards {
+		for r := range ix.Replicas {
+			t := query.Target{
+				ID:            query.TargetID(fmt.Sprintf("%s-%d-%d", ix.Name, i, r)),
+				FailureDomain: d.FailureDomains[r%len(d.FailureDomains)],
+				Index:         ix.Name, Shards: []query.Shard{shard}, Connections: ix.Connections,
+			}
+			address, err := f.startSearcher(d, ix, t)
+			if err != nil {
+				return err
+			}
+			t.Address = address
+			targets = append(targets, t)
+		}
+	}
+	if err := f.put(configsync.KindTargets, ix.Name, targets); err != nil {
+		return err
+	}
+	return f.put(configsync.KindSnapshots, ix.Name, []query.Map{{Version: firstSnapshot, Shards: shards}})
+}
+
+func (f *Fleet) startSearcher(d Deployment, ix Index, t query.Target) (string, error) {
+	searcher := target.NewSearcher(target.Config{
+		Target: t, Slots: ix.Slots, Snapshots: []query.Version{firstSnapshot},
+		ServiceTime: serviceTime(d.MeanServiceTime, d.Seed, len(f.Searchers)),
+		Rows:        sampleRows(ix.Name, t.Shards[0]),
+	})
+	f.Searchers[t.ID] = searcher
+	return f.serve(d.Host, 0, target.NewHTTPServer(target.Handler(searcher)))
+}
+
+// serviceTime returns a source of exponentially distributed times that is safe for concurrent use.
+func serviceTime(mean time.Duration, seed uint64, stream int) func() time.Duration {
+	var mu sync.Mutex // guards source
+	source := rand.New(rand.NewPCG(seed, uint64(stream)))
+	return func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return time.Duration(source.ExpFloat64() * float64(mean))
+	}
+}
+
+func sampleRows(index string, shard query.Shard) []target.Row {
+	texts := []string{"deposit credit for kimchi jars", "return of washed jars", "ward sign with Welsh contractions"}
+	rows := make([]target.Row, 0, len(texts))
+	for i, text := range texts {
+		id := fmt.Sprintf("%s/%d/%d", index, shard, i)
+		rows = append(rows, target.Row{Shard: shard, ID: id, Text: fmt.Sprintf("%s, entry %d of shard %d", text, i, shard)})
+	}
+	return rows
+}
+
+func (f *Fleet) put(kind, name string, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return errors.Wrapf(err, "encode %s/%s", kind, name)
+	}
+	present, _ := f.Store.Get(kind, name)
+	if _, ok := f.Store.Put(kind, name, data, present.Version, 0); !ok {
+		return errors.Errorf("object %s/%s changed meanwhile", kind, name)
+	}
+	return nil
+}
+
+// SetInstances replaces the platform's list of instances.
+func (f *Fleet) SetInstances(list []api.Instance) { f.Store.SetInstances(list) }
--- /dev/null
+++ b/emulator/platform/store.go
@@ -0,0 +1,151 @@
+// Package platform is a small stand-in for the platform's object API. It keeps everything in
+// memory and counts each call by its purpose.
+package platform
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	api "hyssopcroft.example/adapter/platform"
+)
+
+type objectKey struct{ kind, name string }
+
+type stored struct {
+	object  api.Object
+	expires time.Time // zero if the object does not expire
+}
+
+// Store holds versioned objects. It is safe for concurrent use.
+type Store struct {
+	mu        sync.Mutex // guards the fields below
+	revision  api.Version
+	objects   map[objectKey]stored // deleted objects stay as markers
+	instances []api.Instance
+	changed   chan struct{} // closed and replaced at every write
+}
+
+// NewStore returns an empty store. Its revision starts at 1, since a watch after 0 returns at once.
+func NewStore() *Store {
+	return &Store{revision: 1, objects: map[objectKey]stored{}, changed: make(chan struct{})}
+}
+
+// Get returns an object, or false if it does not exist.
+func (s *Store) Get(kind, name string) (api.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	o, ok := s.objects[objectKey{kind, name}]
+	return o.object, ok && !o.object.Deleted
+}
+
+// Put writes an object if its version is expected. It returns the object as it is afterwards and
+// whether the write took effect.
+func (s *Store) Put(kind, name string, data json.RawMessage, expected api.Version, ttl time.Duration) (api.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.expire(now)
+	key := objectKey{kind, name}
+	if present := s.presentVersion(key); present != expected {
+		return api.Object{Kind: kind, Name: name, Version: present}, false
+	}
+	o := stored{object: api.Object{Kind: kind, Name: name, Data: slices.Clone(data)}}
+	if ttl > 0 {
+		o.expires = now.Add(ttl)
+	}
+	return s.write(key, o), true
+}
+
+// Delete removes an object if its version is expected, as Put does.
+func (s *Store) Delete(kind, name string, expected api.Version) (api.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	key := objectKey{kind, name}
+	if present := s.presentVersion(key); present != expected || present == 0 {
+		return api.Object{Kind: kind, Name: name, Version: present}, false
+	}
+	return s.write(key, stored{object: api.Object{Kind: kind, Name: name, Deleted: true}}), true
+}
+
+// Watch returns the objects of a kind that changed after a revision, and waits up to wait if
+// there are none yet. After revision 0 it returns all present objects at once.
+func (s *Store) Watch(ctx context.Context, kind string, after api.Version, wait time.Duration) api.Changes {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		changes, changed := s.changesAfter(kind, after)
+		if len(changes.Objects) > 0 || after == 0 {
+			return changes
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return changes
+		case <-ctx.Done():
+			return changes
+		}
+	}
+}
+
+// SetInstances replaces the list of instances.
+func (s *Store) SetInstances(list []api.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = slices.Clone(list)
+}
+
+// Instances returns the list of instances.
+func (s *Store) Instances() []api.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.instances)
+}
+
+func (s *Store) changesAfter(kind string, after api.Version) (api.Changes, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(time.Now())
+	changes := api.Changes{Revision: s.revision}
+	for key, o := range s.objects {
+		wanted := key.kind == kind && o.object.Version > after
+		if wanted && !(after == 0 && o.object.Deleted) {
+			changes.Objects = append(changes.Objects, o.object)
+		}
+	}
+	slices.SortFunc(changes.Objects, func(a, b api.Object) int { return cmp.Compare(a.Version, b.Version) })
+	return changes, s.changed
+}
+
+// presentVersion must be called with s.mu held. It returns 0 for an object that does not exist.
+func (s *Store) presentVersion(key objectKey) api.Version {
+	o, ok := s.objects[key]
+	if !ok || o.object.Deleted {
+		return 0
+	}
+	return o.object.Version
+}
+
+// write must be called with s.mu held.
+func (s *Store) write(key objectKey, o stored) api.Object {
+	s.revision++
+	o.object.Version = s.revision
+	s.objects[key] = o
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return o.object
+}
+
+// expire must be called with s.mu held.
+func (s *Store) expire(now time.Time) {
+	for key, o := range s.objects {
+		if !o.expires.IsZero() && !now.Before(o.expires) {
+			s.write(key, stored{object: api.Object{Kind: key.kind, Name: key.name, Deleted: true}})
+		}
+	}
+}
--- /dev/null
+++ b/emulator/target/server.go
@@ -0,0 +1,58 @@
+package target
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"google.golang.org/protobuf/proto"
+
+	api "hyssopcroft.example/adapter/target"
+	"hyssopcroft.example/adapter/wire/targetpb"
+)
+
+const maxRequestBytes = 1 << 20
+
+// Handler returns the HTTP interface of a searcher.
+func Handler(s *Searcher) http.Handler {
+	r := chi.NewRouter()
+	r.Post(api.PathSearch, func(w http.ResponseWriter, req *http.Request) {
+		var in targetpb.SearchRequest
+		if decode(w, req, &in) {
+			respond(w, s.Search(req.Context(), &in))
+		}
+	})
+	r.Post(api.PathExecute, func(w http.ResponseWriter, req *http.Request) {
+		var in targetpb.ExecuteRequest
+		if decode(w, req, &in) {
+			respond(w, s.Execute(req.Context(), &in))
+		}
+	})
+	return r
+}
+
+// NewHTTPServer returns a server that speaks unencrypted HTTP/2 as targets do.
+func NewHTTPServer(h http.Handler) *http.Server {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: h, Protocols: &protocols}
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into proto.Message) bool {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil || proto.Unmarshal(raw, into) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func respond(w http.ResponseWriter, m proto.Message) {
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", api.ContentType)
+	_, _ = w.Write(raw) // A write error means that the client has gone.
+}
--- /dev/null
+++ b/instance/entry/service.go
@@ -0,0 +1,196 @@
+// Package entry takes the requests of callers, runs them over the targets and answers.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hyssopcroft.example/adapter/caller"
+	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/adapter/target"
+	"hyssopcroft.example/control/config"
+	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/kernel"
+	"hyssopcroft.example/kernel/counters"
+	"hyssopcroft.example/query"
+)
+
+// Name is the name of the service.
+const Name = "entry"
+
+const (
+	// pingAfter is the silence after which a connection with requests in flight is probed.
+	pingAfter = 100 * time.Millisecond
+	// pingTimeout is the time for the answer to a probe before the connection is closed.
+	pingTimeout = 200 * time.Millisecond
+)
+
+// Service runs searches and executes. It is safe for concurrent use.
+type Service struct {
+	instance string
+	config   *configsync.Service
+	platform *platform.Client
+	targets  *target.Client
+	bus      *kernel.Bus
+	log      *slog.Logger
+	counters *counters.Set
+
+	transport   *http.Transport
+	cancel      context.CancelFunc
+	lastAttempt atomic.Uint64
+
+	mu      sync.Mutex // guards indexes and source
+	indexes map[string]*index
+	source  *rand.Rand
+}
+
+// New returns a service for one instance.
+func New(instance string, cfg *configsync.Service, client *platform.Client, bus *kernel.Bus, log *slog.Logger, c *counters.Set) *Service {
+	transport := target.NewTransport(pingAfter, pingTimeout)
+	s := &Service{
+		instance: instance, config: cfg, platform: client, targets: target.NewClient(transport),
+		bus: bus, log: log, counters: c, transport: transport,
+		indexes: map[string]*index{}, source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	s.lastAttempt.Store(rand.Uint64())
+	return s
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Needs implements kernel.Service. The subscriptions must exist before the first event.
+func (s *Service) Needs() []string { return nil }
+
+// Start subscribes to maps and targets.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	err := kernel.Subscribe(ctx, s.bus, func(ev configsync.SnapshotsPublished) {
+		s.indexFor(ev.Index).publish(ev.Maps)
+	})
+	if err != nil {
+		return err
+	}
+	return kernel.Subscribe(ctx, s.bus, func(ev configsync.TargetsChanged) {
+		s.indexFor(ev.Index).setTargets(ev.Targets)
+	})
+}
+
+// Stop closes idle connections.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.transport.CloseIdleConnections()
+	return nil
+}
+
+// Search implements caller.Backend.
+func (s *Service) Search(ctx context.Context, c caller.Search) (caller.Result, *problem.Problem) {
+	start := time.Now()
+	limit, p := s.authorise(c.Plan, c.Index)
+	if p != nil {
+		s.counters.Counter("search_refused_" + string(p.Code)).Add(1)
+		return caller.Result{}, p
+	}
+	ix, known := s.lookup(c.Index)
+	if !known {
+		return caller.Result{}, refusal(http.StatusNotFound, problem.UnknownIndex, "no index is named "+c.Index)
+	}
+	req := query.Request{
+		ID: query.RequestID(s.random()), Plan: c.Plan, Index: c.Index, Query: c.Query, Limit: c.Limit,
+		Deadline: start.Add(deadlineOf(limit, c.DeadlineMillis)),
+	}
+	answer, p := s.scatter(ctx, ix, req)
+	if p != nil {
+		return caller.Result{}, p
+	}
+	s.counters.Counter("searches_answered").Add(1)
+	return s.result(answer, limit)
+}
+
+func (s *Service) result(a query.Answer, limit config.Limit) (caller.Result, *problem.Problem) {
+	shards := len(a.Coverage.Included) + len(a.Coverage.Missing)
+	if float64(len(a.Coverage.Included)) < limit.LeastCoverage*float64(shards) {
+		s.counters.Counter("search_refused_" + string(problem.CoverageShort)).Add(1)
+		return caller.Result{}, &problem.Problem{
+			Status: http.StatusGatewayTimeout, Code: problem.CoverageShort, Run: problem.MayHaveRun,
+			Message: "the answer covers fewer shards than the plan demands",
+		}
+	}
+	return caller.Result{
+		Request: a.Request.String(), Instance: s.instance, Index: a.Index, Snapshot: a.Snapshot,
+		Complete: a.Coverage.Complete(), Coverage: a.Coverage, Hits: a.Hits,
+	}, nil
+}
+
+// authorise returns the limit of a plan if it may use the index.
+func (s *Service) authorise(plan, index string) (config.Limit, *problem.Problem) {
+	lists, known := s.config.InForce()
+	if !known {
+		return config.Limit{}, refusal(http.StatusServiceUnavailable, problem.NotReady, "no configuration is in force yet")
+	}
+	entry, ok := lists.Plans[plan]
+	if !ok {
+		return config.Limit{}, refusal(http.StatusForbidden, problem.UnknownPlan, "no plan is named "+plan)
+	}
+	limit, ok := lists.Limits[plan]
+	if !ok || entry.Value.Suspended || !contains(limit.Value.Indexes, index) {
+		return config.Limit{}, refusal(http.StatusForbidden, problem.PlanRefused, "plan "+plan+" may not use index "+index)
+	}
+	return limit.Value, nil
+}
+
+func deadlineOf(limit config.Limit, wantedMillis int) time.Duration {
+	wanted := time.Duration(wantedMillis) * time.Millisecond
+	if wanted > 0 && wanted < limit.Deadline() {
+		return wanted
+	}
+	return limit.Deadline()
+}
+
+func refusal(status int, code problem.Code, message string) *problem.Problem {
+	return &problem.Problem{Status: status, Code: code, Message: message, Run: problem.NotRun}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Service) random() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.source.Uint64()
+}
+
+func (s *Service) nextAttempt() query.AttemptID {
+	return query.AttemptID(s.lastAttempt.Add(1))
+}
+
+func (s *Service) lookup(name string) (*index, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ix, ok := s.indexes[name]
+	return ix, ok
+}
+
+func (s *Service) indexFor(name string) *index {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ix, ok := s.indexes[name]
+	if !ok {
+		ix = newIndex(name, rand.New(rand.NewPCG(s.source.Uint64(), s.source.Uint64())))
+		s.indexes[name] = ix
+	}
+	return ix
+}
--- /dev/null
+++ b/query/query.go
@@ -0,0 +1,164 @@
+// Package query holds the values that all parts of the query path share. The packages below it
+// hold the decisions; they do no I/O and take the time as an argument.
+package query
+
+import (
+	"fmt"
+	"time"
+)
+
+// RequestID identifies a caller's request. It is unique among the requests of the fleet that are
+// in flight, with a probability that follows from 64 random bits.
+type RequestID uint64
+
+// String formats the id as 16 hexadecimal digits.
+func (r RequestID) String() string { return fmt.Sprintf("%016x", uint64(r)) }
+
+// AttemptID identifies one sub-request of one instance.
+type AttemptID uint64
+
+// Shard identifies a shard of an index. Ids are never used again after a split or a merge.
+type Shard uint32
+
+// Version identifies a snapshot of an index. Later snapshots have larger versions.
+type Version uint64
+
+// TargetID identifies a target.
+type TargetID string
+
+// Target is a back end. Where it serves shards of an index it is a searcher.
+type Target struct {
+	ID            TargetID `json:"id"`
+	Address       string   `json:"address"`
+	FailureDomain string   `json:"failure_domain"`
+	Index         string   `json:"index"`
+	Shards        []Shard  `json:"shards"`
+	// Connections is the largest number of connections that the target accepts.
+	Connections int `json:"connections"`
+	// Leaving is set once the platform has marked the target as leaving. It lags.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Map is the partition map of one snapshot.
+type Map struct {
+	Version Version `json:"version"`
+	Shards  []Shard `json:"shards"`
+}
+
+// Request is a search over all shards of one index.
+type Request struct {
+	ID    RequestID
+	Plan  string
+	Index string
+	Query string
+	// Limit is the largest number of hits in the answer.
+	Limit    int
+	Deadline time.Time
+}
+
+// Hit is one result of a search.
+type Hit struct {
+	ID    string  `json:"id"`
+	Score float64 `json:"score"`
+	Text  string  `json:"text,omitempty"`
+}
+
+// Outcome says what is known about a sub-request.
+type Outcome uint8
+
+const (
+	// OutcomeUnknown means that the target may have run the request.
+	OutcomeUnknown Outcome = iota
+	// OutcomeAnswered means that the target ran the request and its answer arrived.
+	OutcomeAnswered
+	// OutcomeNotRun means that the request certainly did not reach the target.
+	OutcomeNotRun
+	// OutcomeShed means that the target refused the request before running it.
+	OutcomeShed
+	// OutcomeDraining means that the target is leaving and did not run the request.
+	OutcomeDraining
+	// OutcomeSnapshotGone means that the target does not hold the snapshot.
+	OutcomeSnapshotGone
+	// OutcomeWrongShard means that the target does not serve the shard and did not run the request.
+	OutcomeWrongShard
+	// OutcomeAborted means that the target stopped running the request at its deadline or on cancellation.
+	OutcomeAborted
+	// OutcomeCrashed means that the target ended all its streams while the request ran on it.
+	OutcomeCrashed
+)
+
+var outcomeNames = [...]string{
+	"unknown", "answered", "not_run", "shed", "draining", "snapshot_gone", "wrong_shard", "aborted", "crashed",
+}
+
+// String returns the name used in counters and logs.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return fmt.Sprintf("outcome(%d)", uint8(o))
+}
+
+// CertainlyNotRun reports whether the target ran no part of the request.
+func (o Outcome) CertainlyNotRun() bool {
+	switch o {
+	case OutcomeNotRun, OutcomeShed, OutcomeDraining, OutcomeSnapshotGone, OutcomeWrongShard:
+		return true
+	}
+	return false
+}
+
+// Cause says why an answer lacks a shard.
+type Cause string
+
+const (
+	CauseTimeout      Cause = "timeout"
+	CauseNoReplica    Cause = "no_replica"
+	CauseShed         Cause = "shed"
+	CauseSnapshotGone Cause = "snapshot_gone"
+	CauseCrashed      Cause = "crashed"
+	CauseQuarantined  Cause = "quarantined"
+	CauseUnreachable  Cause = "unreachable"
+)
+
+// MissingShard is a shard that an answer lacks.
+type MissingShard struct {
+	Shard Shard `json:"shard"`
+	Cause Cause `json:"cause"`
+}
+
+// Coverage says which shards of the snapshot's partition map an answer includes and which it
+// lacks. Each shard of the map is in exactly one of the two lists, both in ascending order.
+type Coverage struct {
+	Included []Shard        `json:"included"`
+	Missing  []MissingShard `json:"missing"`
+}
+
+// Complete reports whether no shard is missing.
+func (c Coverage) Complete() bool { return len(c.Missing) == 0 }
+
+// Answer is the merged result of a search. All hits come from the same snapshot.
+type Answer struct {
+	Request  RequestID
+	Index    string
+	Snapshot Version
+	// Hits are sorted by descending score, then by ascending id.
+	Hits     []Hit
+	Coverage Coverage
+}
+
+// Reply is what an attempt brought back, as the adapter saw it.
+type Reply struct {
+	// Attempt, Request, Shard and Snapshot are echoed by the target; they are what the reply
+	// claims to be for and need not match what was sent.
+	Attempt  AttemptID
+	Request  RequestID
+	Shard    Shard
+	Snapshot Version
+	Outcome  Outcome
+	Hits     []Hit
+	// Held lists the snapshots that the target holds, in ascending order.
+	Held []Version
+	// Cold is set while the target's caches are not warm.
+	Cold bool
+}
