--- a/cmd/hyssopctl/deployment.go
+++ b/cmd/hyssopctl/deployment.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"time"
 
 	"hyssopcroft.example/control/config"
@@ -23,6 +24,32 @@
 	}
 }
 
+const (
+	// fanOutSlots is more than the queries that path-cost keeps in flight, so that no sub-request waits.
+	fanOutSlots       = 64
+	fanOutConnections = 25
+)
+
+// fanOutDeployment returns one index for each fan-out, whose searchers answer at once.
+func fanOutDeployment(platformPort int, fanOuts []int) fleet.Deployment {
+	d := demoDeployment(platformPort)
+	d.MeanServiceTime = 0
+	d.Indexes = nil
+	entry := d.Lists.Limits["counter"]
+	entry.Value.Indexes = nil
+	entry.Value.DeadlineMillis = 5000
+	entry.Value.RatePerSecond, entry.Value.Concurrency = 1_000_000, 1_000_000
+	for _, n := range fanOuts {
+		name := fmt.Sprintf("fan-%d", n)
+		d.Indexes = append(d.Indexes, fleet.Index{
+			Name: name, Shards: n, Replicas: 1, Slots: fanOutSlots, Connections: fanOutConnections,
+		})
+		entry.Value.Indexes = append(entry.Value.Indexes, name)
+	}
+	d.Lists.Limits["counter"] = entry
+	return d
+}
+
 func demoLists() config.Lists {
 	const first config.Revision = 1
 	plan := config.Plan{Name: "counter", Priority: config.PriorityHigh, Prefer: config.PreferTail}
--- a/cmd/hyssopctl/main.go
+++ b/cmd/hyssopctl/main.go
@@ -30,6 +30,7 @@
 	Plan     planCmd     `cmd:"" help:"List, show, change or delete plans."`
 	Limit    limitCmd    `cmd:"" help:"List, show, change or delete what plans may use."`
 	Status   statusCmd   `cmd:"" help:"Show the state of an instance and the members that it knows."`
+	PathCost pathCostCmd `cmd:"" help:"Measure what a sub-request costs an instance, against a bare net/http scatter."`
 	Timeline timelineCmd `cmd:"" help:"Merge the events of several instances into one timeline."`
 }
 
--- a/cmd/hyssopctl/standins.go
+++ b/cmd/hyssopctl/standins.go
@@ -11,12 +11,13 @@
 )
 
 type standinsCmd struct {
-	PlatformPort int `default:"7000" help:"Port of the object API on 127.0.0.1; 0 takes a free one."`
+	PlatformPort int   `default:"7000" help:"Port of the object API on 127.0.0.1; 0 takes a free one."`
+	FanOut       []int `help:"Serve one index fan-N with N shards, without service time, for each N instead of the demo's indexes."`
 }
 
 // Run serves the stand-ins until it is interrupted.
 func (s standinsCmd) Run() error {
-	f, err := fleet.Start(demoDeployment(s.PlatformPort))
+	f, err := fleet.Start(s.deployment())
 	if err != nil {
 		return err
 	}
@@ -27,3 +28,10 @@
 	<-ctx.Done()
 	return nil
 }
+
+func (s standinsCmd) deployment() fleet.Deployment {
+	if len(s.FanOut) == 0 {
+		return demoDeployment(s.PlatformPort)
+	}
+	return fanOutDeployment(s.PlatformPort, s.FanOut)
+}
--- /dev/null
+++ b/emulator/pathcost/entry_side.go
@@ -0,0 +1,108 @@
+package pathcost
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/instance/app"
+	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/instance/entry"
+	"hyssopcroft.example/query"
+)
+
+const (
+	planName = "counter"
+	// readyTimeout bounds the wait for configuration and target lists.
+	readyTimeout = 10 * time.Second
+	readyPoll    = 20 * time.Millisecond
+)
+
+func indexName(fanOut int) string { return fmt.Sprintf("fan-%d", fanOut) }
+
+// entrySide is a whole instance, called without its HTTP server.
+type entrySide struct {
+	app     *app.App
+	entry   *entry.Service
+	targets map[string][]query.Target
+}
+
+func newEntrySide(platformURL string, log *slog.Logger) (*entrySide, error) {
+	a, err := app.New(app.Settings{
+		Instance: "path-cost", FailureDomain: "local", Region: "local", Listen: "127.0.0.1:0", Platform: platformURL,
+	}, log)
+	if err != nil {
+		return nil, err
+	}
+	if err := a.Start(context.Background()); err != nil {
+		return nil, err
+	}
+	e := &entrySide{app: a, entry: a.Entry(), targets: map[string][]query.Target{}}
+	if err := e.loadTargets(platformURL); err != nil {
+		e.stop()
+		return nil, err
+	}
+	return e, e.waitReady()
+}
+
+func (e *entrySide) stop() { _ = e.app.Stop(context.Background()) } // The process ends after the measurement.
+
+func (e *entrySide) loadTargets(platformURL string) error {
+	client := platform.NewClient(platformURL, http.DefaultTransport, nil)
+	changes, err := client.Watch(context.Background(), "measure", configsync.KindTargets, 0, 0)
+	if err != nil {
+		return err
+	}
+	for _, obj := range changes.Objects {
+		var targets []query.Target
+		if err := json.Unmarshal(obj.Data, &targets); err != nil {
+			return errors.Wrapf(err, "decode targets of %s", obj.Name)
+		}
+		e.targets[obj.Name] = targets
+	}
+	return nil
+}
+
+// waitReady waits until a query over every index is answered in full.
+func (e *entrySide) waitReady() error {
+	deadline := time.Now().Add(readyTimeout)
+	for index := range e.targets {
+		for {
+			err := e.search(context.Background(), index)
+			if err == nil {
+				break
+			}
+			if time.Now().After(deadline) {
+				return errors.Wrapf(err, "index %s", index)
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+func rowOf(fanOut int, bares, paths []Sample) Row {
+	ratios := make([]float64, len(bares))
+	for i := range bares {
+		ratios[i] = bares[i].CPUMicros / paths[i].CPUMicros
+	}
+	slices.Sort(ratios)
+	return Row{
+		FanOut: fanOut, Bare: medianSample(bares), Path: medianSample(paths),
+		CPURatio: ratios[len(ratios)/2], LowestRatio: ratios[0], HighestRatio: ratios[len(ratios)-1],
+	}
+}
+
+func medianSample(samples []Sample) Sample {
+	sorted := slices.Clone(samples)
+	slices.SortFunc(sorted, func(a, b Sample) int { return cmp.Compare(a.CPUMicros, b.CPUMicros) })
+	return sorted[len(sorted)/2]
+}
--- /dev/null
+++ b/emulator/pathcost/pathcost.go
@@ -0,0 +1,201 @@
+// Package pathcost measures what a sub-request costs an entry instance: processor time and
+// allocations of the whole path, against a bare net/http scatter of the same fan-out. The targets
+// run in another process, so that the processor time is that of the entry side alone.
+package pathcost
+
+import (
+	"context"
+	"log/slog"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/caller"
+	"hyssopcroft.example/query"
+)
+
+const (
+	// searchDeadline bounds one query of the measurement.
+	searchDeadline = 5 * time.Second
+	searchText     = "washed jars"
+	searchLimit    = 10
+)
+
+// Config says what to measure.
+type Config struct {
+	// Platform is the base URL of the stand-in platform.
+	Platform string
+	// FanOuts lists the numbers of shards; index "fan-N" must exist for each N.
+	FanOuts []int
+	// SubRequests is the number of sub-requests of each sample.
+	SubRequests int
+	// Concurrency is the number of queries in flight.
+	Concurrency int
+	// Rounds is the number of samples of each path, taken in turn.
+	Rounds int
+}
+
+// Sample is the cost of one path at one fan-out.
+type Sample struct {
+	// PerSecond is the number of sub-requests a second on all cores that were in use.
+	PerSecond float64 `json:"sub_requests_per_second"`
+	// CPUMicros is the processor time of a sub-request in microseconds.
+	CPUMicros float64 `json:"cpu_us_per_sub_request"`
+	// Allocations and Bytes are per sub-request.
+	Allocations float64 `json:"allocations_per_sub_request"`
+	Bytes       float64 `json:"allocated_bytes_per_sub_request"`
+}
+
+// Row compares both paths at one fan-out. Each sample is the one of median processor time.
+type Row struct {
+	FanOut int    `json:"fan_out"`
+	Bare   Sample `json:"bare"`
+	Path   Sample `json:"path"`
+	// CPURatio is the bare path's processor time over the whole path's; 1 means no added cost.
+	CPURatio float64 `json:"cpu_ratio"`
+	// LowestRatio and HighestRatio are the extremes over the rounds.
+	LowestRatio  float64 `json:"lowest_cpu_ratio"`
+	HighestRatio float64 `json:"highest_cpu_ratio"`
+	// ConnectionBytes is the memory that one idle connection to a target holds, heap and stacks.
+	ConnectionBytes float64 `json:"memory_bytes_per_connection"`
+}
+
+// Run measures all fan-outs.
+func Run(cfg Config, log *slog.Logger) ([]Row, error) {
+	e, err := newEntrySide(cfg.Platform, log)
+	if err != nil {
+		return nil, err
+	}
+	defer e.stop()
+	var rows []Row
+	for _, n := range cfg.FanOuts {
+		row, err := e.compare(cfg, n)
+		if err != nil {
+			return rows, errors.Wrapf(err, "fan-out %d", n)
+		}
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func (e *entrySide) compare(cfg Config, fanOut int) (Row, error) {
+	index := indexName(fanOut)
+	targets, err := e.targetsOf(index)
+	if err != nil {
+		return Row{}, err
+	}
+	bare := newBareScatter(targets)
+	defer bare.close()
+	path := func(ctx context.Context) error { return e.search(ctx, index) }
+	raw := func(ctx context.Context) error { return bare.search(ctx, searchText, searchLimit) }
+	unconnected := memoryInUse()
+	if err := errors.Wrap(firstError(raw(context.Background()), path(context.Background())), "warm up"); err != nil {
+		return Row{}, err
+	}
+	connected := memoryInUse()
+	var bares, paths []Sample
+	for range cfg.Rounds {
+		b, err := sample(cfg, fanOut, raw)
+		if err != nil {
+			return Row{}, err
+		}
+		p, err := sample(cfg, fanOut, path)
+		if err != nil {
+			return Row{}, err
+		}
+		bares, paths = append(bares, b), append(paths, p)
+	}
+	row := rowOf(fanOut, bares, paths)
+	row.ConnectionBytes = (float64(connected) - float64(unconnected)) / float64(fanOut)
+	return row, nil
+}
+
+// memoryInUse returns the bytes of heap and stacks after a garbage collection.
+func memoryInUse() uint64 {
+	runtime.GC()
+	runtime.GC() // The second cycle frees what finalizers and pools kept through the first.
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
+
+// sample runs queries with the given concurrency until SubRequests sub-requests are done.
+func sample(cfg Config, fanOut int, search func(context.Context) error) (Sample, error) {
+	queries := int64(max(cfg.Concurrency, cfg.SubRequests/fanOut))
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	cpu, start := cpuTime(), time.Now()
+	if err := inParallel(cfg.Concurrency, queries, search); err != nil {
+		return Sample{}, err
+	}
+	elapsed, used := time.Since(start), cpuTime()-cpu
+	runtime.ReadMemStats(&after)
+	n := float64(queries) * float64(fanOut)
+	return Sample{
+		PerSecond:   n / elapsed.Seconds(),
+		CPUMicros:   float64(used.Microseconds()) / n,
+		Allocations: float64(after.Mallocs-before.Mallocs) / n,
+		Bytes:       float64(after.TotalAlloc-before.TotalAlloc) / n,
+	}, nil
+}
+
+func inParallel(workers int, queries int64, search func(context.Context) error) error {
+	var next atomic.Int64
+	var failed atomic.Value
+	var wait sync.WaitGroup
+	for range workers {
+		wait.Go(func() {
+			for next.Add(1) <= queries && failed.Load() == nil {
+				if err := search(context.Background()); err != nil {
+					failed.CompareAndSwap(nil, err)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	err, _ := failed.Load().(error) // nil if no query failed
+	return err
+}
+
+// cpuTime returns the processor time of this process, user and system.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		panic(errors.Wrap(err, "getrusage"))
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// search runs one query through the entry service and fails unless the answer is complete.
+func (e *entrySide) search(ctx context.Context, index string) error {
+	result, p := e.entry.Search(ctx, caller.Search{Plan: planName, Index: index, Query: searchText, Limit: searchLimit})
+	if p != nil {
+		return p
+	}
+	if !result.Complete {
+		return errors.Errorf("answer lacks %d shards", len(result.Coverage.Missing))
+	}
+	return nil
+}
+
+func (e *entrySide) targetsOf(index string) ([]query.Target, error) {
+	targets, ok := e.targets[index]
+	if !ok {
+		return nil, errors.Errorf("the platform has no index %s", index)
+	}
+	return targets, nil
+}
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -94,6 +94,15 @@
 	return nil
 }
 
+// Entry returns the service that runs requests, for callers in the same process.
+func (a *App) Entry() *entry.Service {
+	e, err := kernel.Lookup[*entry.Service](a.kernel, entry.Name)
+	if err != nil {
+		panic(err)
+	}
+	return e
+}
+
 // Address returns the address on which the instance listens.
 func (a *App) Address() string { return a.listener.Addr().String() }
 
