Add measuring tool with a discrete-event driver

Cause: decisions of the query path could not be compared with a baseline. Conclusion: decisions can now be measured before and after a change.

--- a/cmd/hyssopctl/main.go
+++ b/cmd/hyssopctl/main.go
@@ -31,6 +31,7 @@
 	Limit    limitCmd    `cmd:"" help:"List, show, change or delete what plans may use."`
 	Status   statusCmd   `cmd:"" help:"Show the state of an instance and the members that it knows."`
 	Timeline timelineCmd `cmd:"" help:"Merge the events of several instances into one timeline."`
+	Measure  measureCmd  `cmd:"" help:"Run a measure of the decisions, or list the measures."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/hyssopctl/measure.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/emulator/measure"
+)
+
+type measureCmd struct {
+	List measureListCmd `cmd:"" help:"List the measures."`
+	Run  measureRunCmd  `cmd:"" default:"withargs" help:"Run a measure in virtual time, the baseline first."`
+}
+
+type measureListCmd struct{}
+
+// Run prints the names of the measures.
+func (measureListCmd) Run(c *cli) error {
+	type row struct {
+		Name    string `json:"name"`
+		Summary string `json:"summary"`
+	}
+	var rows []row
+	for _, m := range measure.All() {
+		rows = append(rows, row{Name: m.Name, Summary: m.Summary})
+	}
+	if c.JSON {
+		return printJSON(rows)
+	}
+	for _, r := range rows {
+		fmt.Printf("%-20s %s\n", r.Name, r.Summary)
+	}
+	return nil
+}
+
+type measureRunCmd struct {
+	Name string `arg:"" help:"Name of the measure."`
+	Seed uint64 `default:"1" help:"Seed of all random choices."`
+}
+
+// Run runs one measure. A missed goal is part of the report and no error.
+func (k measureRunCmd) Run(c *cli) error {
+	m, ok := measure.Find(k.Name)
+	if !ok {
+		return &problem.Problem{Code: problem.NotFound, Message: "no measure is named " + k.Name}
+	}
+	report := m.Execute(k.Seed)
+	if c.JSON {
+		return printJSON(report)
+	}
+	printReport(report)
+	return nil
+}
+
+func printReport(r measure.Report) {
+	fmt.Printf("%s, seed %d, pass %t\n", r.Name, r.Seed, r.Pass)
+	for _, figure := range slices.Sorted(maps.Keys(r.Result)) {
+		fmt.Printf("  %-48s baseline %12.4f result %12.4f", figure, r.Baseline[figure], r.Result[figure])
+		if ratio, ok := r.Ratio[figure]; ok {
+			fmt.Printf(" ratio %8.4f", ratio)
+		}
+		fmt.Println()
+	}
+	for _, g := range r.Goal {
+		bound, sign := g.AtMost, "at most"
+		if bound == nil {
+			bound, sign = g.AtLeast, "at least"
+		}
+		fmt.Printf("  goal: %s of %s %s %g: %.4f, pass %t\n", g.Of, g.Figure, sign, *bound, g.Value, g.Pass)
+	}
+}
--- /dev/null
+++ b/emulator/measure/driver.go
@@ -0,0 +1,203 @@
+package measure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/scatter"
+)
+
+// Scenario describes one run over one index.
+type Scenario struct {
+	Deployment Deployment
+	Index      IndexSize
+	Service    ServiceTime
+	// Utilisation is the share of all slots that the first attempts keep busy.
+	Utilisation float64
+	Queries     int // recorded queries
+	WarmUp      int // queries before them that are not recorded
+	Deadline    time.Duration
+	// PreferCoverage is set for a plan that prefers coverage.
+	PreferCoverage bool
+	// Baseline selects one random live replica per shard without hedges, retries and admission.
+	Baseline bool
+	Seed     uint64
+	// Setup adds faults before the first query.
+	Setup func(*Driver)
+}
+
+// stats holds what a run recorded.
+type stats struct {
+	latency  *hdrhistogram.Histogram // microseconds, as the client sees it
+	attempts int64
+	shards   int64 // shards asked by recorded queries
+	included int64
+	short    int64 // answers that lack a shard
+	wrong    int64 // answers that the oracle found wrong
+	late     int64
+}
+
+// Driver runs the queries of a scenario against the model of its searchers.
+type Driver struct {
+	Loop      *Loop
+	scenario  Scenario
+	index     IndexSize
+	source    *rand.Rand
+	searchers map[query.TargetID]*searcher
+	targets   []query.Target
+	entries   []*entry
+	shardMap  query.Map
+	stats     stats
+	started   int
+	// tamper, if set, takes the place of the delivery of replies.
+	tamper func(f *flight, sent query.AttemptID, r query.Reply)
+	// onSend, if set, sees the target of every attempt.
+	onSend func(query.TargetID)
+}
+
+const version query.Version = 7
+
+// longestLatency bounds the histograms.
+const longestLatency = time.Minute
+
+// NewDriver builds the searchers and entry instances of a scenario.
+func NewDriver(sc Scenario) *Driver {
+	d := &Driver{
+		Loop: NewLoop(), scenario: sc, index: sc.Index, source: rand.New(rand.NewPCG(sc.Seed, 1)),
+		searchers: map[query.TargetID]*searcher{}, targets: sc.Deployment.targets(sc.Index),
+		shardMap: query.Map{Version: version, Shards: sc.Index.shards()},
+	}
+	d.stats.latency = hdrhistogram.New(1, longestLatency.Microseconds(), 3)
+	for i, t := range d.targets {
+		d.searchers[t.ID] = &searcher{
+			loop: d.Loop, source: rand.New(rand.NewPCG(sc.Seed, uint64(1000+i))), service: sc.Service, factor: 1,
+			slots: sc.Index.Slots, domain: (i % sc.Index.Replicas) % len(sc.Deployment.FailureDomains),
+		}
+	}
+	for i := range sc.Deployment.Entries {
+		e := newEntry(d, i%len(sc.Deployment.FailureDomains))
+		e.setTargets(d.targets)
+		d.entries = append(d.entries, e)
+	}
+	if sc.Setup != nil {
+		sc.Setup(d)
+	}
+	return d
+}
+
+// rate returns the queries per second that give the utilisation of the scenario.
+func (sc Scenario) rate() float64 {
+	slots := float64(sc.Index.Slots * sc.Index.Replicas)
+	return sc.Utilisation * slots / sc.Service.mean().Seconds()
+}
+
+// Run runs all queries and returns the figures.
+func (d *Driver) Run() Figures {
+	d.arrive()
+	d.Loop.Run()
+	return d.figures()
+}
+
+// arrive starts one query at a random entry instance and schedules the next.
+func (d *Driver) arrive() {
+	if d.started >= d.scenario.WarmUp+d.scenario.Queries {
+		return
+	}
+	d.started++
+	e := d.entries[d.source.IntN(len(d.entries))]
+	e.start(query.Request{
+		ID: query.RequestID(d.source.Uint64()), Plan: "plan", Index: d.index.Name,
+		Limit: len(d.shardMap.Shards), Deadline: d.Loop.Now().Add(d.scenario.Deadline),
+	}, d.shardMap, d.started > d.scenario.WarmUp)
+	gap := d.source.ExpFloat64() / d.scenario.rate()
+	d.Loop.After(time.Duration(gap*float64(time.Second)), d.arrive)
+}
+
+// deliver passes an attempt's outcome to its query. A hit carries the ids that it answers, so that
+// the oracle can tell to which request it belongs.
+func (d *Driver) deliver(f *flight, a scatter.Action, o query.Outcome, cold bool) {
+	r := query.Reply{
+		Attempt: a.Attempt, Request: f.request.ID, Shard: a.Shard, Snapshot: f.version, Outcome: o, Cold: cold,
+	}
+	if o == query.OutcomeAnswered {
+		r.Hits = []query.Hit{{ID: hitID(f.request.ID, a.Shard), Score: 1}}
+	}
+	if d.tamper != nil {
+		d.tamper(f, a.Attempt, r)
+		return
+	}
+	f.receive(a.Attempt, r)
+}
+
+func hitID(r query.RequestID, s query.Shard) string { return fmt.Sprintf("%s/%d", r, s) }
+
+// finish records a query and lets the oracle check its answer.
+func (d *Driver) finish(f *flight) {
+	answer := f.machine.Answer()
+	if !f.recorded {
+		return
+	}
+	took := d.Loop.Now().Sub(f.started) + 2*d.scenario.Deployment.ToClients
+	_ = d.stats.latency.RecordValue(took.Microseconds()) // Deadlines lie below the longest value.
+	d.stats.shards += int64(len(f.entry.driver.shardMap.Shards))
+	d.stats.included += int64(len(answer.Coverage.Included))
+	if !answer.Coverage.Complete() {
+		d.stats.short++
+	}
+	if !right(f.request.ID, answer) {
+		d.stats.wrong++
+	}
+}
+
+// right is the oracle: the answer is to this request, and holds exactly the hit of each included shard.
+func right(id query.RequestID, a query.Answer) bool {
+	if a.Request != id || a.Snapshot != version || len(a.Hits) != len(a.Coverage.Included) {
+		return false
+	}
+	wanted := make(map[string]struct{}, len(a.Hits))
+	for _, s := range a.Coverage.Included {
+		wanted[hitID(id, s)] = struct{}{}
+	}
+	for _, h := range a.Hits {
+		delete(wanted, h.ID)
+	}
+	return len(wanted) == 0
+}
+
+// delay returns a one-way delay with its variable part and now and then a lost message.
+func (d *Driver) delay(a, b int) time.Duration {
+	fixed := d.scenario.Deployment.Delay(a, b)
+	total := fixed + time.Duration(d.source.ExpFloat64()*jitterShare*float64(fixed))
+	if a != b && d.source.Float64() < lossShare {
+		total += max(4*fixed, resendFloor)
+	}
+	return total
+}
+
+// timeLeft returns the time that is sent to the target.
+func (d *Driver) timeLeft(f *flight, _ scatter.Action) time.Duration {
+	return f.request.Deadline.Sub(d.Loop.Now())
+}
+
+func (d *Driver) sent(id query.TargetID) {
+	if d.onSend != nil {
+		d.onSend(id)
+	}
+}
+
+func (d *Driver) figures() Figures {
+	s := &d.stats
+	millis := func(quantile float64) float64 { return float64(s.latency.ValueAtQuantile(quantile)) / 1000 }
+	return Figures{
+		"p50_ms": millis(50), "p99_ms": millis(99), "p99.9_ms": millis(99.9),
+		"coverage":           float64(s.included) / float64(max(1, s.shards)),
+		"attempts_per_shard": float64(s.attempts) / float64(max(1, s.shards)),
+		"short_answers":      float64(s.short),
+		"wrong_answers":      float64(s.wrong),
+		"late_replies":       float64(s.late),
+	}
+}
--- /dev/null
+++ b/emulator/measure/entry.go
@@ -0,0 +1,191 @@
+package measure
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/replica"
+	"hyssopcroft.example/query/scatter"
+)
+
+const (
+	// pingClose is the time after which a silent connection with requests in flight is closed.
+	pingClose = 300 * time.Millisecond
+	// lossShare is the share of messages between failure domains that are lost and sent again.
+	lossShare = 0.001
+	// resendFloor is the shortest time after which a lost message is sent again.
+	resendFloor = 10 * time.Millisecond
+	// jitterShare is the mean of the variable part of a delay, as a share of the delay.
+	jitterShare = 0.1
+)
+
+// entry is one entry instance: its chooser, its connections and its counters of ids.
+type entry struct {
+	driver      *Driver
+	domain      int
+	chooser     *replica.Random
+	connections map[query.TargetID]*connection
+	lastAttempt query.AttemptID
+	source      *rand.Rand
+}
+
+type connection struct {
+	ready time.Time
+}
+
+// flight is one query at one entry instance.
+type flight struct {
+	entry    *entry
+	request  query.Request
+	version  query.Version
+	machine  *scatter.Machine
+	started  time.Time
+	jobs     map[query.AttemptID]*job
+	finished bool
+	recorded bool      // counts in the figures
+	wake     time.Time // earliest wake-up that is scheduled; zero if none
+}
+
+func newEntry(d *Driver, domain int) *entry {
+	e := &entry{
+		driver: d, domain: domain, connections: map[query.TargetID]*connection{},
+		source: rand.New(rand.NewPCG(d.source.Uint64(), d.source.Uint64())),
+	}
+	e.lastAttempt = query.AttemptID(e.source.Uint64())
+	e.chooser = replica.NewRandom(e.source)
+	return e
+}
+
+func (e *entry) setTargets(targets []query.Target) { e.chooser.SetTargets(targets) }
+
+func (e *entry) nextAttempt() query.AttemptID {
+	e.lastAttempt++
+	return e.lastAttempt
+}
+
+// start runs a query.
+func (e *entry) start(req query.Request, m query.Map, recorded bool) {
+	f := &flight{
+		entry: e, request: req, version: m.Version, started: e.driver.Loop.Now(), recorded: recorded,
+		jobs: map[query.AttemptID]*job{}, machine: scatter.New(e.machineConfig(req, m)),
+	}
+	f.perform(f.machine.Start(e.driver.Loop.Now()))
+}
+
+func (e *entry) machineConfig(req query.Request, m query.Map) scatter.Config {
+	return scatter.Config{Request: req, Map: m, Chooser: e.chooser, NextAttempt: e.nextAttempt}
+}
+
+func (f *flight) perform(actions []scatter.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case scatter.Send:
+			f.send(a)
+		case scatter.Cancel:
+			f.cancel(a)
+		case scatter.Finish:
+			f.finished = true
+		}
+	}
+	if f.finished {
+		f.entry.driver.finish(f)
+		return
+	}
+	f.schedule(f.machine.NextWake())
+}
+
+// schedule wakes the machine at t unless an earlier wake-up is scheduled.
+func (f *flight) schedule(t time.Time) {
+	if !f.wake.IsZero() && !t.Before(f.wake) {
+		return
+	}
+	f.wake = t
+	loop := f.entry.driver.Loop
+	loop.At(t, func() {
+		if f.finished || !f.wake.Equal(t) {
+			return
+		}
+		f.wake = time.Time{}
+		f.perform(f.machine.OnWake(loop.Now()))
+	})
+}
+
+func (f *flight) receive(sent query.AttemptID, r query.Reply) {
+	if f.finished {
+		f.entry.driver.stats.late++
+		return
+	}
+	f.perform(f.machine.OnReply(f.entry.driver.Loop.Now(), sent, r))
+}
+
+// send passes an attempt to its target, over a new connection if there is none.
+func (f *flight) send(a scatter.Action) {
+	e, d := f.entry, f.entry.driver
+	s := d.searchers[a.Target]
+	if f.recorded {
+		d.stats.attempts++
+	}
+	d.sent(a.Target)
+	now := d.Loop.Now()
+	delay := d.delay(e.domain, s.domain)
+	c, open := e.connections[a.Target]
+	if !open {
+		if s.health == crashed {
+			d.Loop.After(2*delay, func() { d.deliver(f, a, query.OutcomeNotRun, false) })
+			return
+		}
+		if s.health == silent {
+			return
+		}
+		c = &connection{ready: now.Add(2*delay + d.index.ConnectCost)}
+		e.connections[a.Target] = c
+	}
+	if c.ready.After(now) {
+		delay += c.ready.Sub(now)
+	}
+	f.dispatch(a, s, delay)
+}
+
+func (f *flight) dispatch(a scatter.Action, s *searcher, delay time.Duration) {
+	e, d := f.entry, f.entry.driver
+	j := &job{}
+	f.jobs[a.Attempt] = j
+	back := d.delay(e.domain, s.domain)
+	j.reply = func(o query.Outcome, cold bool) {
+		d.Loop.After(back, func() {
+			if o == query.OutcomeUnknown {
+				delete(e.connections, a.Target)
+			}
+			d.deliver(f, a, o, cold)
+		})
+	}
+	timeLeft := d.timeLeft(f, a)
+	d.Loop.After(delay, func() {
+		j.deadline = d.Loop.Now().Add(timeLeft)
+		switch {
+		case j.cancelled:
+		case s.health == crashed:
+			j.end(query.OutcomeUnknown, false)
+		case s.health == silent:
+			d.Loop.After(pingClose, func() {
+				delete(e.connections, a.Target)
+				j.end(query.OutcomeUnknown, false)
+			})
+		default:
+			s.arrive(j)
+		}
+	})
+}
+
+// cancel resets the stream of an attempt; the target learns of it one delay later.
+func (f *flight) cancel(a scatter.Action) {
+	j, ok := f.jobs[a.Attempt]
+	if !ok || j.cancelled {
+		return
+	}
+	d := f.entry.driver
+	s := d.searchers[a.Target]
+	j.cancelled = true
+	d.Loop.After(d.delay(f.entry.domain, s.domain), func() { s.abort(j) })
+}
--- /dev/null
+++ b/emulator/measure/searcher.go
@@ -0,0 +1,179 @@
+package measure
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"hyssopcroft.example/query"
+)
+
+// ServiceTime describes the service times of a searcher: a log-normal body, and a Pareto tail for
+// a small share of the requests.
+type ServiceTime struct {
+	Median    time.Duration
+	Sigma     float64 // of the logarithm
+	TailShare float64 // share of requests whose time is drawn from the tail
+	TailFrom  time.Duration
+	TailAlpha float64
+	Longest   time.Duration
+}
+
+// heavyTail is the service time of all measures that do not say otherwise. 1 % of the requests are
+// stragglers of at least ten times the median.
+var heavyTail = ServiceTime{
+	Median: 2 * time.Millisecond, Sigma: 0.5, TailShare: 0.01, TailFrom: 20 * time.Millisecond, TailAlpha: 1.5,
+	Longest: 2 * time.Second,
+}
+
+// draw returns one service time.
+func (t ServiceTime) draw(source *rand.Rand) time.Duration {
+	if source.Float64() < t.TailShare {
+		d := float64(t.TailFrom) * math.Pow(1-source.Float64(), -1/t.TailAlpha)
+		return min(time.Duration(min(d, math.MaxInt64/2)), t.Longest)
+	}
+	return time.Duration(float64(t.Median) * math.Exp(t.Sigma*source.NormFloat64()))
+}
+
+// mean returns the mean service time, without the cut at Longest.
+func (t ServiceTime) mean() time.Duration {
+	body := float64(t.Median) * math.Exp(t.Sigma*t.Sigma/2)
+	tail := float64(t.TailFrom) * t.TailAlpha / (t.TailAlpha - 1)
+	return time.Duration((1-t.TailShare)*body + t.TailShare*tail)
+}
+
+const (
+	// queueLength is the number of requests that wait at a searcher before it sheds.
+	queueLength = 20
+	// coldFactor is how much slower the first request of a cold searcher is.
+	coldFactor = 10.0
+	// warmAfter is the number of answers after which a cold searcher is as fast as the others.
+	warmAfter = 50
+)
+
+// health says how a searcher and its network behave.
+type health uint8
+
+const (
+	serving  health = iota
+	draining        // refuses new requests, finishes the others
+	crashed         // resets its connections and refuses new ones
+	silent          // takes packets and answers nothing
+)
+
+// job is one request at a searcher.
+type job struct {
+	deadline  time.Time // the searcher stops at this time
+	cancelled bool
+	ended     bool
+	running   bool
+	reply     func(o query.Outcome, cold bool)
+}
+
+// searcher is a model of a target with slots, a queue, shedding, cold start and drain.
+type searcher struct {
+	loop    *Loop
+	domain  int // position of its failure domain in the deployment
+	source  *rand.Rand
+	service ServiceTime
+	factor  float64 // multiplies every service time; above 1 for a slow replica
+	slots   int
+	health  health
+	toWarm  int // answers until the searcher is warm
+	busy    int
+	queue   []*job
+	present []*job // queued or running, in the order of arrival
+	ran     int64  // requests that were started
+	taken   int64  // requests that were not refused
+}
+
+// arrive takes a request from the network.
+func (s *searcher) arrive(j *job) {
+	switch {
+	case s.health == draining:
+		j.end(query.OutcomeDraining, false)
+		return
+	case s.busy >= s.slots && len(s.queue) >= queueLength:
+		j.end(query.OutcomeShed, false)
+		return
+	}
+	s.taken++
+	s.present = append(s.present, j)
+	if s.busy < s.slots {
+		s.start(j)
+		return
+	}
+	s.queue = append(s.queue, j)
+	s.loop.At(j.deadline, func() { s.abort(j) })
+}
+
+func (s *searcher) start(j *job) {
+	s.busy++
+	s.ran++
+	j.running = true
+	d := time.Duration(float64(s.service.draw(s.source)) * s.factor * s.coldness())
+	if end := s.loop.Now().Add(d); end.After(j.deadline) {
+		s.loop.At(j.deadline, func() { s.abort(j) })
+		return
+	}
+	s.loop.After(d, func() { s.complete(j) })
+}
+
+func (s *searcher) coldness() float64 {
+	return 1 + (coldFactor-1)*float64(s.toWarm)/warmAfter
+}
+
+func (s *searcher) complete(j *job) {
+	if j.ended {
+		return
+	}
+	cold := s.toWarm > 0
+	s.toWarm = max(0, s.toWarm-1)
+	s.release(j)
+	j.end(query.OutcomeAnswered, cold)
+}
+
+// abort ends a request at its deadline or on cancellation and frees its slot.
+func (s *searcher) abort(j *job) {
+	if j.ended {
+		return
+	}
+	s.release(j)
+	j.end(query.OutcomeAborted, s.toWarm > 0)
+}
+
+// crash resets the connections of all requests at once.
+func (s *searcher) crash() {
+	s.health = crashed
+	present := s.present
+	s.queue, s.present, s.busy = nil, nil, 0
+	for _, j := range present {
+		j.running = false
+		j.end(query.OutcomeUnknown, false)
+	}
+}
+
+func (s *searcher) release(j *job) {
+	s.present = slices.DeleteFunc(s.present, func(p *job) bool { return p == j })
+	j.ended = true
+	if !j.running {
+		return
+	}
+	j.running = false
+	s.busy--
+	for s.busy < s.slots && len(s.queue) > 0 {
+		next := s.queue[0]
+		s.queue = s.queue[1:]
+		if !next.ended {
+			s.start(next)
+		}
+	}
+}
+
+func (j *job) end(o query.Outcome, cold bool) {
+	j.ended = true
+	if !j.cancelled {
+		j.reply(o, cold)
+	}
+}
