--- /dev/null
+++ b/emulator/fleet/snapshot_test.go
@@ -0,0 +1,37 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/caller"
+	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/query"
+)
+
+// Guards against answers that lack shards, or mix versions, when all searchers drop the version that
+// queries are asked at.
+func TestDroppedSnapshotRestartsTheQuery(t *testing.T) {
+	f, apps := start(t)
+	present, _ := f.Store.Get(configsync.KindSnapshots, "ledger")
+	shards := []query.Shard{0, 1, 2, 3}
+	data, err := json.Marshal([]query.Map{{Version: 1, Shards: shards}, {Version: 2, Shards: shards}})
+	require.NoError(t, err)
+	_, ok := f.Store.Put(configsync.KindSnapshots, "ledger", data, present.Version, 0)
+	require.True(t, ok)
+	for _, s := range f.Searchers {
+		s.SetSnapshots([]query.Version{2})
+	}
+	require.Eventually(t, func() bool {
+		var result caller.Result
+		code := do(t, http.MethodPost, apps[0], "/v1/search", nil, searchBody, &result)
+		return code == http.StatusOK && result.Complete && result.Snapshot == 2
+	}, settleTimeout, settlePoll)
+	var result caller.Result
+	require.Equal(t, http.StatusOK, do(t, http.MethodPost, apps[0], "/v1/search", nil, searchBody, &result))
+	require.True(t, result.Complete)
+	require.Equal(t, query.Version(2), result.Snapshot)
+}
--- a/instance/entry/index.go
+++ b/instance/entry/index.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/replica"
@@ -15,12 +16,16 @@
 
 	mu        sync.Mutex // guards the fields below
 	snapshots snapshot.Chooser
+	median    *snapshot.Median // of the latency of complete answers
 	replicas  *replica.Random
 	addresses map[query.TargetID]string
 }
 
 func newIndex(name string, source *rand.Rand) *index {
-	return &index{name: name, replicas: replica.NewRandom(source), addresses: map[query.TargetID]string{}}
+	return &index{
+		name: name, median: snapshot.NewMedian(), replicas: replica.NewRandom(source),
+		addresses: map[query.TargetID]string{},
+	}
 }
 
 func (ix *index) publish(maps []query.Map) {
@@ -32,6 +37,7 @@
 func (ix *index) setTargets(targets []query.Target) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
+	ix.snapshots.SetTargets(targets)
 	ix.replicas.SetTargets(targets)
 	clear(ix.addresses)
 	for _, t := range targets {
@@ -45,6 +51,37 @@
 	return ix.snapshots.Choose()
 }
 
+// observe takes the versions that a target reported.
+func (ix *index) observe(id query.TargetID, held []query.Version) {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	ix.snapshots.Observe(id, held)
+}
+
+// recordLatency takes the latency of a complete answer.
+func (ix *index) recordLatency(d time.Duration) {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	ix.median.Record(d)
+}
+
+// restartOnReply returns the map to restart at if the reply says that a shard lost the snapshot.
+func (ix *index) restartOnReply(r *snapshot.Restart, s query.Shard, o query.Outcome) (query.Map, bool) {
+	if o != query.OutcomeSnapshotGone {
+		return query.Map{}, false
+	}
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	return r.OnReply(time.Now(), &ix.snapshots, s, o, ix.median.Value())
+}
+
+// restartOnFinish returns the map to restart at if the answer lacks a shard that lost the snapshot.
+func (ix *index) restartOnFinish(r *snapshot.Restart, got query.Coverage) (query.Map, bool) {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	return r.OnFinish(time.Now(), &ix.snapshots, got, ix.median.Value())
+}
+
 // Choose implements scatter.Chooser.
 func (ix *index) Choose(s query.Shard) (query.TargetID, bool) {
 	ix.mu.Lock()
@@ -52,6 +89,16 @@
 	return ix.replicas.Choose(s)
 }
 
+// at returns a chooser that avoids the targets that do not hold the version.
+func (ix *index) at(v query.Version) *versionChooser { return &versionChooser{index: ix, version: v} }
+
+// mayHold reports whether the target is not known to lack the version.
+func (ix *index) mayHold(id query.TargetID, v query.Version) bool {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	return ix.snapshots.MayHold(id, v)
+}
+
 func (ix *index) address(id query.TargetID) string {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -9,6 +9,7 @@
 	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/scatter"
+	"hyssopcroft.example/query/snapshot"
 )
 
 // run performs the actions of one scatter.Machine. Only its own goroutine uses the machine.
@@ -17,6 +18,7 @@
 	index   *index
 	request query.Request
 	version query.Version
+	restart *snapshot.Restart
 	machine *scatter.Machine
 	replies chan sentReply
 	cancels map[query.AttemptID]context.CancelFunc
@@ -24,43 +26,70 @@
 
 type sentReply struct {
 	attempt query.AttemptID
+	shard   query.Shard
 	reply   query.Reply
 }
 
 // scatter asks all shards of an index and returns the merged answer.
 func (s *Service) scatter(ctx context.Context, ix *index, req query.Request) (query.Answer, *problem.Problem) {
+	start := time.Now()
 	shardMap, known := ix.chooseSnapshot()
 	if !known {
 		return query.Answer{}, refusal(http.StatusServiceUnavailable, problem.NotReady, "index "+req.Index+" has no snapshot yet")
 	}
-	r := &run{
-		service: s, index: ix, request: req, version: shardMap.Version,
-		machine: scatter.New(scatter.Config{Request: req, Map: shardMap, Chooser: ix, NextAttempt: s.nextAttempt}),
+	restart := snapshot.NewRestart(shardMap.Version, req.Deadline)
+	for {
+		answer, other, again := s.newRun(ix, req, shardMap, restart).loop(ctx)
+		if !again {
+			if answer.Coverage.Complete() {
+				ix.recordLatency(time.Since(start))
+			}
+			return answer, nil
+		}
+		s.counters.Counter("search_restarts").Add(1)
+		shardMap = other
+	}
+}
+
+func (s *Service) newRun(ix *index, req query.Request, shardMap query.Map, restart *snapshot.Restart) *run {
+	cfg := scatter.Config{Request: req, Map: shardMap, Chooser: ix.at(shardMap.Version), NextAttempt: s.nextAttempt}
+	return &run{
+		service: s, index: ix, request: req, version: shardMap.Version, restart: restart,
+		machine: scatter.New(cfg),
 		replies: make(chan sentReply, len(shardMap.Shards)),
 		cancels: make(map[query.AttemptID]context.CancelFunc, len(shardMap.Shards)),
 	}
-	return r.loop(ctx), nil
 }
 
-func (r *run) loop(ctx context.Context) query.Answer {
+// loop returns the answer, or true with the map that the query has to be asked at again.
+func (r *run) loop(ctx context.Context) (query.Answer, query.Map, bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends all attempts that are still in flight
+	defer r.countDropped()
 	finished := r.perform(ctx, r.machine.Start(time.Now()))
 	timer := time.NewTimer(time.Until(r.machine.NextWake()))
 	defer timer.Stop()
 	for !finished {
 		select {
 		case s := <-r.replies:
+			if other, again := r.index.restartOnReply(r.restart, s.shard, s.reply.Outcome); again {
+				return query.Answer{}, other, true
+			}
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), s.attempt, s.reply))
 		case <-timer.C:
 			finished = r.perform(ctx, r.machine.OnWake(time.Now()))
 			timer.Reset(time.Until(r.machine.NextWake()))
 		}
 	}
+	answer := r.machine.Answer()
+	other, again := r.index.restartOnFinish(r.restart, answer.Coverage)
+	return answer, other, again
+}
+
+func (r *run) countDropped() {
 	for reason, n := range r.machine.Dropped() {
 		r.service.counters.Counter(reason).Add(n)
 	}
-	return r.machine.Answer()
 }
 
 // perform returns true if the machine has finished.
@@ -91,9 +120,18 @@
 	go func() {
 		defer cancel()
 		reply := r.service.targets.Search(ctx, call)
+		if reportsHeld(a.Attempt, reply) {
+			r.index.observe(a.Target, reply.Held)
+		}
 		select {
-		case r.replies <- sentReply{attempt: a.Attempt, reply: reply}:
+		case r.replies <- sentReply{attempt: a.Attempt, shard: a.Shard, reply: reply}:
 		case <-ctx.Done():
 		}
 	}()
 }
+
+// reportsHeld reports whether the reply states the versions that the target of the attempt holds. An
+// empty list counts only in the refusal of a snapshot, since a failed call has one as well.
+func reportsHeld(sent query.AttemptID, r query.Reply) bool {
+	return r.Attempt == sent && (len(r.Held) > 0 || r.Outcome == query.OutcomeSnapshotGone)
+}
