Lend shares of plan limits for a time

Change: control/share with a lender and holders. The floor without a loan falls from 10 % to 2 % of the limit, because an idle floor is lost to the others.

--- /dev/null
+++ b/control/share/share_test.go
@@ -0,0 +1,168 @@
+package share
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var testLimit = Amount{Rate: 1000, Concurrency: 100}
+
+// TestMain fixes the seed, so that every run explores the same histories.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	m.Run()
+}
+
+func start() time.Time { return time.Unix(1_700_000_000, 0) }
+
+// sentAsk is an ask or its answer on the way.
+type sentAsk struct {
+	holder *Holder
+	ask    Ask
+	sent   time.Time
+	loan   *Loan
+}
+
+// lending explores message loss, reordering, duplication, pauses, restarts of holders and
+// replacement of the lender.
+type lending struct {
+	now      time.Time
+	lender   *Lender
+	epoch    uint32
+	lastLent time.Time // latest time at which the present lender's predecessors may have lent
+	holders  []*Holder
+	onTheWay []sentAsk
+	restarts int
+}
+
+func (l *lending) step(t *rapid.T) {
+	i := rapid.IntRange(0, len(l.holders)-1).Draw(t, "holder")
+	h := l.holders[i]
+	switch rapid.SampledFrom([]string{"wait", "wait", "request", "request", "done", "ask", "ask", "ask", "message", "message", "message", "restart", "new lender"}).Draw(t, "move") {
+	case "wait":
+		l.now = l.now.Add(time.Duration(rapid.SampledFrom([]int{5, 60, 500, 1500}).Draw(t, "ms")) * time.Millisecond)
+	case "request":
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			h.Admit(l.now)
+		}
+	case "done":
+		if h.InFlight() > 0 {
+			h.Done()
+		}
+	case "ask":
+		if ask, due := h.NextAsk(l.now); due {
+			l.onTheWay = append(l.onTheWay, sentAsk{holder: h, ask: ask, sent: l.now})
+		}
+	case "restart":
+		l.restarts++
+		l.holders[i] = NewHolder(fmt.Sprintf("restarted-%d", l.restarts), testLimit, len(l.holders), l.now)
+	case "new lender":
+		l.epoch++
+		l.lender = NewLender(testLimit, l.epoch, l.now, true)
+	default:
+		l.message(t)
+	}
+}
+
+func (l *lending) message(t *rapid.T) {
+	if len(l.onTheWay) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(l.onTheWay)-1).Draw(t, "message")
+	m := l.onTheWay[i]
+	if rapid.IntRange(0, 4).Draw(t, "copy") > 0 {
+		l.onTheWay = append(l.onTheWay[:i], l.onTheWay[i+1:]...)
+	}
+	switch {
+	case rapid.IntRange(0, 4).Draw(t, "lost") == 0:
+	case m.loan == nil:
+		loan := l.lender.OnAsk(l.now, m.ask)
+		m.loan = &loan
+		l.onTheWay = append(l.onTheWay, m)
+	default:
+		m.holder.OnLoan(m.sent, l.now, *m.loan)
+	}
+}
+
+// Guards against any order of messages and faults in which holders together may use more than the
+// limit. Holders that were restarted are gone; their loans must not be lent again too early.
+func TestHoldersTogetherStayWithinTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &lending{now: start(), epoch: 1}
+		l.lender = NewLender(testLimit, l.epoch, l.now, false)
+		for i := range 4 {
+			l.holders = append(l.holders, NewHolder(fmt.Sprint(i), testLimit, 4, l.now))
+		}
+		for range 200 {
+			l.step(t)
+			var held Amount
+			for _, h := range l.holders {
+				held = held.plus(h.Held(l.now))
+			}
+			if held.Rate > testLimit.Rate*1.000001 || held.Concurrency > testLimit.Concurrency {
+				t.Fatalf("holders may use %+v of %+v", held, testLimit)
+			}
+		}
+	})
+}
+
+// Guards against a pause after which a holder goes on with a loan that has ended meanwhile.
+func TestPausedHolderFallsToTheFloor(t *testing.T) {
+	now := start()
+	h := NewHolder("a", testLimit, 2, now)
+	h.OnLoan(now, now, Loan{ID: 1, Amount: Amount{Rate: 900, Concurrency: 90}, Time: LoanTime})
+	require.Greater(t, h.Held(now).Rate, 900.0)
+	require.Equal(t, Floor(testLimit, 2), h.Held(now.Add(LoanTime)))
+}
+
+// Guards against a loan whose answer came so late that it has ended, or after a newer one.
+func TestLateLoansAreDropped(t *testing.T) {
+	now := start()
+	h := NewHolder("a", testLimit, 2, now)
+	h.OnLoan(now, now.Add(LoanTime), Loan{ID: 5, Amount: Amount{Rate: 500}, Time: LoanTime})
+	require.Equal(t, Floor(testLimit, 2), h.Held(now.Add(LoanTime)))
+	h.OnLoan(now, now, Loan{ID: 7, Amount: Amount{Rate: 100}, Time: LoanTime})
+	h.OnLoan(now, now, Loan{ID: 6, Amount: Amount{Rate: 800}, Time: LoanTime})
+	require.Less(t, h.Held(now).Rate, 200.0)
+}
+
+// Guards against an idle fleet that admits one request at each of many instances at once.
+func TestSmallLimitHasNoFloor(t *testing.T) {
+	require.Zero(t, Floor(Amount{Rate: 10, Concurrency: 10}, 780).Rate)
+	require.InDelta(t, 20.0, Floor(Amount{Rate: 1000}, 1).Rate, 1e-9)
+}
+
+// Guards against a loan that is lent again while its answer is still on the way to its holder.
+func TestUnacknowledgedLoanStaysReserved(t *testing.T) {
+	now := start()
+	l := NewLender(testLimit, 1, now, false)
+	first := l.OnAsk(now, Ask{Holder: "a", Want: Amount{Rate: 900}})
+	l.OnAsk(now, Ask{Holder: "a", Want: Amount{Rate: 100}})
+	other := l.OnAsk(now, Ask{Holder: "b", Want: Amount{Rate: 900}})
+	require.LessOrEqual(t, first.Amount.Rate+other.Amount.Rate, Lendable(testLimit).Rate)
+	l.OnAsk(now, Ask{Holder: "a", Using: first.ID + 1, Want: Amount{Rate: 100}})
+	require.Greater(t, l.OnAsk(now, Ask{Holder: "b", Want: Amount{Rate: 900}}).Amount.Rate, other.Amount.Rate)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	now := start()
+	h := NewHolder("a", Amount{Rate: 1e9, Concurrency: 1 << 30}, 1, now)
+	h.OnLoan(now, now, Loan{ID: 1, Amount: Amount{Rate: 9e8, Concurrency: 1 << 29}, Time: time.Hour})
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		if ok, _ := h.Admit(now); ok {
+			h.Done()
+		}
+	}
+}
