Choose replicas by cost, hedge and retry within budgets

Cause: each shard got one attempt at a random replica, so the slowest replica set the latency and a lost one left a gap in the answer. Change: replica.Chooser chooses by two random choices on (in-flight + 1) x latency with locality as a cost, and keeps a learnt concurrency limit, a breaker, cold and draining marks per target. hedge.Delay learns the 98th percentile per target class, hedge.Budget holds the tokens. scatter.Pool joins them as the Policy of a Machine, which hedges, retries, cancels losers and leaves room for the way back in the time left. Without a Policy a Machine acts as before. instance/entry uses the Pool.

--- a/emulator/measure/driver.go
+++ b/emulator/measure/driver.go
@@ -112,6 +112,7 @@
 	e.start(query.Request{
 		ID: query.RequestID(d.source.Uint64()), Plan: "plan", Index: d.index.Name,
 		Limit: len(d.shardMap.Shards), Deadline: d.Loop.Now().Add(d.scenario.Deadline),
+		PreferCoverage: d.scenario.PreferCoverage,
 	}, d.shardMap, d.started > d.scenario.WarmUp)
 	gap := d.source.ExpFloat64() / d.scenario.rate()
 	d.Loop.After(time.Duration(gap*float64(time.Second)), d.arrive)
@@ -178,11 +179,6 @@
 	return total
 }
 
-// timeLeft returns the time that is sent to the target.
-func (d *Driver) timeLeft(f *flight, _ scatter.Action) time.Duration {
-	return f.request.Deadline.Sub(d.Loop.Now())
-}
-
 func (d *Driver) sent(id query.TargetID) {
 	if d.onSend != nil {
 		d.onSend(id)
--- a/emulator/measure/entry.go
+++ b/emulator/measure/entry.go
@@ -20,11 +20,12 @@
 	jitterShare = 0.1
 )
 
-// entry is one entry instance: its chooser, its connections and its counters of ids.
+// entry is one entry instance: what it learnt of the targets, its connections and its counters of ids.
 type entry struct {
 	driver      *Driver
 	domain      int
-	chooser     *replica.Random
+	random      *replica.Random
+	pool        *scatter.Pool
 	connections map[query.TargetID]*connection
 	lastAttempt query.AttemptID
 	source      *rand.Rand
@@ -53,11 +54,15 @@
 		source: rand.New(rand.NewPCG(d.source.Uint64(), d.source.Uint64())),
 	}
 	e.lastAttempt = query.AttemptID(e.source.Uint64())
-	e.chooser = replica.NewRandom(e.source)
+	e.random = replica.NewRandom(e.source)
+	e.pool = scatter.NewPool(d.scenario.Deployment.FailureDomains[domain], e.source)
 	return e
 }
 
-func (e *entry) setTargets(targets []query.Target) { e.chooser.SetTargets(targets) }
+func (e *entry) setTargets(targets []query.Target) {
+	e.random.SetTargets(targets)
+	e.pool.SetTargets(targets)
+}
 
 func (e *entry) nextAttempt() query.AttemptID {
 	e.lastAttempt++
@@ -74,7 +79,10 @@
 }
 
 func (e *entry) machineConfig(req query.Request, m query.Map) scatter.Config {
-	return scatter.Config{Request: req, Map: m, Chooser: e.chooser, NextAttempt: e.nextAttempt}
+	if e.driver.scenario.Baseline {
+		return scatter.Config{Request: req, Map: m, Chooser: e.random, NextAttempt: e.nextAttempt}
+	}
+	return scatter.Config{Request: req, Map: m, Policy: e.pool, NextAttempt: e.nextAttempt}
 }
 
 func (f *flight) perform(actions []scatter.Action) {
@@ -160,7 +168,7 @@
 			d.deliver(f, a, o, cold)
 		})
 	}
-	timeLeft := d.timeLeft(f, a)
+	timeLeft := a.TimeLeft
 	d.Loop.After(delay, func() {
 		j.deadline = d.Loop.Now().Add(timeLeft)
 		switch {
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -55,7 +55,7 @@
 	}
 	cfg := configsync.New(client, k.Bus(), ring, log, c)
 	m := members.New(self, client, k.Bus(), ring, log, c)
-	e := entry.New(s.Instance, cfg, client, k.Bus(), log, c)
+	e := entry.New(s.Instance, s.FailureDomain, cfg, client, k.Bus(), log, c)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
 	for _, service := range []kernel.Service{e, cfg, m, op} {
 		if err := k.Register(service); err != nil {
--- a/instance/entry/execute.go
+++ b/instance/entry/execute.go
@@ -103,7 +103,7 @@
 	if !known {
 		return "", query.OutcomeNotRun
 	}
-	id, ok := ix.Choose(m.Shards[0])
+	id, ok := ix.peek(m.Shards[0])
 	if !ok {
 		return "", query.OutcomeNotRun
 	}
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -35,15 +35,15 @@
 	}
 	r := &run{
 		service: s, index: ix, request: req, version: shardMap.Version,
-		machine: scatter.New(scatter.Config{Request: req, Map: shardMap, Chooser: ix, NextAttempt: s.nextAttempt}),
+		machine: scatter.New(scatter.Config{Request: req, Map: shardMap, Policy: ix, NextAttempt: s.nextAttempt}),
 		replies: make(chan sentReply, len(shardMap.Shards)),
 		cancels: make(map[query.AttemptID]context.CancelFunc, len(shardMap.Shards)),
 	}
 	return r.loop(ctx), nil
 }
 
-func (r *run) loop(ctx context.Context) query.Answer {
-	ctx, cancel := context.WithCancel(ctx)
+func (r *run) loop(caller context.Context) query.Answer {
+	ctx, cancel := context.WithCancel(caller)
 	defer cancel() // ends all attempts that are still in flight
 	finished := r.perform(ctx, r.machine.Start(time.Now()))
 	timer := time.NewTimer(time.Until(r.machine.NextWake()))
@@ -54,8 +54,11 @@
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), s.attempt, s.reply))
 		case <-timer.C:
 			finished = r.perform(ctx, r.machine.OnWake(time.Now()))
-			timer.Reset(time.Until(r.machine.NextWake()))
+		case <-caller.Done():
+			r.machine.Abandon(time.Now())
+			finished = true
 		}
+		timer.Reset(time.Until(r.machine.NextWake()))
 	}
 	for reason, n := range r.machine.Dropped() {
 		r.service.counters.Counter(reason).Add(n)
@@ -85,7 +88,7 @@
 	call := target.Search{
 		Address: r.index.address(a.Target), Request: r.request.ID, Attempt: a.Attempt, Index: r.request.Index,
 		Shard: a.Shard, Snapshot: r.version, Query: r.request.Query, Limit: r.request.Limit,
-		TimeLeft: time.Until(r.request.Deadline),
+		TimeLeft: a.TimeLeft,
 	}
 	r.service.counters.Counter("attempts_sent").Add(1)
 	go func() {
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -33,13 +33,14 @@
 
 // Service runs searches and executes. It is safe for concurrent use.
 type Service struct {
-	instance string
-	config   *configsync.Service
-	platform *platform.Client
-	targets  *target.Client
-	bus      *kernel.Bus
-	log      *slog.Logger
-	counters *counters.Set
+	instance      string
+	failureDomain string
+	config        *configsync.Service
+	platform      *platform.Client
+	targets       *target.Client
+	bus           *kernel.Bus
+	log           *slog.Logger
+	counters      *counters.Set
 
 	transport   *http.Transport
 	cancel      context.CancelFunc
@@ -50,11 +51,11 @@
 	source  *rand.Rand
 }
 
-// New returns a service for one instance.
-func New(instance string, cfg *configsync.Service, client *platform.Client, bus *kernel.Bus, log *slog.Logger, c *counters.Set) *Service {
+// New returns a service for one instance in the given failure domain.
+func New(instance, failureDomain string, cfg *configsync.Service, client *platform.Client, bus *kernel.Bus, log *slog.Logger, c *counters.Set) *Service {
 	transport := target.NewTransport(pingAfter, pingTimeout)
 	s := &Service{
-		instance: instance, config: cfg, platform: client, targets: target.NewClient(transport),
+		instance: instance, failureDomain: failureDomain, config: cfg, platform: client, targets: target.NewClient(transport),
 		bus: bus, log: log, counters: c, transport: transport,
 		indexes: map[string]*index{}, source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -104,7 +105,7 @@
 	}
 	req := query.Request{
 		ID: query.RequestID(s.random()), Plan: c.Plan, Index: c.Index, Query: c.Query, Limit: c.Limit,
-		Deadline: start.Add(deadlineOf(limit, c.DeadlineMillis)),
+		Deadline: start.Add(deadlineOf(limit, c.DeadlineMillis)), PreferCoverage: s.prefersCoverage(c.Plan),
 	}
 	answer, p := s.scatter(ctx, ix, req)
 	if p != nil {
@@ -146,6 +147,11 @@
 	return limit.Value, nil
 }
 
+func (s *Service) prefersCoverage(plan string) bool {
+	lists, _ := s.config.InForce()
+	return lists.Plans[plan].Value.Prefer == config.PreferCoverage
+}
+
 func deadlineOf(limit config.Limit, wantedMillis int) time.Duration {
 	wanted := time.Duration(wantedMillis) * time.Millisecond
 	if wanted > 0 && wanted < limit.Deadline() {
@@ -189,7 +195,7 @@
 	defer s.mu.Unlock()
 	ix, ok := s.indexes[name]
 	if !ok {
-		ix = newIndex(name, rand.New(rand.NewPCG(s.source.Uint64(), s.source.Uint64())))
+		ix = newIndex(name, s.failureDomain, rand.New(rand.NewPCG(s.source.Uint64(), s.source.Uint64())))
 		s.indexes[name] = ix
 	}
 	return ix
--- a/query/query.go
+++ b/query/query.go
@@ -54,6 +54,9 @@
 	// Limit is the largest number of hits in the answer.
 	Limit    int
 	Deadline time.Time
+	// PreferCoverage is set for plans that try other replicas until the deadline before they answer
+	// short. Other plans answer short as soon as nothing is left to wait for.
+	PreferCoverage bool
 }
 
 // Hit is one result of a search.
--- /dev/null
+++ b/query/replica/chooser.go
@@ -0,0 +1,212 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"hyssopcroft.example/query"
+)
+
+// Class numbers the target classes of one index, which are its failure domains.
+type Class int
+
+// Use says what an attempt is for.
+type Use uint8
+
+const (
+	// First is the first attempt at a shard.
+	First Use = iota
+	// Retry follows an attempt that brought no answer.
+	Retry
+	// Hedge runs besides an attempt that is still in flight.
+	Hedge
+)
+
+// Verdict says whether an attempt may be sent.
+type Verdict uint8
+
+const (
+	// Chosen means that a target was chosen.
+	Chosen Verdict = iota
+	// Limited means that the usable replicas have as many requests as their limits allow, or may take
+	// no hedge now.
+	Limited
+	// NoReplica means that no replica is left that may be used.
+	NoReplica
+	// NoToken means that the plan's budget for extra attempts is used up.
+	NoToken
+	// Final means that no attempt will be allowed later either.
+	Final
+)
+
+// Pick is a chosen target.
+type Pick struct {
+	Target query.TargetID
+	Class  Class
+}
+
+// End is what became of an attempt.
+type End struct {
+	Target query.TargetID
+	// Elapsed is the time since the attempt was sent.
+	Elapsed time.Duration
+	Outcome query.Outcome
+	// Cancelled is set if this instance ended the attempt; Outcome means nothing then.
+	Cancelled bool
+	Cold      bool
+}
+
+// Chooser chooses replicas by two random choices on (in-flight + 1) × latency, with locality as a
+// cost. It learns from the attempts of this instance alone. It is not safe for concurrent use.
+type Chooser struct {
+	domain  string
+	source  *rand.Rand
+	targets map[query.TargetID]*state
+	byShard map[query.Shard][]*state
+	classes map[string]Class
+	typical []time.Duration // moving average of the latency by class
+	usable  []*state        // scratch space of Choose
+}
+
+// NewChooser returns a chooser without targets. domain is the failure domain of this instance.
+func NewChooser(domain string, source *rand.Rand) *Chooser {
+	return &Chooser{
+		domain: domain, source: source, targets: map[query.TargetID]*state{}, byShard: map[query.Shard][]*state{},
+		classes: map[string]Class{},
+	}
+}
+
+// SetTargets replaces the known targets. What was learnt of a target stays, unless its address is
+// another one or it was marked as leaving or missing before.
+func (c *Chooser) SetTargets(targets []query.Target) {
+	known := c.targets
+	c.targets = make(map[query.TargetID]*state, len(targets))
+	clear(c.byShard)
+	for _, t := range targets {
+		if t.Leaving {
+			continue
+		}
+		s := known[t.ID]
+		if s == nil {
+			s = &state{id: t.ID}
+		}
+		if s.address != t.Address || s.limit.value == 0 {
+			s.address, s.class, s.local = t.Address, c.classOf(t.FailureDomain), t.FailureDomain == c.domain
+			s.forget()
+		}
+		c.targets[t.ID] = s
+		for _, shard := range t.Shards {
+			c.byShard[shard] = append(c.byShard[shard], s)
+		}
+	}
+}
+
+// Classes returns the number of target classes seen so far.
+func (c *Chooser) Classes() int { return len(c.classes) }
+
+func (c *Chooser) classOf(domain string) Class {
+	class, ok := c.classes[domain]
+	if !ok {
+		class = Class(len(c.classes))
+		c.classes[domain] = class
+		c.typical = append(c.typical, 0)
+	}
+	return class
+}
+
+// Choose returns a replica that is not in tried and counts the attempt as in flight until End.
+func (c *Chooser) Choose(now time.Time, shard query.Shard, use Use, tried []query.TargetID) (Pick, Verdict) {
+	c.usable = c.usable[:0]
+	verdict := NoReplica
+	for _, s := range c.byShard[shard] {
+		if len(tried) > 0 && slices.Contains(tried, s.id) {
+			continue
+		}
+		if use != Hedge && s.probeDue(now) {
+			s.beginProbe(now)
+			return c.take(s), Chosen
+		}
+		if s.draining || s.breaker.open {
+			continue
+		}
+		if s.limit.full(s.inFlight) || use == Hedge && (s.coldLeft > 0 || s.shedding(now)) {
+			verdict = Limited
+			continue
+		}
+		c.usable = append(c.usable, s)
+	}
+	if len(c.usable) == 0 {
+		return Pick{}, verdict
+	}
+	return c.take(c.better(now)), Chosen
+}
+
+func (c *Chooser) better(now time.Time) *state {
+	n := len(c.usable)
+	if n == 1 {
+		return c.usable[0]
+	}
+	i := c.source.IntN(n)
+	j := c.source.IntN(n - 1)
+	if j >= i {
+		j++
+	}
+	a, b := c.usable[i], c.usable[j]
+	if b.cost(now, c.typical[b.class]) < a.cost(now, c.typical[a.class]) {
+		return b
+	}
+	return a
+}
+
+func (c *Chooser) take(s *state) Pick {
+	s.inFlight++
+	return Pick{Target: s.id, Class: s.class}
+}
+
+// Release undoes a Choose whose attempt was not sent.
+func (c *Chooser) Release(target query.TargetID) {
+	if s := c.targets[target]; s != nil {
+		s.inFlight = max(0, s.inFlight-1)
+		s.breaker.probing = false
+	}
+}
+
+// End takes what became of an attempt. It returns the class of the target, or false if the target
+// is no longer known.
+func (c *Chooser) End(now time.Time, e End) (Class, bool) {
+	s := c.targets[e.Target]
+	if s == nil {
+		return 0, false
+	}
+	s.inFlight = max(0, s.inFlight-1)
+	switch {
+	case e.Cancelled:
+		s.onSilence(now, e, c.typical[s.class], c.source)
+	case e.Outcome == query.OutcomeAnswered:
+		s.onAnswer(now, e)
+		c.learnTypical(s.class, e.Elapsed)
+	case e.Outcome == query.OutcomeShed:
+		s.alive(now)
+		s.shedAt = now
+		s.limit.onShed(now)
+	case e.Outcome == query.OutcomeDraining:
+		s.draining, s.returning, s.drainedAt = true, false, now
+	case e.Outcome == query.OutcomeNotRun:
+		s.breaker.onFailure(now, true, c.source)
+	case e.Outcome == query.OutcomeUnknown, e.Outcome == query.OutcomeCrashed:
+		s.breaker.onFailure(now, false, c.source)
+	default: // The target refused or stopped the request, so it lives.
+		s.alive(now)
+	}
+	return s.class, true
+}
+
+func (c *Chooser) learnTypical(class Class, latency time.Duration) {
+	t := &c.typical[class]
+	if *t == 0 {
+		*t = latency
+		return
+	}
+	*t += time.Duration(float64(min(latency, outlierFactor**t)-*t) * smoothing / 4)
+}
--- /dev/null
+++ b/query/replica/limit.go
@@ -0,0 +1,60 @@
+package replica
+
+import "time"
+
+const (
+	minLimit = 1
+	maxLimit = 64
+	// shedCut and slowCut are the factors by which the limit falls. Shedding is certain, latency is
+	// an indication, so it cuts less.
+	shedCut = 0.7
+	slowCut = 0.9
+	// slowFactor and slowSlack bound the latency at which the limit may still grow: the lowest recent
+	// latency times the factor plus the slack. The slack keeps scheduling delays of very fast targets
+	// from counting as queueing.
+	slowFactor = 2
+	slowSlack  = 2 * time.Millisecond
+	// cutPause is the shortest time between two cuts, so that the answers to requests sent before a
+	// cut do not cause another one.
+	cutPause = 50 * time.Millisecond
+)
+
+// limit is the number of requests that this instance may have in flight at one target. It grows
+// by one for each limit's worth of answers (by one for each answer until the first cut) and falls by
+// a factor. Its unit is one sub-request.
+type limit struct {
+	value  float64
+	probed bool // set by the first cut, which ends the fast growth
+	cut    time.Time
+}
+
+func newLimit() limit { return limit{value: minLimit} }
+
+// full reports whether no further request may be sent.
+func (l *limit) full(inFlight int) bool { return inFlight >= int(l.value) }
+
+// onAnswer takes the smoothed latency and the lowest recent one.
+func (l *limit) onAnswer(now time.Time, inFlight int, latency, lowest time.Duration) {
+	if latency > lowest*slowFactor+slowSlack {
+		l.reduce(now, slowCut)
+		return
+	}
+	if 2*inFlight < int(l.value) {
+		return // the limit was not in use, so the latency says nothing about a higher one
+	}
+	step := 1.0
+	if l.probed {
+		step = 1 / l.value
+	}
+	l.value = min(l.value+step, maxLimit)
+}
+
+func (l *limit) onShed(now time.Time) { l.reduce(now, shedCut) }
+
+func (l *limit) reduce(now time.Time, factor float64) {
+	if now.Sub(l.cut) < cutPause {
+		return
+	}
+	l.probed, l.cut = true, now
+	l.value = max(l.value*factor, minLimit)
+}
--- /dev/null
+++ b/query/replica/target.go
@@ -0,0 +1,152 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hyssopcroft.example/query"
+)
+
+const (
+	// smoothing is the weight of a new latency in the moving average.
+	smoothing = 1.0 / 8
+	// outlierFactor bounds a new latency relative to the average, so that one straggler does not
+	// move the queries of a healthy target elsewhere.
+	outlierFactor = 4
+	// staleHalfLife is the time in which half of what was learnt above the class's latency is
+	// forgotten while nothing is learnt, so that a target that was slow is tried again.
+	staleHalfLife = 5 * time.Second
+	// coldAnswers is the number of answers after which a new or returned target counts as warm.
+	coldAnswers = 8
+	// coldCost is the additional cost of a cold target's first attempt, as a multiple of its cost.
+	coldCost = 2.0
+	// shedMemory is the time for which a target that shed gets no hedge.
+	shedMemory = time.Second
+	// localityCost is the cost of another failure domain besides its latency: its links vary and cost
+	// more than usual.
+	localityCost = time.Millisecond
+	// silenceFactor is the multiple of the usual latency after which a wait counts as silence.
+	silenceFactor = 3
+	// drainMemory is the time after which a target that refused as draining, and that the platform's
+	// list has neither marked as leaving nor removed, gets one attempt to see whether it is back.
+	drainMemory = 10 * time.Minute
+)
+
+// state is what the instance knows of one target.
+type state struct {
+	id      query.TargetID
+	address string
+	class   Class
+	local   bool
+
+	inFlight   int
+	latency    time.Duration // moving average of answers and of the waits of cancelled attempts
+	learntAt   time.Time
+	lowest     Lowest // of the moving average
+	limit      limit
+	breaker    breaker
+	coldLeft   int // answers until the target counts as warm
+	shedAt     time.Time
+	answeredAt time.Time
+	draining   bool
+	drainedAt  time.Time
+	returning  bool // a probe after drainMemory is in flight
+}
+
+// forget returns the target to the state of a new one. Attempts in flight stay counted.
+func (s *state) forget() {
+	*s = state{
+		id: s.id, address: s.address, class: s.class, local: s.local, inFlight: s.inFlight,
+		limit: newLimit(), coldLeft: coldAnswers,
+	}
+}
+
+func (s *state) shedding(now time.Time) bool {
+	return !s.shedAt.IsZero() && now.Sub(s.shedAt) < shedMemory
+}
+
+// cost is the expected wait of one more attempt. typical stands in for a latency not learnt yet.
+func (s *state) cost(now time.Time, typical time.Duration) float64 {
+	latency := typical
+	if s.latency > 0 {
+		latency = s.present(now, typical)
+	}
+	cost := float64(s.inFlight+1) * float64(latency)
+	if !s.local {
+		cost += float64(localityCost)
+	}
+	return cost * (1 + coldCost*float64(s.coldLeft)/coldAnswers)
+}
+
+// present returns the learnt latency less what is stale of it.
+func (s *state) present(now time.Time, typical time.Duration) time.Duration {
+	excess := s.latency - typical
+	if excess <= 0 {
+		return s.latency
+	}
+	halvings := float64(now.Sub(s.learntAt)) / float64(staleHalfLife)
+	return typical + time.Duration(float64(excess)/(1+halvings*halvings))
+}
+
+func (s *state) learn(now time.Time, latency time.Duration) {
+	if s.latency == 0 {
+		s.latency = latency
+	} else {
+		latency = min(latency, outlierFactor*s.latency)
+		s.latency += time.Duration(float64(latency-s.latency) * smoothing)
+	}
+	s.learntAt = now
+	s.lowest.Record(now, s.latency)
+}
+
+// probeDue reports whether a target that is out of use gets one attempt.
+func (s *state) probeDue(now time.Time) bool {
+	if s.draining {
+		return now.Sub(s.drainedAt) >= drainMemory
+	}
+	return s.breaker.probeDue(now)
+}
+
+func (s *state) beginProbe(now time.Time) {
+	if s.draining {
+		s.returning, s.drainedAt = true, now
+		return
+	}
+	s.breaker.probing = true
+}
+
+// alive notes that the target answered or refused. A target that was out of use is a new one.
+func (s *state) alive(now time.Time) {
+	s.answeredAt = now
+	if s.breaker.onAnswer() {
+		s.limit, s.coldLeft = newLimit(), coldAnswers
+	}
+}
+
+func (s *state) onAnswer(now time.Time, e End) {
+	// Answers to requests from before the drain say nothing about new ones.
+	if s.returning && !now.Add(-e.Elapsed).Before(s.drainedAt) {
+		s.forget()
+	}
+	s.alive(now)
+	switch {
+	case e.Cold:
+		s.coldLeft = coldAnswers
+	case s.coldLeft > 0:
+		s.coldLeft--
+	}
+	s.learn(now, e.Elapsed)
+	s.limit.onAnswer(now, s.inFlight+1, s.latency, s.lowest.Value())
+}
+
+// onSilence takes an attempt that this instance cancelled. It counts against the target only if the
+// wait was long and the target has answered nothing meanwhile, because a busy target is not a lost
+// one. A probe that was cancelled counts in any case.
+func (s *state) onSilence(now time.Time, e End, typical time.Duration, source *rand.Rand) {
+	long := e.Elapsed >= silenceFactor*max(s.latency, typical)
+	s.learn(now, max(e.Elapsed, s.latency))
+	quiet := s.answeredAt.Before(now.Add(-e.Elapsed))
+	if s.breaker.open || long && quiet {
+		s.breaker.onFailure(now, false, source)
+	}
+}
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -7,6 +7,7 @@
 
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/merge"
+	"hyssopcroft.example/query/replica"
 )
 
 // ActionKind says what the caller has to do.
@@ -27,6 +28,8 @@
 	Attempt query.AttemptID
 	Shard   query.Shard
 	Target  query.TargetID
+	// TimeLeft is the time that a Send gives the target. It leaves room for the answer's way back.
+	TimeLeft time.Duration
 }
 
 // Chooser chooses the replica of a shard for an attempt.
@@ -39,43 +42,58 @@
 type Config struct {
 	Request query.Request
 	Map     query.Map
+	// Policy chooses targets and grants hedges and retries. If it is nil, each shard gets one attempt
+	// at the target that Chooser returns.
+	Policy  Policy
 	Chooser Chooser
 	// NextAttempt returns an id that this instance has not used yet.
 	NextAttempt func() query.AttemptID
 }
 
-type attempt struct {
-	shard  query.Shard
-	target query.TargetID
-}
-
 // Machine is the state of one query at one level. It is not safe for concurrent use.
 type Machine struct {
-	cfg      Config
-	merger   *merge.Merger
-	inFlight map[query.AttemptID]attempt
-	causes   map[query.Shard]query.Cause
-	finished bool
-	actions  []Action // reused by every call
-	dropped  map[string]int64
+	cfg        Config
+	policy     Policy
+	merger     *merge.Merger
+	shards     []shardState // in the order of the map
+	attempts   []attempt    // in the order of sending
+	byID       map[query.AttemptID]int32
+	timers     timers
+	openShards int
+	finished   bool
+	actions    []Action         // reused by every call
+	tried      []query.TargetID // scratch space
+	dropped    map[string]int64
 }
 
 // New returns a Machine that has sent nothing yet.
 func New(cfg Config) *Machine {
-	return &Machine{
-		cfg:      cfg,
-		merger:   merge.New(cfg.Request.ID, cfg.Map.Version, cfg.Map.Shards, cfg.Request.Limit),
-		inFlight: make(map[query.AttemptID]attempt, len(cfg.Map.Shards)),
-		causes:   map[query.Shard]query.Cause{},
-		dropped:  map[string]int64{},
+	n := len(cfg.Map.Shards)
+	m := &Machine{
+		cfg:        cfg,
+		policy:     cfg.Policy,
+		merger:     merge.New(cfg.Request.ID, cfg.Map.Version, cfg.Map.Shards, cfg.Request.Limit),
+		shards:     make([]shardState, n),
+		attempts:   make([]attempt, 0, n+n/16+1),
+		byID:       make(map[query.AttemptID]int32, n),
+		timers:     make(timers, 0, n+n/16+1),
+		actions:    make([]Action, 0, n+1),
+		openShards: n,
+	}
+	if m.policy == nil {
+		m.policy = single{chooser: cfg.Chooser}
 	}
+	for i := range m.shards {
+		m.shards[i] = shardState{open: true, latest: -1, round: -1}
+	}
+	return m
 }
 
 // Start returns the first attempt of every shard. The slice is valid until the next call.
-func (m *Machine) Start(_ time.Time) []Action {
+func (m *Machine) Start(now time.Time) []Action {
 	m.actions = m.actions[:0]
-	for _, s := range m.cfg.Map.Shards {
-		m.send(s)
+	for i := range m.shards {
+		m.first(now, int32(i))
 	}
 	m.finishIfDone()
 	return m.actions
@@ -83,52 +101,150 @@
 
 // OnReply takes what became of an attempt. sent is the id that the caller gave the attempt; the
 // ids in the reply are what the target claims.
-func (m *Machine) OnReply(_ time.Time, sent query.AttemptID, r query.Reply) []Action {
+func (m *Machine) OnReply(now time.Time, sent query.AttemptID, r query.Reply) []Action {
 	m.actions = m.actions[:0]
-	a, known := m.inFlight[sent]
+	i, known := m.byID[sent]
 	if !known || m.finished {
-		m.dropped["reply_late"]++
+		m.drop("reply_late")
 		return m.actions
 	}
-	delete(m.inFlight, sent)
-	if r.Outcome != query.OutcomeAnswered {
-		m.causes[a.shard] = causeOf(r.Outcome)
-		m.finishIfDone()
-		return m.actions
+	a := m.attempts[i]
+	if r.Attempt != sent || r.Request != m.cfg.Request.ID ||
+		r.Shard != m.cfg.Map.Shards[a.shard] || r.Snapshot != m.cfg.Map.Version {
+		m.drop("reply_mismatched")
+		// What a reply to something else says, a refusal included, proves nothing about this attempt.
+		r.Outcome, r.Cold = query.OutcomeUnknown, false
 	}
-	if r.Attempt != sent || r.Shard != a.shard {
-		m.dropped["reply_mismatched"]++
-		m.causes[a.shard] = query.CauseUnreachable
-	} else if v := m.merger.Offer(r); v != merge.Accepted {
-		m.dropped["part_"+v.String()]++
+	m.end(now, i, replica.End{Outcome: r.Outcome, Cold: r.Cold})
+	if r.Outcome == query.OutcomeAnswered {
+		m.accept(now, a, r)
+	} else {
+		m.fail(now, a, r.Outcome)
 	}
 	m.finishIfDone()
 	return m.actions
 }
 
-// NextWake returns the time at which OnWake has to be called.
-func (m *Machine) NextWake() time.Time { return m.cfg.Request.Deadline }
+func (m *Machine) accept(now time.Time, a attempt, r query.Reply) {
+	if v := m.merger.Offer(r); v != merge.Accepted {
+		m.drop("part_" + v.String())
+		m.fail(now, a, query.OutcomeUnknown)
+		return
+	}
+	m.closeShard(a.shard)
+	if sh := &m.shards[a.shard]; sh.inFlight > 0 {
+		m.cancelShard(now, sh)
+	}
+}
 
-// OnWake is to be called at NextWake or later. At the deadline it cancels what is in flight.
+func (m *Machine) fail(now time.Time, a attempt, o query.Outcome) {
+	sh := &m.shards[a.shard]
+	sh.cause = causeOf(o)
+	switch {
+	case sh.inFlight == 0:
+		m.retry(now, a.shard, o.CertainlyNotRun())
+	case o.CertainlyNotRun():
+		m.hedge(now, a.shard, true)
+	}
+}
+
+// NextWake returns the time at which OnWake has to be called. It changes with every call of the
+// other methods.
+func (m *Machine) NextWake() time.Time {
+	for len(m.timers) > 0 {
+		t := m.timers[0]
+		if sh := &m.shards[t.shard]; sh.open && sh.wake.Equal(t.at) {
+			return t.at
+		}
+		m.timers.pop()
+	}
+	return m.cfg.Request.Deadline
+}
+
+// OnWake is to be called at NextWake or later. It sends hedges and retries that are due; at the
+// deadline it cancels what is in flight.
 func (m *Machine) OnWake(now time.Time) []Action {
 	m.actions = m.actions[:0]
-	if m.finished || now.Before(m.cfg.Request.Deadline) {
+	if m.finished {
 		return m.actions
 	}
-	for id, a := range m.inFlight {
-		m.causes[a.shard] = query.CauseTimeout
-		m.actions = append(m.actions, Action{Kind: Cancel, Attempt: id, Shard: a.shard, Target: a.target})
+	if !now.Before(m.cfg.Request.Deadline) {
+		m.expire(now)
+		return m.actions
+	}
+	for at := m.NextWake(); !at.After(now); at = m.NextWake() {
+		i := m.timers[0].shard
+		m.timers.pop()
+		m.shards[i].wake = time.Time{}
+		m.wakeShard(now, i)
 	}
+	m.finishIfDone()
+	return m.actions
+}
+
+// Abandon ends a query without an answer: it cancels what is in flight. A caller that stops using a
+// Machine before Finish has to call it, because the policy counts attempts in flight.
+func (m *Machine) Abandon(now time.Time) []Action {
+	m.actions = m.actions[:0]
+	if !m.finished {
+		m.cancelAll(now)
+		m.finished = true
+	}
+	return m.actions
+}
+
+func (m *Machine) expire(now time.Time) {
+	for i := range m.shards {
+		if m.shards[i].inFlight > 0 {
+			m.shards[i].cause = query.CauseTimeout
+		}
+	}
+	m.cancelAll(now)
 	m.finished = true
 	m.actions = append(m.actions, Action{Kind: Finish})
-	return m.actions
+}
+
+func (m *Machine) cancelAll(now time.Time) {
+	for i := range m.shards {
+		m.cancelShard(now, &m.shards[i])
+	}
+}
+
+// cancelShard cancels the attempts of a shard that are in flight.
+func (m *Machine) cancelShard(now time.Time, sh *shardState) {
+	for i := sh.latest; i >= 0; i = m.attempts[i].previous {
+		if m.attempts[i].ended {
+			continue
+		}
+		a := m.attempts[i]
+		m.end(now, i, replica.End{Cancelled: true})
+		m.actions = append(m.actions, Action{
+			Kind: Cancel, Attempt: a.id, Shard: m.cfg.Map.Shards[a.shard], Target: a.target,
+		})
+	}
+}
+
+// end takes an attempt out of those in flight and reports it to the policy.
+func (m *Machine) end(now time.Time, i int32, e replica.End) {
+	a := &m.attempts[i]
+	sh := &m.shards[a.shard]
+	a.ended = true
+	sh.inFlight--
+	if a.use == replica.Hedge {
+		sh.hedges--
+	}
+	delete(m.byID, a.id)
+	e.Target, e.Elapsed = a.target, now.Sub(a.sent)
+	m.policy.End(now, e)
 }
 
 // Answer returns the merged answer. It is to be called once, after Finish.
 func (m *Machine) Answer() query.Answer {
 	return m.merger.Finish(m.cfg.Request.Index, func(s query.Shard) query.Cause {
-		if c, ok := m.causes[s]; ok {
-			return c
+		for i, shard := range m.cfg.Map.Shards {
+			if shard == s && m.shards[i].cause != "" {
+				return m.shards[i].cause
+			}
 		}
 		return query.CauseTimeout
 	})
@@ -137,19 +253,16 @@
 // Dropped returns how many replies were dropped, by reason.
 func (m *Machine) Dropped() map[string]int64 { return m.dropped }
 
-func (m *Machine) send(s query.Shard) {
-	target, ok := m.cfg.Chooser.Choose(s)
-	if !ok {
-		m.causes[s] = query.CauseNoReplica
-		return
+func (m *Machine) drop(reason string) {
+	if m.dropped == nil {
+		m.dropped = map[string]int64{}
 	}
-	id := m.cfg.NextAttempt()
-	m.inFlight[id] = attempt{shard: s, target: target}
-	m.actions = append(m.actions, Action{Kind: Send, Attempt: id, Shard: s, Target: target})
+	m.dropped[reason]++
 }
 
+// finishIfDone ends the query when no shard is open. An open shard is in flight or has a timer.
 func (m *Machine) finishIfDone() {
-	if m.finished || len(m.inFlight) > 0 {
+	if m.finished || m.openShards > 0 {
 		return
 	}
 	m.finished = true
