--- a/instance/entry/index.go
+++ b/instance/entry/index.go
@@ -6,23 +6,26 @@
 	"time"
 
 	"hyssopcroft.example/query"
-	"hyssopcroft.example/query/replica"
 	"hyssopcroft.example/query/scatter"
 	"hyssopcroft.example/query/snapshot"
 )
 
-// index holds what the instance knows of one index. It is the scatter.Policy of its searches.
+// index holds what the instance knows of one index.
 type index struct {
 	name string
 
 	mu        sync.Mutex // guards the fields below
 	snapshots snapshot.Chooser
+	median    *snapshot.Median // of the latency of complete answers
 	pool      *scatter.Pool
 	addresses map[query.TargetID]string
 }
 
 func newIndex(name, failureDomain string, source *rand.Rand) *index {
-	return &index{name: name, pool: scatter.NewPool(failureDomain, source), addresses: map[query.TargetID]string{}}
+	return &index{
+		name: name, median: snapshot.NewMedian(), pool: scatter.NewPool(failureDomain, source),
+		addresses: map[query.TargetID]string{},
+	}
 }
 
 func (ix *index) publish(maps []query.Map) {
@@ -34,6 +37,7 @@
 func (ix *index) setTargets(targets []query.Target) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
+	ix.snapshots.SetTargets(targets)
 	ix.pool.SetTargets(targets)
 	clear(ix.addresses)
 	for _, t := range targets {
@@ -47,18 +51,42 @@
 	return ix.snapshots.Choose()
 }
 
-// Choose implements scatter.Policy.
-func (ix *index) Choose(now time.Time, w scatter.Want) (scatter.Grant, replica.Verdict) {
+// observe takes the versions that a target reported.
+func (ix *index) observe(id query.TargetID, held []query.Version) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	return ix.pool.Choose(now, w)
+	ix.snapshots.Observe(id, held)
 }
 
-// End implements scatter.Policy.
-func (ix *index) End(now time.Time, e replica.End) {
+// recordLatency takes the latency of a complete answer.
+func (ix *index) recordLatency(d time.Duration) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	ix.pool.End(now, e)
+	ix.median.Record(d)
+}
+
+// restartOnReply returns the map to restart at if the reply says that a shard lost the snapshot.
+func (ix *index) restartOnReply(r *snapshot.Restart, s query.Shard, o query.Outcome) (query.Map, bool) {
+	if o != query.OutcomeSnapshotGone {
+		return query.Map{}, false
+	}
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	return r.OnReply(time.Now(), &ix.snapshots, s, o, ix.median.Value())
+}
+
+// restartOnFinish returns the map to restart at if the answer lacks a shard that lost the snapshot.
+func (ix *index) restartOnFinish(r *snapshot.Restart, got query.Coverage) (query.Map, bool) {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	return r.OnFinish(time.Now(), &ix.snapshots, got, ix.median.Value())
+}
+
+// at returns the policy of a query at the version.
+func (ix *index) at(v query.Version) *versionPolicy {
+	return &versionPolicy{
+		index: ix, unfit: func(id query.TargetID) bool { return !ix.snapshots.MayHold(id, v) },
+	}
 }
 
 // peek returns a target for a request that is sent once and not counted.
--- /dev/null
+++ b/instance/entry/version_policy.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"time"
+
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/replica"
+	"hyssopcroft.example/query/scatter"
+)
+
+// versionPolicy is the policy of a query at one version: that of its index, without the targets
+// that are known to lack the version.
+type versionPolicy struct {
+	index *index
+	unfit func(query.TargetID) bool // to be called with index.mu held
+}
+
+// Choose implements scatter.Policy.
+func (p *versionPolicy) Choose(now time.Time, w scatter.Want) (scatter.Grant, replica.Verdict) {
+	w.Unfit = p.unfit
+	p.index.mu.Lock()
+	defer p.index.mu.Unlock()
+	return p.index.pool.Choose(now, w)
+}
+
+// End implements scatter.Policy.
+func (p *versionPolicy) End(now time.Time, e replica.End) {
+	p.index.mu.Lock()
+	defer p.index.mu.Unlock()
+	p.index.pool.End(now, e)
+}
--- a/query/replica/chooser.go
+++ b/query/replica/chooser.go
@@ -40,6 +40,20 @@
 	Final
 )
 
+// Ask describes the attempt for which a replica is wanted.
+type Ask struct {
+	Shard query.Shard
+	Use   Use
+	// Tried lists targets that are not to be chosen.
+	Tried []query.TargetID
+	// Unfit, if set, reports whether a target is not to be chosen.
+	Unfit func(query.TargetID) bool
+}
+
+func (a Ask) excludes(id query.TargetID) bool {
+	return len(a.Tried) > 0 && slices.Contains(a.Tried, id) || a.Unfit != nil && a.Unfit(id)
+}
+
 // Pick is a chosen target.
 type Pick struct {
 	Target query.TargetID
@@ -115,22 +129,22 @@
 	return class
 }
 
-// Choose returns a replica that is not in tried and counts the attempt as in flight until End.
-func (c *Chooser) Choose(now time.Time, shard query.Shard, use Use, tried []query.TargetID) (Pick, Verdict) {
+// Choose returns a replica and counts the attempt as in flight until End.
+func (c *Chooser) Choose(now time.Time, ask Ask) (Pick, Verdict) {
 	c.usable = c.usable[:0]
 	verdict := NoReplica
-	for _, s := range c.byShard[shard] {
-		if len(tried) > 0 && slices.Contains(tried, s.id) {
+	for _, s := range c.byShard[ask.Shard] {
+		if ask.excludes(s.id) {
 			continue
 		}
-		if use != Hedge && s.probeDue(now) {
+		if ask.Use != Hedge && s.probeDue(now) {
 			s.beginProbe(now)
 			return c.take(s), Chosen
 		}
 		if s.draining || s.breaker.open {
 			continue
 		}
-		if s.limit.full(s.inFlight) || use == Hedge && (s.coldLeft > 0 || s.shedding(now)) {
+		if s.limit.full(s.inFlight) || ask.Use == Hedge && (s.coldLeft > 0 || s.shedding(now)) {
 			verdict = Limited
 			continue
 		}
--- a/query/scatter/policy.go
+++ b/query/scatter/policy.go
@@ -18,6 +18,9 @@
 	TimeLeft time.Duration
 	// Tried lists the targets that are not to be chosen. It is valid during the call only.
 	Tried []query.TargetID
+	// Unfit, if set, reports whether a target is not to be used. A first attempt goes to such a target
+	// if there is no other, because what is known of it may be out of date.
+	Unfit func(query.TargetID) bool
 }
 
 // Grant is the permission to send an attempt to a target.
--- a/query/scatter/pool.go
+++ b/query/scatter/pool.go
@@ -47,7 +47,12 @@
 
 // Choose implements Policy. The tokens belong to the class that bears the additional load.
 func (p *Pool) Choose(now time.Time, w Want) (Grant, replica.Verdict) {
-	pick, verdict := p.chooser.Choose(now, w.Shard, w.Use, w.Tried)
+	ask := replica.Ask{Shard: w.Shard, Use: w.Use, Tried: w.Tried, Unfit: w.Unfit}
+	pick, verdict := p.chooser.Choose(now, ask)
+	if verdict == replica.NoReplica && w.Use == replica.First && w.Unfit != nil {
+		ask.Unfit = nil
+		pick, verdict = p.chooser.Choose(now, ask)
+	}
 	if verdict != replica.Chosen {
 		return Grant{}, verdict
 	}
@@ -105,9 +110,9 @@
 // Peek chooses a target for a request that is not repeated, without counting it. A cold or shedding
 // target, or one that has to prove that it is back, is taken only if there is no other.
 func (p *Pool) Peek(now time.Time, s query.Shard) (query.TargetID, bool) {
-	pick, verdict := p.chooser.Choose(now, s, replica.Hedge, nil)
+	pick, verdict := p.chooser.Choose(now, replica.Ask{Shard: s, Use: replica.Hedge})
 	if verdict != replica.Chosen {
-		pick, verdict = p.chooser.Choose(now, s, replica.Retry, nil)
+		pick, verdict = p.chooser.Choose(now, replica.Ask{Shard: s, Use: replica.Retry})
 	}
 	if verdict != replica.Chosen {
 		return "", false
