--- /dev/null
+++ b/query/merge/best.go
@@ -0,0 +1,54 @@
+package merge
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"hyssopcroft.example/query"
+)
+
+// best keeps the best hits that it was given, at most limit. The worst of them is at the root of the
+// heap, so that a hit that is not better costs one comparison.
+type best struct {
+	limit int
+	hits  hitHeap
+}
+
+func (b *best) add(hits []query.Hit) {
+	for _, h := range hits {
+		switch {
+		case len(b.hits) < b.limit:
+			heap.Push(&b.hits, h)
+		case b.limit > 0 && compareHits(h, b.hits[0]) < 0:
+			b.hits[0] = h
+			heap.Fix(&b.hits, 0)
+		}
+	}
+}
+
+// sorted returns the hits in the order of an answer. No hit may be added afterwards.
+func (b *best) sorted() []query.Hit {
+	slices.SortFunc(b.hits, compareHits)
+	return b.hits
+}
+
+// compareHits orders hits by descending score, then by id and text so that the order does not depend
+// on the order of arrival.
+func compareHits(a, b query.Hit) int {
+	return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Text, b.Text))
+}
+
+// hitHeap implements heap.Interface.
+type hitHeap []query.Hit
+
+func (h hitHeap) Len() int           { return len(h) }
+func (h hitHeap) Less(i, j int) bool { return compareHits(h[i], h[j]) > 0 }
+func (h hitHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *hitHeap) Push(x any)        { *h = append(*h, x.(query.Hit)) }
+func (h *hitHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
--- a/query/merge/merge.go
+++ b/query/merge/merge.go
@@ -18,25 +18,34 @@
 	WrongRequest
 	// WrongSnapshot means that the part comes from another snapshot.
 	WrongSnapshot
-	// UnknownShard means that the shard is not in the partition map of the snapshot.
+	// UnknownShard means that the shard is not in the partition map of the snapshot, such as one half
+	// of a shard that a later snapshot splits.
 	UnknownShard
-	// Duplicate means that the shard is covered already.
+	// Duplicate means that the shard is covered already, or comes twice in one partial answer.
 	Duplicate
+	// NotAsked means that a partial answer names a shard that was not asked of its sender.
+	NotAsked
+	// Unaccounted means that a partial answer names an asked shard neither as included nor as missing,
+	// or has hits without an included shard.
+	Unaccounted
 )
 
-var verdictNames = [...]string{"accepted", "wrong_request", "wrong_snapshot", "unknown_shard", "duplicate"}
+var verdictNames = [...]string{
+	"accepted", "wrong_request", "wrong_snapshot", "unknown_shard", "duplicate", "not_asked", "unaccounted",
+}
 
 // String returns the name used in counters.
 func (v Verdict) String() string { return verdictNames[v] }
 
-// Merger collects the parts of one query at one snapshot. It is not safe for concurrent use.
+// Merger collects the parts of one query at one snapshot. It keeps at most as many hits as the
+// answer may have. It is not safe for concurrent use.
 type Merger struct {
 	request  query.RequestID
 	snapshot query.Version
-	limit    int
-	pending  map[query.Shard]struct{}
-	included []query.Shard
-	hits     []query.Hit
+	covered  map[query.Shard]bool // has each shard of the map
+	left     int                  // number of shards that are not covered
+	causes   map[query.Shard]query.Cause
+	hits     best
 }
 
 // New returns a Merger for the shards of one partition map. The answer has at most limit hits.
@@ -44,64 +53,80 @@
 	m := &Merger{
 		request:  request,
 		snapshot: snapshot,
-		limit:    limit,
-		pending:  make(map[query.Shard]struct{}, len(shards)),
-		included: make([]query.Shard, 0, len(shards)),
+		covered:  make(map[query.Shard]bool, len(shards)),
+		hits:     best{limit: limit},
 	}
 	for _, s := range shards {
-		m.pending[s] = struct{}{}
+		m.covered[s] = false
 	}
+	m.left = len(m.covered)
 	return m
 }
 
 // Offer adds the hits of a part if it belongs to the query and its shard is not covered yet.
 func (m *Merger) Offer(r query.Reply) Verdict {
-	if r.Request != m.request {
+	switch {
+	case r.Request != m.request:
 		return WrongRequest
-	}
-	if r.Snapshot != m.snapshot {
+	case r.Snapshot != m.snapshot:
 		return WrongSnapshot
 	}
-	if _, ok := m.pending[r.Shard]; !ok {
-		if slices.Contains(m.included, r.Shard) {
-			return Duplicate
-		}
+	if v := m.checkShard(r.Shard); v != Accepted {
+		return v
+	}
+	m.cover(r.Shard)
+	m.hits.add(r.Hits)
+	return Accepted
+}
+
+func (m *Merger) checkShard(s query.Shard) Verdict {
+	covered, known := m.covered[s]
+	switch {
+	case !known:
 		return UnknownShard
+	case covered:
+		return Duplicate
 	}
-	delete(m.pending, r.Shard)
-	m.included = append(m.included, r.Shard)
-	m.hits = append(m.hits, r.Hits...)
 	return Accepted
 }
 
+func (m *Merger) cover(s query.Shard) {
+	m.covered[s] = true
+	m.left--
+}
+
 // Complete reports whether every shard is covered.
-func (m *Merger) Complete() bool { return len(m.pending) == 0 }
+func (m *Merger) Complete() bool { return m.left == 0 }
 
 // Pending reports whether the shard is in the map and not covered yet.
 func (m *Merger) Pending(s query.Shard) bool {
-	_, ok := m.pending[s]
-	return ok
+	covered, known := m.covered[s]
+	return known && !covered
 }
 
-// Finish returns the answer. cause gives the reason for each shard that is not covered.
+// Finish returns the answer. cause gives the reason for each shard that is not covered and that no
+// partial answer named as missing.
 func (m *Merger) Finish(index string, cause func(query.Shard) query.Cause) query.Answer {
-	missing := make([]query.MissingShard, 0, len(m.pending))
-	for s := range m.pending {
-		missing = append(missing, query.MissingShard{Shard: s, Cause: cause(s)})
+	included := make([]query.Shard, 0, len(m.covered)-m.left)
+	missing := make([]query.MissingShard, 0, m.left)
+	for s, covered := range m.covered {
+		if covered {
+			included = append(included, s)
+			continue
+		}
+		c, known := m.causes[s]
+		if !known {
+			c = cause(s)
+		}
+		missing = append(missing, query.MissingShard{Shard: s, Cause: c})
 	}
+	slices.Sort(included)
 	slices.SortFunc(missing, func(a, b query.MissingShard) int { return cmp.Compare(a.Shard, b.Shard) })
-	slices.Sort(m.included)
-	slices.SortFunc(m.hits, compareHits)
 	return query.Answer{
 		Request:  m.request,
 		Index:    index,
 		Snapshot: m.snapshot,
-		Hits:     m.hits[:min(len(m.hits), m.limit)],
-		Coverage: query.Coverage{Included: m.included, Missing: missing},
+		Hits:     m.hits.sorted(),
+		Coverage: query.Coverage{Included: included, Missing: missing},
 	}
 }
-
-// compareHits orders hits by descending score, then by id so that the order is total.
-func compareHits(a, b query.Hit) int {
-	return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.ID, b.ID))
-}
