Place connections by rendezvous hashing within connection limits

Cause: every instance connects to every target, which exceeds a searcher's 25 connections above 25 instances.

Change: query/placement divides the targets of an index into groups by the failure domains of their replica sets and by hash, and gives each group to half of the connection limit's number of live instances, equally many in each of the group's failure domains. Leaving instances may keep the other half. While all live instances fit, the fan-out is flat. All replicas of a shard are in one group, because a relay with one replica of each shard could neither hedge nor retry.

--- /dev/null
+++ b/query/placement/placement.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"slices"
+
+	"hyssopcroft.example/query"
+)
+
+// Index is the placement of one index as one instance sees it. It does not change; a new one is made
+// when members or targets change. It is safe for concurrent use.
+type Index struct {
+	flat    bool
+	groups  []Group
+	holders [][]Instance // by group
+	held    []bool       // by group
+	byShard map[query.Shard]int
+	byID    map[GroupID]int
+	targets map[query.TargetID]int
+}
+
+// New returns the placement of an index as seen by the instance named self. The fan-out is flat
+// while every live instance may hold a connection to every target.
+func New(self, index string, targets []query.Target, instances []Instance) *Index {
+	p := &Index{
+		flat: fits(targets, instances), groups: Groups(index, targets),
+		byShard: map[query.Shard]int{}, byID: map[GroupID]int{}, targets: make(map[query.TargetID]int, len(targets)),
+	}
+	for i, g := range p.groups {
+		p.byID[g.ID] = i
+		for _, s := range g.Shards {
+			p.byShard[s] = i
+		}
+		for _, t := range g.Targets {
+			p.targets[t] = i
+		}
+		holders := Holders(g, instances)
+		p.holders = append(p.holders, holders)
+		p.held = append(p.held, contains(holders, self) || contains(Keepers(g, instances), self))
+	}
+	return p
+}
+
+// fits reports whether all live instances may hold all targets.
+func fits(targets []query.Target, instances []Instance) bool {
+	live := 0
+	for _, i := range instances {
+		if !i.Leaving {
+			live++
+		}
+	}
+	return !slices.ContainsFunc(targets, func(t query.Target) bool { return live > HoldersPerTarget(t.Connections) })
+}
+
+func contains(list []Instance, id string) bool {
+	return slices.ContainsFunc(list, func(i Instance) bool { return i.ID == id })
+}
+
+// Flat reports whether every instance holds all targets.
+func (p *Index) Flat() bool { return p.flat }
+
+// Holds reports whether the instance may have connections to the targets of the group. A leaving
+// instance opens no new ones.
+func (p *Index) Holds(id GroupID) bool {
+	i, known := p.byID[id]
+	return known && p.held[i]
+}
+
+// HoldsTarget reports whether the instance may have a connection to the target.
+func (p *Index) HoldsTarget(id query.TargetID) bool {
+	i, known := p.targets[id]
+	return known && p.held[i]
+}
+
+// GroupOf returns the group whose targets serve the shard, or false if none does.
+func (p *Index) GroupOf(s query.Shard) (Group, bool) {
+	i, known := p.byShard[s]
+	if !known {
+		return Group{}, false
+	}
+	return p.groups[i], true
+}
+
+// HoldersOf returns the live instances that hold the group, nil if it is not known.
+func (p *Index) HoldersOf(id GroupID) []Instance {
+	i, known := p.byID[id]
+	if !known {
+		return nil
+	}
+	return p.holders[i]
+}
+
+// Groups returns all groups, sorted by id.
+func (p *Index) Groups() []Group { return p.groups }
