Add the log of claims of a bucket

Cause: requests that may not be repeated are claimed with one object per key, which costs two store writes per request and lets a claim expire by the clock.

Change: control/claim decides for one bucket what is written, sent and answered. The head object is changed only by conditional update; updates carry many claims; an update whose answer was lost is recognised by its batch id or written again at the same version; a takeover turns what the predecessor left running into unknown; settled claims move to segments; a floor in the head replaces expiry by the clock.

--- /dev/null
+++ b/control/claim/update.go
@@ -0,0 +1,156 @@
+package claim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// update writes waiting claims and results, after it has moved older claims to a segment if the
+// head has grown too large.
+func (l *Log) update(now time.Time) []Action {
+	if l.headBytes() > l.compactBytes {
+		if u := l.settledClaims(); u != nil {
+			l.moved = u
+			return l.writeSegment()
+		}
+	}
+	claims, out := l.takeQueue(now)
+	if len(claims) == 0 && !l.resultsDue(now) {
+		return out
+	}
+	l.pending = l.propose(now, claims)
+	return append(out, l.step(now)...)
+}
+
+func (l *Log) headBytes() int {
+	total := 0
+	for _, k := range l.order {
+		total += l.records[k].size()
+	}
+	return total
+}
+
+// takeQueue turns waiting submissions into claims, up to the limits of one update.
+func (l *Log) takeQueue(now time.Time) ([]Key, []Action) {
+	l.raiseFloorValue(now)
+	var claims []Key
+	var out []Action
+	size := l.headBytes()
+	taken := 0
+	for _, k := range l.queue {
+		if len(claims) == maxBatch || size > maxHeadBytes {
+			break
+		}
+		taken++
+		if answers, open := l.answerWaiting(now, k); !open {
+			out = append(out, answers...)
+			continue
+		}
+		l.records[k] = &Record{Key: k, State: Running}
+		l.order = append(l.order, k)
+		claims = append(claims, k)
+		size += l.records[k].size()
+	}
+	l.queue = slices.Clone(l.queue[taken:])
+	if taken == 0 {
+		l.nextUpdate = now.Add(UpdateInterval) // The head is full of running claims.
+	}
+	return claims, out
+}
+
+// answerWaiting answers the submissions of a key that needs no claim. It returns true if the key
+// is to be claimed.
+func (l *Log) answerWaiting(now time.Time, k Key) ([]Action, bool) {
+	waiting := l.waiting[k]
+	if len(waiting) == 0 {
+		return nil, false
+	}
+	if r := l.records[k]; l.sent[k] || (r != nil && r.State == Running) {
+		return nil, false
+	}
+	var out []Action
+	for _, s := range waiting {
+		if a, ok := l.answerNow(now, s); ok {
+			out = append(out, a)
+		}
+	}
+	if len(out) == 0 {
+		return nil, true
+	}
+	delete(l.waiting, k)
+	return out, false
+}
+
+func (l *Log) raiseFloorValue(now time.Time) {
+	l.floor = max(l.floor, now.Add(-Retention).UnixMilli())
+}
+
+// raiseFloor raises the floor and drops claims at or below it. It returns the segments that hold
+// no other claims; they are deleted once the head with the higher floor is stored.
+func (l *Log) raiseFloor(now time.Time) []string {
+	l.raiseFloorValue(now)
+	var dropped []string
+	l.segments = slices.DeleteFunc(l.segments, func(r SegmentRef) bool {
+		old := r.Newest <= l.floor
+		if old {
+			dropped = append(dropped, r.Name)
+		}
+		return old
+	})
+	l.order = slices.DeleteFunc(l.order, func(k Key) bool {
+		old := k.Millis() <= l.floor
+		if old {
+			delete(l.records, k)
+		}
+		return old
+	})
+	if len(dropped) > 0 {
+		for k := range l.records {
+			if k.Millis() <= l.floor {
+				delete(l.records, k)
+			}
+		}
+	}
+	return dropped
+}
+
+// settledClaims returns the claims of the head whose state is final, nil if there are none.
+func (l *Log) settledClaims() *update {
+	u := &update{}
+	for _, k := range l.order {
+		if r := l.records[k]; r.State != Running {
+			u.claims = append(u.claims, k)
+			u.head.Claims = append(u.head.Claims, *r)
+		}
+	}
+	if len(u.claims) == 0 {
+		return nil
+	}
+	l.batches++
+	u.head.Batch = fmt.Sprintf("%s%d", l.segmentPrefix(), l.batches)
+	return u
+}
+
+func (l *Log) writeSegment() []Action {
+	l.call = segmentWrite
+	return []Action{{Kind: WriteSegment, Segment: l.moved.head.Batch, Records: l.moved.head.Claims}}
+}
+
+// OnSegmentWritten takes a segment that exists. The next update of the head retains it and leaves
+// its claims out.
+func (l *Log) OnSegmentWritten(now time.Time) []Action {
+	l.call = noCall
+	moved := l.moved
+	l.moved = nil
+	inSegment := make(map[Key]bool, len(moved.claims))
+	ref := SegmentRef{Name: moved.head.Batch}
+	for _, k := range moved.claims {
+		inSegment[k] = true
+		ref.Newest = max(ref.Newest, k.Millis())
+	}
+	l.segments = append(l.segments, ref)
+	l.order = slices.DeleteFunc(l.order, func(k Key) bool { return inSegment[k] })
+	l.dirtySince = now.Add(-ResultDelay)
+	return l.step(now)
+}
