Run requests that may not be repeated through the log of claims

Cause: instance/entry stored one object per key, which expired by the clock, and a resend through another instance read the store for each key.

Change: instance/claims owns buckets by rendezvous hashing over live members, forwards submissions to the bucket's writer over twirp, performs the actions of claim.Log against the object API, and sends each claimed request once. instance/entry keeps the checks of plan and index and the choice of the target.

--- /dev/null
+++ b/adapter/peer/execution.go
@@ -0,0 +1,53 @@
+package peer
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/wire/executepb"
+	"hyssopcroft.example/control/claim"
+)
+
+// ExecutionClient returns a client of the execution service of the peer at an address.
+func ExecutionClient(address string, transport http.RoundTripper) executepb.Execution {
+	return executepb.NewExecutionProtobufClient("http://"+address, &http.Client{Transport: transport})
+}
+
+// ExecutionHandler returns the path prefix and the handler that serve the execution service.
+func ExecutionHandler(s executepb.Execution) (string, http.Handler) {
+	h := executepb.NewExecutionServer(s)
+	return h.PathPrefix(), h
+}
+
+// NotDelivered reports whether a failed call certainly did not reach the peer. Only a failure to
+// connect proves that.
+func NotDelivered(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// AnswerToWire converts the answer to a submission.
+func AnswerToWire(a claim.Answer) *executepb.ForwardExecuteResponse {
+	return &executepb.ForwardExecuteResponse{
+		State: executepb.State(a.State), Result: a.Result, Omitted: a.Omitted,
+		RepeatedSubmission: a.Repeated, Reason: executepb.Reason(a.Reason),
+	}
+}
+
+// AnswerFromWire converts the answer to a submission. An unknown state counts as claim.Unknown and
+// an unknown reason as claim.ReasonRecorded.
+func AnswerFromWire(r *executepb.ForwardExecuteResponse) claim.Answer {
+	state := claim.State(r.GetState())
+	if state < claim.Running || state > claim.Unknown {
+		state = claim.Unknown
+	}
+	reason := claim.Reason(r.GetReason())
+	if reason > claim.ReasonAhead {
+		reason = claim.ReasonRecorded
+	}
+	return claim.Answer{
+		State: state, Result: r.GetResult(), Omitted: r.GetOmitted(), Repeated: r.GetRepeatedSubmission(), Reason: reason,
+	}
+}
--- a/emulator/fleet/fleet_test.go
+++ b/emulator/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -145,7 +146,7 @@
 // Guards against a second run of a request that may not be repeated, through any instance.
 func TestResendIsAnsweredFromTheFirstRun(t *testing.T) {
 	f, apps := start(t)
-	const key = "1700000000000-credit"
+	key := newKey("credit")
 	body := caller.Execute{Plan: "counter", Index: "ledger", Key: key, Body: "credit 2", FirstSubmission: true}
 	var first, second caller.Execution
 	require.Equal(t, http.StatusOK, do(t, http.MethodPost, apps[0], "/v1/execute", nil, body, &first))
@@ -159,6 +160,9 @@
 	require.Equal(t, 1, runs)
 }
 
+// newKey returns a key whose time is now; older keys are refused as expired.
+func newKey(name string) string { return fmt.Sprintf("%d-%s", time.Now().UnixMilli(), name) }
+
 // Guards against untyped errors and against crashes on malformed input.
 func TestMalformedRequestsGetTypedErrors(t *testing.T) {
 	_, apps := start(t)
@@ -198,7 +202,7 @@
 	code := do(t, http.MethodPut, apps[0], "/v1/plans/counter", header, testLists().Plans["counter"].Value, &body)
 	require.Equal(t, http.StatusServiceUnavailable, code)
 	require.Equal(t, problem.PlatformUnavailable, body.Error.Code)
-	execute := caller.Execute{Plan: "counter", Index: "ledger", Key: "1700000000000-a", FirstSubmission: true}
+	execute := caller.Execute{Plan: "counter", Index: "ledger", Key: newKey("a"), FirstSubmission: true}
 	require.Equal(t, http.StatusServiceUnavailable, do(t, http.MethodPost, apps[0], "/v1/execute", nil, execute, &body))
 	require.Equal(t, problem.NotRun, body.Error.Run)
 }
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -16,6 +16,7 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/instance/claims"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/entry"
 	"hyssopcroft.example/instance/members"
@@ -55,22 +56,29 @@
 	}
 	cfg := configsync.New(client, k.Bus(), ring, log, c)
 	m := members.New(self, client, k.Bus(), ring, log, c)
-	e := entry.New(s.Instance, cfg, client, k.Bus(), log, c)
+	e := entry.New(s.Instance, cfg, k.Bus(), log, c)
+	cl := claims.New(claims.Config{
+		Instance: s.Instance, Client: client, Members: m, Targets: e, Peers: peer.NewTransport(),
+		Bus: k.Bus(), Log: log, Counters: c,
+	})
+	e.UseClaims(cl)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
-	for _, service := range []kernel.Service{e, cfg, m, op} {
+	for _, service := range []kernel.Service{e, cfg, m, cl, op} {
 		if err := k.Register(service); err != nil {
 			return nil, err
 		}
 	}
-	return &App{settings: s, log: log, kernel: k, server: newServer(e, op, m, c), listener: listener}, nil
+	return &App{settings: s, log: log, kernel: k, server: newServer(e, op, m, cl, c), listener: listener}, nil
 }
 
-func newServer(e *entry.Service, op *operator.Service, m *members.Service, c *counters.Set) *http.Server {
+func newServer(e *entry.Service, op *operator.Service, m *members.Service, cl *claims.Service, c *counters.Set) *http.Server {
 	r := chi.NewRouter()
 	caller.Routes(r, e)
 	admin.Routes(r, op, c)
 	prefix, handler := peer.MembershipHandler(m)
 	r.Handle(prefix+"*", handler)
+	prefix, handler = peer.ExecutionHandler(cl)
+	r.Handle(prefix+"*", handler)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- /dev/null
+++ b/instance/claims/bucket.go
@@ -0,0 +1,226 @@
+package claims
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hyssopcroft.example/control/claim"
+	"hyssopcroft.example/query"
+)
+
+// waiter is a submission that waits for its answer.
+type waiter struct {
+	key    claim.Key
+	answer chan claim.Answer // holds one answer
+}
+
+// request is the request of a key while submissions wait for it.
+type request struct {
+	Request
+	waiters int
+}
+
+// bucket drives the log of one bucket: it performs the log's actions and gives it their results.
+type bucket struct {
+	number int
+	cfg    Config
+	store  *store
+	ctx    context.Context // ends with the bucket
+	cancel context.CancelFunc
+	calls  sync.WaitGroup
+
+	mu       sync.Mutex // guards the fields below
+	log      *claim.Log
+	owned    bool
+	chosen   bool
+	closed   bool
+	timer    *time.Timer
+	last     claim.SubmissionID
+	waiters  map[claim.SubmissionID]waiter
+	requests map[claim.Key]*request
+}
+
+func newBucket(number int, writer string, cfg Config) *bucket {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &bucket{
+		number: number, cfg: cfg, store: &store{client: cfg.Client, bucket: number}, ctx: ctx, cancel: cancel,
+		log:     claim.New(number, writer),
+		waiters: map[claim.SubmissionID]waiter{}, requests: map[claim.Key]*request{},
+	}
+	return b
+}
+
+func (b *bucket) setChosen(chosen bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if chosen == b.chosen {
+		return
+	}
+	b.chosen = chosen
+	b.perform(b.log.SetChosen(time.Now(), chosen))
+}
+
+// execute submits a request and waits for its answer until ctx is done.
+func (b *bucket) execute(ctx context.Context, r Request) claim.Answer {
+	id, answer := b.submit(r)
+	timer := time.NewTimer(claimTimeout)
+	defer timer.Stop()
+	for {
+		select {
+		case a := <-answer:
+			return a
+		case <-timer.C:
+			b.abandonUnsent(r.Key, id)
+		case <-ctx.Done():
+			b.abandon(r.Key, id)
+			return <-answer
+		}
+	}
+}
+
+func (b *bucket) submit(r Request) (claim.SubmissionID, chan claim.Answer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	answer := make(chan claim.Answer, 1)
+	if b.closed {
+		answer <- unsent(r, claim.ReasonReplaced)
+		return 0, answer
+	}
+	b.last++
+	b.waiters[b.last] = waiter{key: r.Key, answer: answer}
+	if b.requests[r.Key] == nil {
+		b.requests[r.Key] = &request{Request: r}
+	}
+	b.requests[r.Key].waiters++
+	id := b.last
+	b.perform(b.log.Submit(time.Now(), claim.Submission{ID: id, Key: r.Key, First: r.First}))
+	return id, answer
+}
+
+func (b *bucket) abandon(key claim.Key, id claim.SubmissionID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.perform(b.log.Abandon(time.Now(), key, id))
+}
+
+// abandonUnsent ends the wait for a claim that could not be stored in time.
+func (b *bucket) abandonUnsent(key claim.Key, id claim.SubmissionID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.log.Sent(key) {
+		b.perform(b.log.Abandon(time.Now(), key, id))
+	}
+}
+
+// flush makes the log store its results. It returns true if none is left to be stored.
+func (b *bucket) flush() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.perform(b.log.Flush(time.Now()))
+	return b.log.Settled()
+}
+
+// close ends the calls in flight and refuses further submissions.
+func (b *bucket) close() {
+	b.mu.Lock()
+	b.closed = true
+	if b.timer != nil {
+		b.timer.Stop()
+	}
+	b.mu.Unlock()
+	b.cancel()
+	b.calls.Wait()
+}
+
+// on runs an event of the log and performs what follows.
+func (b *bucket) on(event func(now time.Time) []claim.Action) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.perform(event(time.Now()))
+}
+
+// perform must be called with b.mu held.
+func (b *bucket) perform(actions []claim.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case claim.Reply:
+			b.reply(a.Answer)
+		case claim.Send:
+			b.send(a.Key)
+		default:
+			b.callStore(a)
+		}
+	}
+	b.noteOwner()
+	b.setTimer()
+}
+
+// callStore must be called with b.mu held.
+func (b *bucket) callStore(a claim.Action) {
+	if b.closed {
+		return
+	}
+	b.calls.Go(func() { b.store.perform(b.ctx, a, b) })
+}
+
+// reply must be called with b.mu held.
+func (b *bucket) reply(a claim.Answer) {
+	w := b.waiters[a.Submission]
+	delete(b.waiters, a.Submission)
+	r := b.requests[w.key]
+	r.waiters--
+	if r.waiters == 0 {
+		delete(b.requests, w.key)
+	}
+	w.answer <- a
+}
+
+// send must be called with b.mu held. The request goes on when its caller has gone, because its
+// result is recorded.
+func (b *bucket) send(key claim.Key) {
+	r := b.requests[key].Request
+	b.cfg.Counters.Counter("claims_sent").Add(1)
+	b.calls.Go(func() {
+		ctx, cancel := context.WithDeadline(b.ctx, r.Deadline)
+		defer cancel()
+		result, outcome := b.cfg.Targets.SendOnce(ctx, r)
+		state := stateOf(outcome)
+		if state != claim.Done {
+			result = ""
+		}
+		b.on(func(now time.Time) []claim.Action { return b.log.OnResult(now, key, state, result) })
+	})
+}
+
+func stateOf(o query.Outcome) claim.State {
+	switch {
+	case o == query.OutcomeAnswered:
+		return claim.Done
+	case o.CertainlyNotRun():
+		return claim.NotRun
+	}
+	return claim.Unknown
+}
+
+// noteOwner must be called with b.mu held.
+func (b *bucket) noteOwner() {
+	if owned := b.log.Owned(); owned != b.owned {
+		b.owned = owned
+		b.cfg.Log.Info("claim bucket changed hands", "bucket", b.number, "owned", owned)
+		b.cfg.Counters.Counter("claim_bucket_changes").Add(1)
+	}
+}
+
+// setTimer must be called with b.mu held.
+func (b *bucket) setTimer() {
+	wake := b.log.NextWake()
+	if b.timer != nil {
+		b.timer.Stop()
+		b.timer = nil
+	}
+	if wake.IsZero() || b.closed {
+		return
+	}
+	b.timer = time.AfterFunc(time.Until(wake), func() { b.on(b.log.OnWake) })
+}
--- /dev/null
+++ b/instance/claims/service.go
@@ -0,0 +1,289 @@
+// Package claims runs requests that may not be repeated: it forwards each to the instance that
+// writes the claims of its key's bucket, and there claims it, sends it to one target once, records
+// the result and answers resends.
+package claims
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/adapter/wire/executepb"
+	"hyssopcroft.example/control/claim"
+	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/instance/members"
+	"hyssopcroft.example/kernel"
+	"hyssopcroft.example/kernel/counters"
+	"hyssopcroft.example/query"
+)
+
+// Name is the name of the service.
+const Name = "claims"
+
+const (
+	// claimTimeout is the longest wait for a claim to be stored. It covers one store call that
+	// is not answered.
+	claimTimeout = 2500 * time.Millisecond
+	// refreshPeriod is the time between two looks at the members.
+	refreshPeriod = 250 * time.Millisecond
+	// forwardAttempts bounds how often a submission looks for the writer of its bucket again.
+	forwardAttempts = 3
+	// settlePoll is the time between two looks at whether results are stored while stopping.
+	settlePoll = 20 * time.Millisecond
+)
+
+// Request is one submission of a request that may not be repeated.
+type Request struct {
+	Key   claim.Key
+	Plan  string
+	Index string
+	Body  string
+	// First is set if the caller states that it has not submitted the key before.
+	First    bool
+	Deadline time.Time
+}
+
+// Targets sends a request to one target of its index, once. The result is valid if the outcome is
+// query.OutcomeAnswered.
+type Targets interface {
+	SendOnce(ctx context.Context, r Request) (string, query.Outcome)
+}
+
+// Members gives the members of the fleet.
+type Members interface {
+	Members() []membership.Member
+}
+
+// Config holds what a service works with.
+type Config struct {
+	Instance string
+	Client   *platform.Client
+	Members  Members
+	Targets  Targets
+	// Peers carries calls to other instances.
+	Peers    http.RoundTripper
+	Bus      *kernel.Bus
+	Log      *slog.Logger
+	Counters *counters.Set
+}
+
+// Service is safe for concurrent use.
+type Service struct {
+	cfg     Config
+	buckets [claim.Buckets]*bucket
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+
+	mu        sync.Mutex // guards the fields below
+	writers   [claim.Buckets]string
+	addresses map[string]string
+}
+
+// New returns a service for one start of an instance.
+func New(cfg Config) *Service {
+	s := &Service{cfg: cfg}
+	writer := cfg.Instance + "-" + strconv.FormatUint(rand.Uint64(), 36)
+	for i := range s.buckets {
+		s.buckets[i] = newBucket(i, writer, cfg)
+	}
+	return s
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return []string{members.Name} }
+
+// Start begins to follow the members.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.refresh()
+	if err := kernel.Subscribe(ctx, s.cfg.Bus, func(members.Changed) { s.refresh() }); err != nil {
+		cancel()
+		return err
+	}
+	s.done.Go(func() { s.follow(ctx) })
+	return nil
+}
+
+func (s *Service) follow(ctx context.Context) {
+	ticker := time.NewTicker(refreshPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.refresh()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Stop stores the results of the requests that ran, until ctx is done, and ends all store calls.
+func (s *Service) Stop(ctx context.Context) error {
+	s.cancel()
+	s.done.Wait()
+	for _, b := range s.buckets {
+		b.setChosen(false)
+	}
+	ticker := time.NewTicker(settlePoll)
+	defer ticker.Stop()
+	for !s.settled() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			s.cfg.Counters.Counter("claim_results_not_stored").Add(1)
+			return s.closeBuckets()
+		}
+	}
+	return s.closeBuckets()
+}
+
+func (s *Service) settled() bool {
+	all := true
+	for _, b := range s.buckets {
+		all = b.flush() && all
+	}
+	return all
+}
+
+func (s *Service) closeBuckets() error {
+	for _, b := range s.buckets {
+		b.close()
+	}
+	return nil
+}
+
+// refresh chooses the writer of each bucket among the live members.
+func (s *Service) refresh() {
+	var live []string
+	addresses := map[string]string{}
+	for _, m := range s.cfg.Members.Members() {
+		if m.State == membership.Live {
+			live = append(live, m.ID)
+			addresses[m.ID] = m.Address
+		}
+	}
+	var writers [claim.Buckets]string
+	for i := range writers {
+		writers[i] = claim.ChooseWriter(i, live)
+	}
+	s.mu.Lock()
+	s.writers, s.addresses = writers, addresses
+	s.mu.Unlock()
+	for i, b := range s.buckets {
+		b.setChosen(writers[i] == s.cfg.Instance)
+	}
+}
+
+// writerOf returns the writer of a bucket and its address, "" if there is none.
+func (s *Service) writerOf(bucket int) (id, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id = s.writers[bucket]
+	return id, s.addresses[id]
+}
+
+// Execute runs a request or answers a resend.
+func (s *Service) Execute(ctx context.Context, r Request) claim.Answer {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	s.cfg.Counters.Counter("claims_submitted").Add(1)
+	a := s.route(ctx, r)
+	s.cfg.Counters.Counter("claim_answers_" + a.State.String() + "_" + a.Reason.String()).Add(1)
+	return a
+}
+
+// route gives the request to the writer of its bucket. It looks again while the instance found says
+// that it is not the writer, since views of the members differ for a short time.
+func (s *Service) route(ctx context.Context, r Request) claim.Answer {
+	bucket := r.Key.Bucket()
+	for attempt := 1; ; attempt++ {
+		id, address := s.writerOf(bucket)
+		var a claim.Answer
+		var done bool
+		if id == s.cfg.Instance {
+			a, done = s.buckets[bucket].execute(ctx, r), true
+		} else if id != "" {
+			a, done = s.forward(ctx, address, r)
+		}
+		if done {
+			return a
+		}
+		if attempt == forwardAttempts || !sleep(ctx, refreshPeriod) {
+			return unsent(r, claim.ReasonReplaced)
+		}
+		s.refresh()
+	}
+}
+
+// forward returns false if the request certainly did not get to the writer.
+func (s *Service) forward(ctx context.Context, address string, r Request) (claim.Answer, bool) {
+	s.cfg.Counters.Counter("executes_forwarded").Add(1)
+	resp, err := peer.ExecutionClient(address, s.cfg.Peers).ForwardExecute(ctx, &executepb.ForwardExecuteRequest{
+		Key: string(r.Key), Plan: r.Plan, Index: r.Index, Body: r.Body, FirstSubmission: r.First,
+		TimeLeftUs: uint32(max(0, time.Until(r.Deadline).Microseconds())),
+	})
+	switch {
+	case err != nil && peer.NotDelivered(err):
+		s.cfg.Counters.Counter("forwards_not_delivered").Add(1)
+		return claim.Answer{}, false
+	case err != nil:
+		s.cfg.Counters.Counter("forward_answers_lost").Add(1)
+		return claim.Answer{State: claim.Unknown, Reason: claim.ReasonReplaced}, true
+	case resp.State == executepb.State_STATE_NOT_WRITER:
+		return claim.Answer{}, false
+	}
+	return peer.AnswerFromWire(resp), true
+}
+
+// ForwardExecute implements the twirp service. It runs the request only if this instance writes the
+// bucket of the key.
+func (s *Service) ForwardExecute(ctx context.Context, req *executepb.ForwardExecuteRequest) (*executepb.ForwardExecuteResponse, error) {
+	notWriter := &executepb.ForwardExecuteResponse{State: executepb.State_STATE_NOT_WRITER}
+	key, err := claim.ParseKey(req.Key)
+	if err != nil {
+		return notWriter, nil
+	}
+	if id, _ := s.writerOf(key.Bucket()); id != s.cfg.Instance {
+		s.cfg.Counters.Counter("forwards_refused").Add(1)
+		return notWriter, nil
+	}
+	r := Request{
+		Key: key, Plan: req.Plan, Index: req.Index, Body: req.Body, First: req.FirstSubmission,
+		Deadline: time.Now().Add(time.Duration(req.TimeLeftUs) * time.Microsecond),
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	return peer.AnswerToWire(s.buckets[key.Bucket()].execute(ctx, r)), nil
+}
+
+// unsent is the answer to a submission that got to no writer. Only a first one is certain not to
+// have run.
+func unsent(r Request, why claim.Reason) claim.Answer {
+	a := claim.Answer{State: claim.Unknown, Reason: why}
+	if r.First {
+		a.State = claim.NotRun
+	}
+	return a
+}
+
+// sleep returns false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"hyssopcroft.example/adapter/caller"
-	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/control/config"
@@ -35,7 +34,7 @@
 type Service struct {
 	instance string
 	config   *configsync.Service
-	platform *platform.Client
+	claims   Claims
 	targets  *target.Client
 	bus      *kernel.Bus
 	log      *slog.Logger
@@ -51,10 +50,10 @@
 }
 
 // New returns a service for one instance.
-func New(instance string, cfg *configsync.Service, client *platform.Client, bus *kernel.Bus, log *slog.Logger, c *counters.Set) *Service {
+func New(instance string, cfg *configsync.Service, bus *kernel.Bus, log *slog.Logger, c *counters.Set) *Service {
 	transport := target.NewTransport(pingAfter, pingTimeout)
 	s := &Service{
-		instance: instance, config: cfg, platform: client, targets: target.NewClient(transport),
+		instance: instance, config: cfg, targets: target.NewClient(transport),
 		bus: bus, log: log, counters: c, transport: transport,
 		indexes: map[string]*index{}, source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
