Add switchable faults to the stand-ins for platform and targets

Cause: the stand-ins could not show outages, lost answers, crashes, silent connections or limits. Change: emulator/fault holds seeded switches with a typed API and /v1/faults; emulator/platform injects outage, slowness, lost answers, stale reads, late watch events and a lagging instance list; emulator/target has a bounded queue, cold start, repartition, a heavy tail, late and crossed answers, and a Host with a connection limit, crashes and silent connections. adapter/target tells crashed from unknown attempts, never lets the transport send a request again, and takes a response that does not decode as unknown instead of answered.

--- a/adapter/target/client.go
+++ b/adapter/target/client.go
@@ -6,6 +6,8 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
+	"net"
 	"net/http"
 	"time"
 
@@ -45,6 +47,7 @@
 		Protocols:          &protocols,
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DisableCompression: true,
+		DialContext:        ObserveDial((&net.Dialer{}).DialContext),
 	}
 }
 
@@ -72,7 +75,7 @@
 		Snapshot:   uint64(s.Snapshot),
 		Query:      s.Query,
 		Limit:      uint32(s.Limit),
-		TimeLeftUs: uint32(s.TimeLeft.Microseconds()),
+		TimeLeftUs: timeLeftMicros(s.TimeLeft),
 	}
 	var resp targetpb.SearchResponse
 	if outcome, err := c.post(ctx, s.Address+PathSearch, req, &resp); err != nil {
@@ -113,7 +116,7 @@
 func (c *Client) Execute(ctx context.Context, e Execution) ([]byte, query.Outcome) {
 	req := &targetpb.ExecuteRequest{
 		Key: e.Key, AttemptId: uint64(e.Attempt), Index: e.Index, Body: e.Body,
-		TimeLeftUs: uint32(e.TimeLeft.Microseconds()),
+		TimeLeftUs: timeLeftMicros(e.TimeLeft),
 	}
 	var resp targetpb.ExecuteResponse
 	if outcome, err := c.post(ctx, e.Address+PathExecute, req, &resp); err != nil {
@@ -143,28 +146,48 @@
 	return query.OutcomeUnknown
 }
 
+// timeLeftMicros keeps a duration in the range of the field: a negative one would wrap around to
+// more than an hour.
+func timeLeftMicros(d time.Duration) uint32 {
+	return uint32(min(max(d.Microseconds(), 0), math.MaxUint32))
+}
+
 // post returns an error together with what it says about the request having run.
 func (c *Client) post(ctx context.Context, url string, in, out proto.Message) (query.Outcome, error) {
 	body, err := proto.Marshal(in)
 	if err != nil {
 		return query.OutcomeNotRun, errors.Wrap(err, "encode target request")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, bytes.NewReader(body))
+	var t attemptTrace
+	req, err := http.NewRequestWithContext(t.trace(ctx), http.MethodPost, "http://"+url, bytes.NewReader(body))
 	if err != nil {
 		return query.OutcomeNotRun, errors.Wrap(err, "build target request")
 	}
+	// The transport sends a request again by itself only if it can get the body a second time.
+	req.GetBody = nil
 	req.Header.Set("Content-Type", ContentType)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return failureOutcome(err), errors.Wrap(err, "call target")
+		return t.outcome(err), errors.Wrap(err, "call target")
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
-		return query.OutcomeUnknown, errors.Wrap(err, "read target response")
+		return t.outcome(err), errors.Wrap(err, "read target response")
+	}
+	return decodeResponse(resp.StatusCode, raw, out)
+}
+
+// decodeResponse takes a response that cannot be understood as no answer at all.
+func decodeResponse(status int, raw []byte, out proto.Message) (query.Outcome, error) {
+	if status != http.StatusOK {
+		return query.OutcomeUnknown, errors.Errorf("target response has status %d", status)
+	}
+	if len(raw) > maxResponseBytes {
+		return query.OutcomeUnknown, errors.Errorf("target response has more than %d bytes", maxResponseBytes)
 	}
-	if resp.StatusCode != http.StatusOK {
-		return query.OutcomeUnknown, errors.Errorf("target response has status %d", resp.StatusCode)
+	if err := proto.Unmarshal(raw, out); err != nil {
+		return query.OutcomeUnknown, errors.Wrap(err, "decode target response")
 	}
-	return query.OutcomeAnswered, errors.Wrap(proto.Unmarshal(raw, out), "decode target response")
+	return query.OutcomeAnswered, nil
 }
--- a/adapter/target/failure.go
+++ b/adapter/target/failure.go
@@ -1,19 +1,59 @@
 package target
 
 import (
-	"net"
+	"context"
+	"io"
+	"net/http/httptrace"
+	"sync/atomic"
+	"syscall"
 
 	"github.com/pkg/errors"
 
 	"hyssopcroft.example/query"
 )
 
-// failureOutcome says what a transport error tells about the request. Only a failure to connect
-// proves that the target did not get it.
-func failureOutcome(err error) query.Outcome {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+// attemptTrace notes how far one request got. Its connection is nil until one took the request.
+type attemptTrace struct {
+	sent atomic.Bool
+	conn atomic.Pointer[observedConn]
+}
+
+// trace returns a context under which the transport reports to the trace.
+func (t *attemptTrace) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		t.sent.Store(true)
+		if c, ok := info.Conn.(*observedConn); ok {
+			t.conn.Store(c)
+		}
+	}})
+}
+
+// outcome says what a transport error tells about the request. Only an error before any
+// connection took the request proves that the target did not get it.
+//
+// A target that ends the connection while the request is in flight counts as crashed. One that
+// ends it before it has sent anything has refused the connection, which says nothing about the
+// request: it must not make the request a suspect.
+func (t *attemptTrace) outcome(err error) query.Outcome {
+	if !t.sent.Load() {
 		return query.OutcomeNotRun
 	}
+	crashed := endOfConnection(err)
+	if c := t.conn.Load(); c != nil {
+		crashed = c.received.Load() && c.ended.Load()
+	}
+	if crashed {
+		return query.OutcomeCrashed
+	}
 	return query.OutcomeUnknown
 }
+
+// endOfConnection reports whether an error is one that the far end causes by ending a connection.
+func endOfConnection(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/emulator/fault/switch.go
@@ -0,0 +1,104 @@
+// Package fault holds the faults that are switched on in a stand-in. Whether a fault strikes one
+// call is drawn from a seeded source, so that a run can be repeated.
+package fault
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Set is one choice of faults. Its zero value switches all of them off.
+type Set interface {
+	// Check returns an error that names the first field with an impossible value.
+	Check() error
+	// RandomSeed seeds the source that decides which calls a fault strikes.
+	RandomSeed() uint64
+}
+
+// Switch holds the faults in force. It is safe for concurrent use.
+type Switch[F Set] struct {
+	mu      sync.Mutex // guards the fields below
+	current F
+	source  *rand.Rand
+	changed chan struct{} // closed and replaced by every Set
+}
+
+// NewSwitch returns a switch with all faults off.
+func NewSwitch[F Set]() *Switch[F] {
+	s := &Switch[F]{changed: make(chan struct{})}
+	s.source = sourceOf(s.current)
+	return s
+}
+
+func sourceOf(f Set) *rand.Rand { return rand.New(rand.NewPCG(f.RandomSeed(), 0)) }
+
+// Set replaces the faults in force and restarts the random source from their seed. It fails
+// without any effect if f has an impossible value.
+func (s *Switch[F]) Set(f F) error {
+	if err := f.Check(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = f
+	s.source = sourceOf(f)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+// Current returns the faults in force and a channel that is closed when they change.
+func (s *Switch[F]) Current() (F, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current, s.changed
+}
+
+// Happens returns true with the given probability, from 0 to 1.
+func (s *Switch[F]) Happens(probability float64) bool {
+	if probability <= 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.source.Float64() < probability
+}
+
+// Jitter returns a uniformly distributed time from 0 to limit.
+func (s *Switch[F]) Jitter(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.source.Int64N(int64(limit) + 1))
+}
+
+// CheckShare returns an error if the value of the field is not from 0 to 1.
+func CheckShare(field string, value float64) error {
+	if value >= 0 && value <= 1 {
+		return nil
+	}
+	return errors.Errorf("%s: must be from 0 to 1", field)
+}
+
+// CheckTime returns an error if the value of the field is negative.
+func CheckTime(field string, value time.Duration) error {
+	if value >= 0 {
+		return nil
+	}
+	return errors.Errorf("%s: must not be negative", field)
+}
+
+// First returns the first error that is not nil.
+func First(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/emulator/fleet/fleet.go
+++ b/emulator/fleet/fleet.go
@@ -6,10 +6,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +27,12 @@
 	Replicas    int
 	Slots       int
 	Connections int
+	// ConnectionCost is the time until a new connection to a searcher is usable.
+	ConnectionCost time.Duration
+	// QueueLimit, ColdRequests and ColdFactor are explained at target.Config.
+	QueueLimit   int
+	ColdRequests int
+	ColdFactor   float64
 }
 
 // Deployment describes what the fleet starts.
@@ -40,7 +44,9 @@
 	Lists          config.Lists
 	// MeanServiceTime is the mean of the exponential service time of a search.
 	MeanServiceTime time.Duration
-	Seed            uint64
+	// Tail adds a heavy tail to the service times; its Mean is not used.
+	Tail target.ServiceTimes
+	Seed uint64
 }
 
 // Fleet is a running set of stand-ins.
@@ -48,6 +54,8 @@
 	Store     *platform.Store
 	Platform  *platform.Server
 	Searchers map[query.TargetID]*target.Searcher
+	// Hosts are the processes of the searchers, for crashes and silent connections.
+	Hosts map[query.TargetID]*target.Host
 
 	platformURL string
 	servers     []*http.Server
@@ -59,7 +67,10 @@
 // Start listens on free ports and fills the store. Stop ends it.
 func Start(d Deployment) (*Fleet, error) {
 	store := platform.NewStore()
-	f := &Fleet{Store: store, Platform: platform.NewServer(store), Searchers: map[query.TargetID]*target.Searcher{}}
+	f := &Fleet{
+		Store: store, Platform: platform.NewServer(store),
+		Searchers: map[query.TargetID]*target.Searcher{}, Hosts: map[query.TargetID]*target.Host{},
+	}
 	address, err := f.serve(d.Host, d.PlatformPort, &http.Server{Handler: f.Platform})
 	if err != nil {
 		return nil, err
@@ -79,6 +90,9 @@
 
 // Stop closes all listeners and connections.
 func (f *Fleet) Stop() {
+	for _, h := range f.Hosts {
+		h.Stop()
+	}
 	for _, s := range f.servers {
 		_ = s.Close() // Nothing can be done about a listener that fails to close.
 	}
@@ -89,6 +103,9 @@
 
 // Shutdown waits for requests in flight before it closes connections.
 func (f *Fleet) Shutdown(ctx context.Context) {
+	for _, h := range f.Hosts {
+		h.Shutdown(ctx)
+	}
 	for _, s := range f.servers {
 		_ = s.Shutdown(ctx) // A request that outlives ctx is cut by the end of the process.
 	}
@@ -132,24 +149,17 @@
 }
 
 func (f *Fleet) startSearcher(d Deployment, ix Index, t query.Target) (string, error) {
+	times := d.Tail
+	times.Mean = d.MeanServiceTime
 	searcher := target.NewSearcher(target.Config{
-		Target: t, Slots: ix.Slots, Snapshots: []query.Version{firstSnapshot},
-		ServiceTime: serviceTime(d.MeanServiceTime, d.Seed, len(f.Searchers)),
-		Rows:        sampleRows(ix.Name, t.Shards[0]),
+		Target: t, Slots: ix.Slots, QueueLimit: ix.QueueLimit, Snapshots: []query.Version{firstSnapshot},
+		ColdRequests: ix.ColdRequests, ColdFactor: ix.ColdFactor,
+		ServiceTime: times.Source(d.Seed, uint64(len(f.Searchers))),
+		Rows:        sampleRows(ix.Name, t.Shards[0]), Ring: f.Platform.Ring(),
 	})
-	f.Searchers[t.ID] = searcher
-	return f.serve(d.Host, 0, target.NewHTTPServer(target.Handler(searcher)))
-}
-
-// serviceTime returns a source of exponentially distributed times that is safe for concurrent use.
-func serviceTime(mean time.Duration, seed uint64, stream int) func() time.Duration {
-	var mu sync.Mutex // guards source
-	source := rand.New(rand.NewPCG(seed, uint64(stream)))
-	return func() time.Duration {
-		mu.Lock()
-		defer mu.Unlock()
-		return time.Duration(source.ExpFloat64() * float64(mean))
-	}
+	host := target.NewHost(searcher, target.HostConfig{Connections: ix.Connections, ConnectionCost: ix.ConnectionCost})
+	f.Searchers[t.ID], f.Hosts[t.ID] = searcher, host
+	return host.Start(net.JoinHostPort(d.Host, "0"))
 }
 
 func sampleRows(index string, shard query.Shard) []target.Row {
--- /dev/null
+++ b/emulator/pipenet/network.go
@@ -0,0 +1,95 @@
+// Package pipenet is a network inside one process: listeners and connections over net.Pipe. It
+// lets servers and clients run under the virtual time of testing/synctest.
+package pipenet
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+)
+
+// Network connects dialers with listeners by address. It is safe for concurrent use.
+type Network struct {
+	mu        sync.Mutex // guards listeners
+	listeners map[string]*listener
+}
+
+// New returns a network without listeners.
+func New() *Network { return &Network{listeners: map[string]*listener{}} }
+
+// Listen opens an address. It fails with EADDRINUSE if the address is open already.
+func (n *Network) Listen(address string) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, taken := n.listeners[address]; taken {
+		return nil, opError("listen", address, syscall.EADDRINUSE)
+	}
+	l := &listener{network: n, address: address, dialed: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// DialContext connects to an open address. It has the signature that http.Transport asks for and
+// fails with ECONNREFUSED if nothing listens.
+func (n *Network) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l, open := n.listeners[address]
+	n.mu.Unlock()
+	if !open {
+		return nil, opError("dial", address, syscall.ECONNREFUSED)
+	}
+	near, far := net.Pipe()
+	select {
+	case l.dialed <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, opError("dial", address, syscall.ECONNREFUSED)
+	case <-ctx.Done():
+		return nil, opError("dial", address, ctx.Err())
+	}
+}
+
+func opError(op, address string, err error) error {
+	return &net.OpError{Op: op, Net: "pipe", Addr: addr(address), Err: err}
+}
+
+type addr string
+
+// Network implements net.Addr.
+func (addr) Network() string { return "pipe" }
+
+// String implements net.Addr.
+func (a addr) String() string { return string(a) }
+
+type listener struct {
+	network *Network
+	address string
+	dialed  chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.dialed:
+		return c, nil
+	case <-l.closed:
+		return nil, opError("accept", l.address, net.ErrClosed)
+	}
+}
+
+// Close implements net.Listener. The address can be opened again afterwards.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		delete(l.network.listeners, l.address)
+		close(l.closed)
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return addr(l.address) }
--- /dev/null
+++ b/emulator/platform/faults.go
@@ -0,0 +1,71 @@
+package platform
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	api "hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/emulator/fault"
+	"hyssopcroft.example/kernel/settings"
+)
+
+// Outage says how the platform fails while it is away.
+type Outage string
+
+const (
+	// OutageNone leaves the platform up.
+	OutageNone Outage = ""
+	// OutageRefuse answers every call with status 503.
+	OutageRefuse Outage = "refuse"
+	// OutageSilent answers no call; each caller waits until it gives up.
+	OutageSilent Outage = "silent"
+)
+
+// Faults are the faults that a Server injects into calls.
+type Faults struct {
+	// Seed decides which calls the shares below strike.
+	Seed   uint64 `json:"seed,omitempty"`
+	Outage Outage `json:"outage,omitempty"`
+	// Delay passes before each call takes effect. DelayJitter adds up to that much, uniformly
+	// distributed. A write takes effect even if its caller has given up by then.
+	Delay       settings.Duration `json:"delay,omitempty"`
+	DelayJitter settings.Duration `json:"delay_jitter,omitempty"`
+	// LostAnswers is the share of writes that take effect and whose connection is then closed
+	// without an answer.
+	LostAnswers float64 `json:"lost_answers,omitempty"`
+	// StaleReads is the share of reads that return the version before the latest write, for
+	// StaleFor after that write; 0 puts no bound on the time.
+	StaleReads float64           `json:"stale_reads,omitempty"`
+	StaleFor   settings.Duration `json:"stale_for,omitempty"`
+	// WatchDelay passes between a change and its delivery to those who wait for it.
+	WatchDelay settings.Duration `json:"watch_delay,omitempty"`
+	// InstanceLag is the age of the instance list that callers see.
+	InstanceLag settings.Duration `json:"instance_lag,omitempty"`
+	// Purposes restricts the faults to calls with these purposes; empty strikes all calls.
+	Purposes []api.Purpose `json:"purposes,omitempty"`
+}
+
+// Check implements fault.Set.
+func (f Faults) Check() error {
+	if f.Outage != OutageNone && f.Outage != OutageRefuse && f.Outage != OutageSilent {
+		return errors.New("outage: must be empty, refuse or silent")
+	}
+	return fault.First(
+		fault.CheckTime("delay", time.Duration(f.Delay)),
+		fault.CheckTime("delay_jitter", time.Duration(f.DelayJitter)),
+		fault.CheckShare("lost_answers", f.LostAnswers),
+		fault.CheckShare("stale_reads", f.StaleReads),
+		fault.CheckTime("stale_for", time.Duration(f.StaleFor)),
+		fault.CheckTime("watch_delay", time.Duration(f.WatchDelay)),
+		fault.CheckTime("instance_lag", time.Duration(f.InstanceLag)),
+	)
+}
+
+// RandomSeed implements fault.Set.
+func (f Faults) RandomSeed() uint64 { return f.Seed }
+
+func (f Faults) strikes(p api.Purpose) bool {
+	return len(f.Purposes) == 0 || slices.Contains(f.Purposes, p)
+}
--- a/emulator/platform/server.go
+++ b/emulator/platform/server.go
@@ -1,39 +1,71 @@
 package platform
 
 import (
+	"cmp"
 	"expvar"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 
 	api "hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/emulator/fault"
 	"hyssopcroft.example/kernel/counters"
+	"hyssopcroft.example/kernel/hlc"
+	"hyssopcroft.example/kernel/timeline"
 )
 
-// Server serves a Store over HTTP.
+const (
+	// unnamedPurpose counts calls that do not say what they are for.
+	unnamedPurpose api.Purpose = "unnamed"
+	// timelineEvents is the number of events that a server keeps.
+	timelineEvents = 4096
+)
+
+// Server serves a Store over HTTP. Besides the object API it serves /v1/faults, /v1/timeline and
+// /debug/vars, which no fault strikes and which are not counted.
 type Server struct {
 	store    *Store
 	counters *counters.Set
+	faults   *fault.Switch[Faults]
+	ring     *timeline.Ring
 	router   chi.Router
 }
 
 // NewServer returns a server for a store.
 func NewServer(store *Store) *Server {
-	s := &Server{store: store, counters: counters.NewSet(), router: chi.NewRouter()}
-	s.router.Use(s.count)
-	s.router.Get("/v1/objects/{kind}/{name}", s.get)
-	s.router.Put("/v1/objects/{kind}/{name}", s.put)
-	s.router.Delete("/v1/objects/{kind}/{name}", s.delete)
-	s.router.Get("/v1/watch/{kind}", s.watch)
-	s.router.Get("/v1/instances", s.instances)
+	s := &Server{
+		store: store, counters: counters.NewSet(), faults: fault.NewSwitch[Faults](), router: chi.NewRouter(),
+		ring: timeline.NewRing("standins", timelineEvents, hlc.New(time.Now)),
+	}
+	s.router.Group(func(r chi.Router) {
+		r.Use(s.count, s.inject)
+		r.Get("/v1/objects/{kind}/{name}", s.get)
+		r.Put("/v1/objects/{kind}/{name}", s.put)
+		r.Delete("/v1/objects/{kind}/{name}", s.delete)
+		r.Get("/v1/watch/{kind}", s.watch)
+		r.Get("/v1/instances", s.instances)
+	})
+	fault.Routes(s.router, s.faults, s.ring, "platform")
+	s.router.Get("/v1/timeline", func(w http.ResponseWriter, _ *http.Request) {
+		problem.WriteJSON(w, http.StatusOK, s.ring.Events())
+	})
 	s.router.Handle("/debug/vars", s.counters)
 	return s
 }
 
+// SetFaults replaces the faults in force. It fails without any effect if one has an impossible
+// value.
+func (s *Server) SetFaults(f Faults) error { return s.faults.Set(f) }
+
+// Ring returns the timeline that the server serves. Other stand-ins of the process record into
+// it too.
+func (s *Server) Ring() *timeline.Ring { return s.ring }
+
 // ServeHTTP serves one call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
@@ -42,15 +74,18 @@
 
 func (s *Server) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if p := r.Header.Get(api.HeaderPurpose); p != "" {
-			s.Calls(api.Purpose(p)).Add(1)
-		}
+		s.Calls(cmp.Or(purposeOf(r), unnamedPurpose)).Add(1)
 		next.ServeHTTP(w, r)
 	})
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	o, ok := s.store.Get(chi.URLParam(r, "kind"), chi.URLParam(r, "name"))
+	kind, name := chi.URLParam(r, "kind"), chi.URLParam(r, "name")
+	f := s.faultsFor(r)
+	o, ok := s.store.Get(kind, name)
+	if s.faults.Happens(f.StaleReads) {
+		o, ok = s.store.GetStale(kind, name, time.Duration(f.StaleFor))
+	}
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
@@ -72,6 +107,9 @@
 	ttlMillis, _ := strconv.ParseInt(r.Header.Get(api.HeaderTTL), 10, 64) // absent or bad: no expiry
 	ttl := time.Duration(ttlMillis) * time.Millisecond
 	o, ok := s.store.Put(chi.URLParam(r, "kind"), chi.URLParam(r, "name"), data, expected, ttl)
+	if ok && ttl == 0 {
+		s.recordWrite(o, "version "+strconv.FormatUint(uint64(o.Version), 10))
+	}
 	respond(w, o, ok)
 }
 
@@ -82,9 +120,19 @@
 		return
 	}
 	o, ok := s.store.Delete(chi.URLParam(r, "kind"), chi.URLParam(r, "name"), expected)
+	if ok {
+		s.recordWrite(o, "deleted")
+	}
 	respond(w, o, ok)
 }
 
+// recordWrite leaves out claims, which change with every request that may not be repeated.
+func (s *Server) recordWrite(o api.Object, detail string) {
+	if !strings.HasPrefix(o.Kind, "claim") {
+		s.ring.Add("object_written", o.Kind+"/"+o.Name, detail)
+	}
+}
+
 func respond(w http.ResponseWriter, o api.Object, ok bool) {
 	if !ok {
 		problem.WriteJSON(w, http.StatusConflict, o)
@@ -111,9 +159,20 @@
 		return
 	}
 	wait := time.Duration(waitMillis) * time.Millisecond
-	problem.WriteJSON(w, http.StatusOK, s.store.Watch(r.Context(), chi.URLParam(r, "kind"), api.Version(after), wait))
+	ctx, cancel := s.untilOutage(r)
+	defer cancel()
+	changes := s.store.Watch(ctx, chi.URLParam(r, "kind"), api.Version(after), wait)
+	if after > 0 && len(changes.Objects) > 0 {
+		pause(r.Context(), time.Duration(s.faultsFor(r).WatchDelay), false)
+	}
+	if f := s.faultsFor(r); f.Outage != OutageNone {
+		refuse(w, r, f.Outage)
+		return
+	}
+	problem.WriteJSON(w, http.StatusOK, changes)
 }
 
-func (s *Server) instances(w http.ResponseWriter, _ *http.Request) {
-	problem.WriteJSON(w, http.StatusOK, s.store.Instances())
+func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
+	lag := time.Duration(s.faultsFor(r).InstanceLag)
+	problem.WriteJSON(w, http.StatusOK, s.store.InstancesAt(time.Now().Add(-lag)))
 }
--- a/emulator/platform/store.go
+++ b/emulator/platform/store.go
@@ -18,15 +18,27 @@
 type stored struct {
 	object  api.Object
 	expires time.Time // zero if the object does not expire
+	written time.Time
+	// previous is what the latest write replaced; it counts as deleted if there was nothing.
+	previous api.Object
 }
 
+// instanceList is the list of instances from a time on.
+type instanceList struct {
+	from time.Time
+	list []api.Instance
+}
+
+// instanceListsKept bounds the lists kept for InstancesAt.
+const instanceListsKept = 256
+
 // Store holds versioned objects. It is safe for concurrent use.
 type Store struct {
 	mu        sync.Mutex // guards the fields below
 	revision  api.Version
 	objects   map[objectKey]stored // deleted objects stay as markers
-	instances []api.Instance
-	changed   chan struct{} // closed and replaced at every write
+	instances []instanceList       // in order of time
+	changed   chan struct{}        // closed and replaced at every write
 }
 
 // NewStore returns an empty store. Its revision starts at 1, since a watch after 0 returns at once.
@@ -43,6 +55,20 @@
 	return o.object, ok && !o.object.Deleted
 }
 
+// GetStale returns an object as it was before its latest write if that write is less than maxAge
+// ago, or at any age if maxAge is 0; otherwise it returns what Get returns.
+func (s *Store) GetStale(kind, name string, maxAge time.Duration) (api.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.expire(now)
+	o, ok := s.objects[objectKey{kind, name}]
+	if ok && (maxAge == 0 || now.Sub(o.written) < maxAge) {
+		return o.previous, !o.previous.Deleted
+	}
+	return o.object, ok && !o.object.Deleted
+}
+
 // Put writes an object if its version is expected. It returns the object as it is afterwards and
 // whether the write took effect.
 func (s *Store) Put(kind, name string, data json.RawMessage, expected api.Version, ttl time.Duration) (api.Object, bool) {
@@ -97,14 +123,25 @@
 func (s *Store) SetInstances(list []api.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.instances = slices.Clone(list)
+	s.instances = append(s.instances, instanceList{from: time.Now(), list: slices.Clone(list)})
+	if extra := len(s.instances) - instanceListsKept; extra > 0 {
+		s.instances = slices.Delete(s.instances, 0, extra)
+	}
 }
 
 // Instances returns the list of instances.
-func (s *Store) Instances() []api.Instance {
+func (s *Store) Instances() []api.Instance { return s.InstancesAt(time.Now()) }
+
+// InstancesAt returns the list of instances as it was at a time, empty before the first list.
+func (s *Store) InstancesAt(at time.Time) []api.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.instances)
+	for _, l := range slices.Backward(s.instances) {
+		if !l.from.After(at) {
+			return slices.Clone(l.list)
+		}
+	}
+	return nil
 }
 
 func (s *Store) changesAfter(kind string, after api.Version) (api.Changes, <-chan struct{}) {
@@ -135,6 +172,11 @@
 func (s *Store) write(key objectKey, o stored) api.Object {
 	s.revision++
 	o.object.Version = s.revision
+	o.written = time.Now()
+	o.previous = api.Object{Kind: key.kind, Name: key.name, Deleted: true}
+	if old, ok := s.objects[key]; ok {
+		o.previous = old.object
+	}
 	s.objects[key] = o
 	close(s.changed)
 	s.changed = make(chan struct{})
--- /dev/null
+++ b/emulator/target/connections.go
@@ -0,0 +1,134 @@
+package target
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hyssopcroft.example/kernel/counters"
+)
+
+// connections holds the open connections of one searcher. It is safe for concurrent use.
+type connections struct {
+	limit int           // 0 sets no limit
+	cost  time.Duration // time until a new connection delivers its first byte
+	hold  func() time.Duration
+	vars  *counters.Set
+
+	mu   sync.Mutex // guards open
+	open []*conn    // in the order in which they were accepted
+}
+
+// listener accepts connections up to the limit and closes those beyond it at once.
+type listener struct {
+	net.Listener
+	connections *connections
+}
+
+// Accept implements net.Listener.
+func (l listener) Accept() (net.Conn, error) {
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c, ok := l.connections.add(inner); ok {
+			return c, nil
+		}
+		_ = inner.Close() // The client learns of the refusal by the end of the connection.
+	}
+}
+
+func (cs *connections) add(inner net.Conn) (*conn, bool) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if cs.limit > 0 && len(cs.open) >= cs.limit {
+		cs.vars.Counter("connections_refused").Add(1)
+		return nil, false
+	}
+	cs.vars.Counter("connections_opened").Add(1)
+	c := &conn{Conn: inner, connections: cs}
+	cs.open = append(cs.open, c)
+	return c, true
+}
+
+func (cs *connections) remove(c *conn) {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	if i := slices.Index(cs.open, c); i >= 0 {
+		cs.open = slices.Delete(cs.open, i, i+1)
+	}
+}
+
+// count returns the number of open connections.
+func (cs *connections) count() int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	return len(cs.open)
+}
+
+// silence stops delivery on the oldest n connections that still deliver and returns how many
+// there were.
+func (cs *connections) silence(n int) int {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	silenced := 0
+	for _, c := range cs.open {
+		if silenced < n && c.silent.CompareAndSwap(false, true) {
+			silenced++
+		}
+	}
+	return silenced
+}
+
+// reset ends all connections at once, as the end of a process does.
+func (cs *connections) reset() {
+	cs.mu.Lock()
+	open := slices.Clone(cs.open)
+	cs.mu.Unlock()
+	for _, c := range open {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // makes Close send a reset; fails only on a closed connection
+		}
+		_ = c.Close() // A second close has no effect.
+	}
+}
+
+// conn is one accepted connection.
+type conn struct {
+	net.Conn
+	connections *connections
+	opened      sync.Once
+	silent      atomic.Bool
+}
+
+// Read implements net.Conn. On a silent connection it discards what arrives.
+func (c *conn) Read(p []byte) (int, error) {
+	c.opened.Do(func() { time.Sleep(c.connections.cost) })
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.silent.Load() {
+			return n, err
+		}
+		if err != nil {
+			time.Sleep(c.connections.hold())
+			return 0, err
+		}
+	}
+}
+
+// Write implements net.Conn. On a silent connection it discards what is written.
+func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.connections.remove(c)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/emulator/target/faults.go
@@ -0,0 +1,65 @@
+package target
+
+import (
+	"time"
+
+	"hyssopcroft.example/emulator/fault"
+	"hyssopcroft.example/kernel/settings"
+)
+
+// defaultRestartAfter is the time that a crashed searcher is away if the faults name none.
+const defaultRestartAfter = time.Second
+
+// Faults are the faults of one searcher.
+type Faults struct {
+	// Seed decides which requests the shares below strike.
+	Seed uint64 `json:"seed,omitempty"`
+	// SlowShare is the share of requests whose service time is multiplied by SlowFactor.
+	SlowShare  float64 `json:"slow_share,omitempty"`
+	SlowFactor float64 `json:"slow_factor,omitempty"`
+	// ShedShare is the share of requests that are shed although the queue has room.
+	ShedShare float64 `json:"shed_share,omitempty"`
+	// CrashOn crashes the searcher when a request runs whose query or body contains it. A search
+	// crashes it before any answer, an execute after it took effect.
+	CrashOn string `json:"crash_on,omitempty"`
+	// RestartAfter is the time that a crashed searcher is away, 1 s if it is 0.
+	RestartAfter settings.Duration `json:"restart_after,omitempty"`
+	// LateShare is the share of answers that are held back for LateBy after the request ran.
+	LateShare float64           `json:"late_share,omitempty"`
+	LateBy    settings.Duration `json:"late_by,omitempty"`
+	// CrossedShare is the share of answers replaced by the latest answer to another request.
+	CrossedShare float64 `json:"crossed_share,omitempty"`
+	// SilentHold is the time for which a silent connection still counts against the connection
+	// limit after its client has closed it.
+	SilentHold settings.Duration `json:"silent_hold,omitempty"`
+	// InfoLag is the greatest age of what GET /v1/info returns. InfoHealthy and InfoLoad replace
+	// the true values.
+	InfoLag     settings.Duration `json:"info_lag,omitempty"`
+	InfoHealthy *bool             `json:"info_healthy,omitempty"`
+	InfoLoad    *float64          `json:"info_load,omitempty"`
+}
+
+// Check implements fault.Set.
+func (f Faults) Check() error {
+	return fault.First(
+		fault.CheckShare("slow_share", f.SlowShare),
+		checkFactor(f),
+		fault.CheckShare("shed_share", f.ShedShare),
+		fault.CheckTime("restart_after", time.Duration(f.RestartAfter)),
+		fault.CheckShare("late_share", f.LateShare),
+		fault.CheckTime("late_by", time.Duration(f.LateBy)),
+		fault.CheckShare("crossed_share", f.CrossedShare),
+		fault.CheckTime("silent_hold", time.Duration(f.SilentHold)),
+		fault.CheckTime("info_lag", time.Duration(f.InfoLag)),
+	)
+}
+
+// RandomSeed implements fault.Set.
+func (f Faults) RandomSeed() uint64 { return f.Seed }
+
+func (f Faults) restartAfter() time.Duration {
+	if f.RestartAfter == 0 {
+		return defaultRestartAfter
+	}
+	return time.Duration(f.RestartAfter)
+}
--- a/emulator/target/searcher.go
+++ b/emulator/target/searcher.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"hyssopcroft.example/adapter/wire/targetpb"
+	"hyssopcroft.example/emulator/fault"
+	"hyssopcroft.example/kernel/counters"
+	"hyssopcroft.example/kernel/timeline"
 	"hyssopcroft.example/query"
 )
 
@@ -26,37 +29,76 @@
 	Target query.Target
 	// Slots is the number of requests that run at a time.
 	Slots int
+	// QueueLimit is the number of requests that may wait for a slot before further ones are shed;
+	// 0 sets no limit.
+	QueueLimit int
 	// ServiceTime returns how long the next request runs.
 	ServiceTime func() time.Duration
+	// ColdRequests is the number of requests after a start whose service time is multiplied by
+	// ColdFactor and whose replies say that the searcher is cold.
+	ColdRequests int
+	ColdFactor   float64
 	// Snapshots lists the versions held at the start, in ascending order.
 	Snapshots []query.Version
 	Rows      []Row
+	// Ring records changes of state; nil records none.
+	Ring *timeline.Ring
 }
 
 // Searcher runs searches and executes. It is safe for concurrent use.
 type Searcher struct {
-	cfg   Config
-	slots chan struct{}
+	cfg    Config
+	slots  chan struct{}
+	faults *fault.Switch[Faults]
+	vars   *counters.Set
 
 	mu        sync.Mutex // guards the fields below
 	snapshots []query.Version
+	shards    map[query.Version][]query.Shard // shards of versions that were repartitioned
+	rows      []Row
 	draining  bool
+	coldLeft  int            // requests until the searcher is warm
+	waiting   int            // requests that wait for a slot
 	executed  map[string]int // number of times each key ran
+	crash     func()         // ends the process; nil if no Host runs the searcher
+	info      cachedInfo
+	last      lastAnswers
 }
 
 // NewSearcher returns a searcher that is ready to run requests.
 func NewSearcher(cfg Config) *Searcher {
 	return &Searcher{
 		cfg: cfg, slots: make(chan struct{}, cfg.Slots),
-		snapshots: slices.Clone(cfg.Snapshots), executed: map[string]int{},
+		faults: fault.NewSwitch[Faults](), vars: counters.NewSet(),
+		snapshots: slices.Clone(cfg.Snapshots), shards: map[query.Version][]query.Shard{},
+		rows: slices.Clone(cfg.Rows), coldLeft: cfg.ColdRequests, executed: map[string]int{},
 	}
 }
 
+// SetFaults replaces the faults in force. It fails without any effect if one has an impossible
+// value.
+func (s *Searcher) SetFaults(f Faults) error { return s.faults.Set(f) }
+
 // SetSnapshots replaces the versions that the searcher holds.
 func (s *Searcher) SetSnapshots(held []query.Version) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.snapshots = slices.Clone(held)
+	s.record("snapshots_held", fmt.Sprint(held))
+}
+
+// Hold adds a version that is partitioned anew: at this version the searcher serves the given
+// shards, with the rows in addition to those that it has.
+func (s *Searcher) Hold(v query.Version, shards []query.Shard, rows []Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.Contains(s.snapshots, v) {
+		s.snapshots = append(s.snapshots, v)
+		slices.Sort(s.snapshots)
+	}
+	s.shards[v] = slices.Clone(shards)
+	s.rows = append(s.rows, rows...)
+	s.record("snapshots_held", fmt.Sprint(s.snapshots))
 }
 
 // SetDraining starts or ends draining. Requests that run go on.
@@ -64,6 +106,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining = draining
+	s.record("target_draining", fmt.Sprint(draining))
 }
 
 // Executed returns how often the request with the key ran.
@@ -73,8 +116,13 @@
 	return s.executed[key]
 }
 
+// Counter returns one of the searcher's counters: requests, answered, shed, aborted, crashes,
+// connections_opened or connections_refused.
+func (s *Searcher) Counter(name string) int64 { return s.vars.Value(name) }
+
 // Search runs one sub-request. It returns when the request has run or was refused.
 func (s *Searcher) Search(ctx context.Context, req *targetpb.SearchRequest) *targetpb.SearchResponse {
+	s.vars.Counter("requests").Add(1)
 	resp := &targetpb.SearchResponse{
 		RequestId: req.RequestId, AttemptId: req.AttemptId, Shard: req.Shard, Snapshot: req.Snapshot,
 	}
@@ -82,17 +130,20 @@
 	if resp.Outcome != targetpb.Outcome_OUTCOME_ANSWERED {
 		return resp
 	}
-	if !s.run(ctx, time.Duration(req.TimeLeftUs)*time.Microsecond) {
-		resp.Outcome = targetpb.Outcome_OUTCOME_ABORTED
-		return resp
+	r := s.run(ctx, time.Duration(req.TimeLeftUs)*time.Microsecond, s.crashesOn(req.Query))
+	resp.Outcome, resp.Cold = r.outcome, r.cold
+	if resp.Outcome == targetpb.Outcome_OUTCOME_ANSWERED {
+		resp.Hits = s.match(req)
+		s.holdBack(ctx)
+		resp = s.crossSearch(resp)
 	}
-	resp.Hits = s.match(req)
 	return resp
 }
 
 // Execute runs a request that may not be repeated. The searcher does not protect itself against
 // repetition; it only counts.
 func (s *Searcher) Execute(ctx context.Context, req *targetpb.ExecuteRequest) *targetpb.ExecuteResponse {
+	s.vars.Counter("requests").Add(1)
 	resp := &targetpb.ExecuteResponse{Key: req.Key, AttemptId: req.AttemptId}
 	s.mu.Lock()
 	draining := s.draining
@@ -101,16 +152,21 @@
 		resp.Outcome = targetpb.Outcome_OUTCOME_DRAINING
 		return resp
 	}
-	if !s.run(ctx, time.Duration(req.TimeLeftUs)*time.Microsecond) {
-		resp.Outcome = targetpb.Outcome_OUTCOME_ABORTED
+	resp.Outcome = s.run(ctx, time.Duration(req.TimeLeftUs)*time.Microsecond, false).outcome
+	if resp.Outcome != targetpb.Outcome_OUTCOME_ANSWERED {
 		return resp
 	}
 	s.mu.Lock()
 	s.executed[req.Key]++
 	s.mu.Unlock()
-	resp.Outcome = targetpb.Outcome_OUTCOME_ANSWERED
+	if s.crashesOn(string(req.Body)) {
+		s.crashNow()
+		resp.Outcome = targetpb.Outcome_OUTCOME_ABORTED
+		return resp
+	}
 	resp.Result = fmt.Appendf(nil, "%s recorded at %s", req.Key, s.cfg.Target.ID)
-	return resp
+	s.holdBack(ctx)
+	return s.crossExecute(resp)
 }
 
 // admit returns OUTCOME_ANSWERED if the request may run.
@@ -121,43 +177,47 @@
 	for _, v := range s.snapshots {
 		held = append(held, uint64(v))
 	}
+	version, shard := query.Version(req.Snapshot), query.Shard(req.Shard)
 	switch {
 	case s.draining:
 		return targetpb.Outcome_OUTCOME_DRAINING, held
-	case !slices.Contains(s.cfg.Target.Shards, query.Shard(req.Shard)):
+	case !s.serves(shard):
 		return targetpb.Outcome_OUTCOME_WRONG_SHARD, held
-	case !slices.Contains(s.snapshots, query.Version(req.Snapshot)):
+	case !slices.Contains(s.snapshots, version):
 		return targetpb.Outcome_OUTCOME_SNAPSHOT_GONE, held
+	case !slices.Contains(s.shardsAt(version), shard):
+		return targetpb.Outcome_OUTCOME_WRONG_SHARD, held
 	}
 	return targetpb.Outcome_OUTCOME_ANSWERED, held
 }
 
-// run waits for a slot and holds it for the service time. It returns false if the time left or
-// the context ended first.
-func (s *Searcher) run(ctx context.Context, timeLeft time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeLeft)
-	defer cancel()
-	select {
-	case s.slots <- struct{}{}:
-	case <-ctx.Done():
-		return false
+// serves reports whether the searcher serves the shard at any version. It must be called with
+// s.mu held.
+func (s *Searcher) serves(shard query.Shard) bool {
+	for _, shards := range s.shards {
+		if slices.Contains(shards, shard) {
+			return true
+		}
 	}
-	defer func() { <-s.slots }()
-	timer := time.NewTimer(s.cfg.ServiceTime())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+	return slices.Contains(s.cfg.Target.Shards, shard)
+}
+
+// shardsAt must be called with s.mu held.
+func (s *Searcher) shardsAt(v query.Version) []query.Shard {
+	if shards, ok := s.shards[v]; ok {
+		return shards
 	}
+	return s.cfg.Target.Shards
 }
 
 // match returns the rows of the shard that contain every word of the query.
 func (s *Searcher) match(req *targetpb.SearchRequest) []*targetpb.Hit {
 	words := strings.Fields(strings.ToLower(req.Query))
+	s.mu.Lock()
+	rows := s.rows
+	s.mu.Unlock()
 	var hits []*targetpb.Hit
-	for _, row := range s.cfg.Rows {
+	for _, row := range rows {
 		if row.Shard != query.Shard(req.Shard) || len(hits) >= int(req.Limit) {
 			continue
 		}
@@ -179,3 +239,9 @@
 	}
 	return float64(matched) / float64(max(1, len(text))), true
 }
+
+func (s *Searcher) record(kind, detail string) {
+	if s.cfg.Ring != nil {
+		s.cfg.Ring.Add(kind, string(s.cfg.Target.ID), detail)
+	}
+}
