Add contract tests of the target and platform interfaces

Cause: nothing compared the stand-ins with the adapters or fixed what a transport failure proves. A Host closes its listener itself, because a server that has not begun to accept does not.

--- a/adapter/target/client.go
+++ b/adapter/target/client.go
@@ -78,13 +78,14 @@
 		TimeLeftUs: timeLeftMicros(s.TimeLeft),
 	}
 	var resp targetpb.SearchResponse
-	if outcome, err := c.post(ctx, s.Address+PathSearch, req, &resp); err != nil {
+	if outcome, err := c.post(ctx, s.Address+PathSearch, true, req, &resp); err != nil {
 		return query.Reply{Attempt: s.Attempt, Request: s.Request, Shard: s.Shard, Snapshot: s.Snapshot, Outcome: outcome}
 	}
-	return replyOf(&resp)
+	return ReplyOf(&resp)
 }
 
-func replyOf(resp *targetpb.SearchResponse) query.Reply {
+// ReplyOf converts the answer of a target.
+func ReplyOf(resp *targetpb.SearchResponse) query.Reply {
 	r := query.Reply{
 		Attempt:  query.AttemptID(resp.AttemptId),
 		Request:  query.RequestID(resp.RequestId),
@@ -119,7 +120,7 @@
 		TimeLeftUs: timeLeftMicros(e.TimeLeft),
 	}
 	var resp targetpb.ExecuteResponse
-	if outcome, err := c.post(ctx, e.Address+PathExecute, req, &resp); err != nil {
+	if outcome, err := c.post(ctx, e.Address+PathExecute, false, req, &resp); err != nil {
 		return nil, outcome
 	}
 	if resp.Key != e.Key || resp.AttemptId != uint64(e.Attempt) {
@@ -152,8 +153,9 @@
 	return uint32(min(max(d.Microseconds(), 0), math.MaxUint32))
 }
 
-// post returns an error together with what it says about the request having run.
-func (c *Client) post(ctx context.Context, url string, in, out proto.Message) (query.Outcome, error) {
+// post returns an error together with what it says about the request having run. The transport
+// may send a repeatable request again if the target has refused its stream.
+func (c *Client) post(ctx context.Context, url string, repeatable bool, in, out proto.Message) (query.Outcome, error) {
 	body, err := proto.Marshal(in)
 	if err != nil {
 		return query.OutcomeNotRun, errors.Wrap(err, "encode target request")
@@ -163,8 +165,9 @@
 	if err != nil {
 		return query.OutcomeNotRun, errors.Wrap(err, "build target request")
 	}
-	// The transport sends a request again by itself only if it can get the body a second time.
-	req.GetBody = nil
+	if !repeatable {
+		req.GetBody = nil // Without it the transport cannot send the body a second time.
+	}
 	req.Header.Set("Content-Type", ContentType)
 	resp, err := c.http.Do(req)
 	if err != nil {
--- /dev/null
+++ b/emulator/platform/contract_test.go
@@ -0,0 +1,316 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	api "hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/emulator/pipenet"
+	"hyssopcroft.example/emulator/platform"
+	"hyssopcroft.example/kernel/settings"
+)
+
+const purpose api.Purpose = "test"
+
+// objects is what the stand-in and the adapter both offer.
+type objects interface {
+	Get(ctx context.Context, p api.Purpose, kind, name string) (api.Object, error)
+	Put(ctx context.Context, p api.Purpose, o api.Object, expected api.Version, ttl time.Duration) (api.Version, error)
+	Delete(ctx context.Context, p api.Purpose, kind, name string, expected api.Version) error
+	Watch(ctx context.Context, p api.Purpose, kind string, after api.Version, wait time.Duration) (api.Changes, error)
+	Instances(ctx context.Context, p api.Purpose) ([]api.Instance, error)
+}
+
+// direct calls the store without a connection.
+type direct struct{ store *platform.Store }
+
+func (d direct) Get(_ context.Context, _ api.Purpose, kind, name string) (api.Object, error) {
+	o, ok := d.store.Get(kind, name)
+	if !ok {
+		return api.Object{}, api.ErrNotFound
+	}
+	return o, nil
+}
+
+func (d direct) Put(_ context.Context, _ api.Purpose, o api.Object, expected api.Version, ttl time.Duration) (api.Version, error) {
+	after, ok := d.store.Put(o.Kind, o.Name, o.Data, expected, ttl)
+	return versionOf(after, ok, expected)
+}
+
+func (d direct) Delete(_ context.Context, _ api.Purpose, kind, name string, expected api.Version) error {
+	after, ok := d.store.Delete(kind, name, expected)
+	_, err := versionOf(after, ok, expected)
+	return err
+}
+
+func versionOf(after api.Object, ok bool, expected api.Version) (api.Version, error) {
+	if !ok {
+		return 0, &api.ConflictError{Kind: after.Kind, Name: after.Name, Expected: expected, Actual: after.Version}
+	}
+	return after.Version, nil
+}
+
+func (d direct) Watch(ctx context.Context, _ api.Purpose, kind string, after api.Version, wait time.Duration) (api.Changes, error) {
+	return d.store.Watch(ctx, kind, after, wait), nil
+}
+
+func (d direct) Instances(context.Context, api.Purpose) ([]api.Instance, error) {
+	return d.store.Instances(), nil
+}
+
+type world struct {
+	store  *platform.Store
+	server *platform.Server
+	client *api.Client
+	calls  int // counted by the client
+}
+
+func inWorld(t *testing.T, f func(*testing.T, *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{store: platform.NewStore()}
+		w.server = platform.NewServer(w.store)
+		network := pipenet.New()
+		l, err := network.Listen("platform:80")
+		require.NoError(t, err)
+		server := &http.Server{Handler: w.server}
+		go func() { _ = server.Serve(l) }()
+		transport := &http.Transport{DialContext: network.DialContext}
+		w.client = api.NewClient("http://platform", transport, func(api.Purpose) { w.calls++ })
+		defer server.Close()
+		defer transport.CloseIdleConnections()
+		f(t, w)
+	})
+}
+
+func object(data string) api.Object {
+	return api.Object{Kind: "config", Name: "current", Data: json.RawMessage(data)}
+}
+
+func conflict(t *testing.T, err error, expected, actual api.Version) {
+	t.Helper()
+	var c *api.ConflictError
+	require.ErrorAs(t, err, &c)
+	require.Equal(t, api.ConflictError{Kind: "config", Name: "current", Expected: expected, Actual: actual}, *c)
+}
+
+// Guards against a stand-in and an adapter that differ in versions, conflicts, expiry or watches.
+func TestObjectContract(t *testing.T) {
+	ctx := context.Background()
+	must := func(t *testing.T, o objects, data string, expected api.Version) api.Version {
+		v, err := o.Put(ctx, purpose, object(data), expected, 0)
+		require.NoError(t, err)
+		return v
+	}
+	cases := map[string]func(*testing.T, objects, *world){
+		"a missing object is not found": func(t *testing.T, o objects, _ *world) {
+			_, err := o.Get(ctx, purpose, "config", "current")
+			require.ErrorIs(t, err, api.ErrNotFound)
+		},
+		"a written object is read with its version": func(t *testing.T, o objects, _ *world) {
+			v := must(t, o, `1`, 0)
+			got, err := o.Get(ctx, purpose, "config", "current")
+			require.NoError(t, err)
+			require.Equal(t, api.Object{Kind: "config", Name: "current", Version: v, Data: json.RawMessage(`1`)}, got)
+		},
+		"a write that expects another version changes nothing": func(t *testing.T, o objects, _ *world) {
+			v := must(t, o, `1`, 0)
+			_, err := o.Put(ctx, purpose, object(`2`), 0, 0)
+			conflict(t, err, 0, v)
+			got, err := o.Get(ctx, purpose, "config", "current")
+			require.NoError(t, err)
+			require.JSONEq(t, `1`, string(got.Data))
+		},
+		"of two racing writes one wins": func(t *testing.T, o objects, _ *world) {
+			v := must(t, o, `1`, 0)
+			w := must(t, o, `2`, v)
+			_, err := o.Put(ctx, purpose, object(`3`), v, 0)
+			conflict(t, err, v, w)
+		},
+		"a delete expects a version too": func(t *testing.T, o objects, _ *world) {
+			v := must(t, o, `1`, 0)
+			conflict(t, o.Delete(ctx, purpose, "config", "current", v+1), v+1, v)
+			require.NoError(t, o.Delete(ctx, purpose, "config", "current", v))
+			conflict(t, o.Delete(ctx, purpose, "config", "current", v), v, 0)
+		},
+		"an object expires": func(t *testing.T, o objects, _ *world) {
+			_, err := o.Put(ctx, purpose, object(`1`), 0, time.Second)
+			require.NoError(t, err)
+			time.Sleep(time.Second)
+			_, err = o.Get(ctx, purpose, "config", "current")
+			require.ErrorIs(t, err, api.ErrNotFound)
+		},
+		"a first watch returns all at once": func(t *testing.T, o objects, _ *world) {
+			v := must(t, o, `1`, 0)
+			changes, err := o.Watch(ctx, purpose, "config", 0, time.Hour)
+			require.NoError(t, err)
+			require.Equal(t, v, changes.Revision)
+			require.Len(t, changes.Objects, 1)
+		},
+		"a watch waits for a change": func(t *testing.T, o objects, w *world) {
+			v := must(t, o, `1`, 0)
+			time.AfterFunc(time.Second, func() { w.store.Put("config", "current", []byte(`2`), v, 0) })
+			start := time.Now()
+			changes, err := o.Watch(ctx, purpose, "config", v, time.Minute)
+			require.NoError(t, err)
+			require.Len(t, changes.Objects, 1)
+			require.Equal(t, time.Second, time.Since(start))
+		},
+		"a watch ends without a change": func(t *testing.T, o objects, _ *world) {
+			v := must(t, o, `1`, 0)
+			changes, err := o.Watch(ctx, purpose, "config", v, time.Second)
+			require.NoError(t, err)
+			require.Equal(t, v, changes.Revision)
+			require.Empty(t, changes.Objects)
+		},
+		"a watch tells of a deletion": func(t *testing.T, o objects, _ *world) {
+			v := must(t, o, `1`, 0)
+			require.NoError(t, o.Delete(ctx, purpose, "config", "current", v))
+			changes, err := o.Watch(ctx, purpose, "config", v, time.Second)
+			require.NoError(t, err)
+			require.True(t, changes.Objects[0].Deleted)
+		},
+		"the instance list is returned": func(t *testing.T, o objects, w *world) {
+			list := []api.Instance{{ID: "entry-1", Address: "127.0.0.1:7101", State: api.InstanceLive}}
+			w.store.SetInstances(list)
+			got, err := o.Instances(ctx, purpose)
+			require.NoError(t, err)
+			require.Equal(t, list, got)
+		},
+	}
+	for name, run := range cases {
+		t.Run(name+"/stand-in", func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) { run(t, direct{w.store}, w) })
+		})
+		t.Run(name+"/adapter", func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) { run(t, w.client, w) })
+		})
+	}
+}
+
+// Guards against faults that do not show at the adapter, or that leave another effect than their
+// description says.
+func TestFaults(t *testing.T) {
+	ctx := context.Background()
+	second := settings.Duration(time.Second)
+	unavailable := func(t *testing.T, err error) { require.ErrorIs(t, err, api.ErrUnavailable) }
+	put := func(w *world, data string, expected api.Version) error {
+		_, err := w.client.Put(ctx, purpose, object(data), expected, 0)
+		return err
+	}
+	stored := func(w *world) string {
+		o, _ := w.store.Get("config", "current")
+		return string(o.Data)
+	}
+	cases := []struct {
+		name   string
+		faults platform.Faults
+		run    func(*testing.T, *world)
+	}{
+		{"a refused write has no effect", platform.Faults{Outage: platform.OutageRefuse}, func(t *testing.T, w *world) {
+			unavailable(t, put(w, `1`, 0))
+			require.Empty(t, stored(w))
+		}},
+		{"a silent platform ends at the call's time limit", platform.Faults{Outage: platform.OutageSilent}, func(t *testing.T, w *world) {
+			start := time.Now()
+			unavailable(t, put(w, `1`, 0))
+			require.Equal(t, 2*time.Second, time.Since(start))
+			require.Empty(t, stored(w))
+		}},
+		{"a lost answer leaves the write in effect", platform.Faults{LostAnswers: 1}, func(t *testing.T, w *world) {
+			unavailable(t, put(w, `1`, 0))
+			require.Equal(t, `1`, stored(w))
+		}},
+		{"a slow write takes effect after its caller gave up", platform.Faults{Delay: 3 * second}, func(t *testing.T, w *world) {
+			unavailable(t, put(w, `1`, 0))
+			require.Empty(t, stored(w))
+			time.Sleep(2 * time.Second)
+			require.Equal(t, `1`, stored(w))
+		}},
+		{"a stale read returns the version before", platform.Faults{StaleReads: 1, StaleFor: second}, func(t *testing.T, w *world) {
+			first, _ := w.store.Put("config", "current", []byte(`1`), 0, 0)
+			time.Sleep(time.Second)
+			w.store.Put("config", "current", []byte(`2`), first.Version, 0)
+			got, err := w.client.Get(ctx, purpose, "config", "current")
+			require.NoError(t, err)
+			require.JSONEq(t, `1`, string(got.Data))
+			time.Sleep(time.Second)
+			got, err = w.client.Get(ctx, purpose, "config", "current")
+			require.NoError(t, err)
+			require.JSONEq(t, `2`, string(got.Data))
+		}},
+		{"a watch event is late", platform.Faults{WatchDelay: second}, func(t *testing.T, w *world) {
+			o, _ := w.store.Put("config", "current", []byte(`1`), 0, 0)
+			start := time.Now()
+			changes, err := w.client.Watch(ctx, purpose, "config", o.Version-1, time.Minute)
+			require.NoError(t, err)
+			require.Len(t, changes.Objects, 1)
+			require.Equal(t, time.Second, time.Since(start))
+		}},
+		{"the instance list lags", platform.Faults{InstanceLag: second}, func(t *testing.T, w *world) {
+			w.store.SetInstances([]api.Instance{{ID: "entry-1"}})
+			list, err := w.client.Instances(ctx, purpose)
+			require.NoError(t, err)
+			require.Empty(t, list)
+			time.Sleep(time.Second)
+			list, err = w.client.Instances(ctx, purpose)
+			require.NoError(t, err)
+			require.Len(t, list, 1)
+		}},
+		{"another purpose is not struck", platform.Faults{Outage: platform.OutageRefuse, Purposes: []api.Purpose{"claim"}}, func(t *testing.T, w *world) {
+			require.NoError(t, put(w, `1`, 0))
+		}},
+		{"an outage ends a waiting watch", platform.Faults{}, func(t *testing.T, w *world) {
+			o, _ := w.store.Put("config", "current", []byte(`1`), 0, 0)
+			time.AfterFunc(time.Second, func() { _ = w.server.SetFaults(platform.Faults{Outage: platform.OutageRefuse}) })
+			start := time.Now()
+			_, err := w.client.Watch(ctx, purpose, "config", o.Version, time.Minute)
+			unavailable(t, err)
+			require.Equal(t, time.Second, time.Since(start))
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				require.NoError(t, w.server.SetFaults(c.faults))
+				c.run(t, w)
+				require.EqualValues(t, w.calls, w.server.Calls(purpose).Value())
+			})
+		})
+	}
+}
+
+// Guards against a share of faults that differs between two runs with the same seed.
+func TestSeedRepeatsFaults(t *testing.T) {
+	run := func() (failed []int) {
+		inWorld(t, func(t *testing.T, w *world) {
+			require.NoError(t, w.server.SetFaults(platform.Faults{Seed: 5, LostAnswers: 0.5}))
+			for i := range 20 {
+				_, err := w.client.Put(t.Context(), purpose, api.Object{Kind: "k", Name: string(rune('a' + i)), Data: []byte(`1`)}, 0, 0)
+				if errors.Is(err, api.ErrUnavailable) {
+					failed = append(failed, i)
+				}
+			}
+		})
+		return failed
+	}
+	first := run()
+	require.NotEmpty(t, first)
+	require.Less(t, len(first), 20)
+	require.Equal(t, first, run())
+}
+
+// Guards against impossible faults that are switched on without a word.
+func TestImpossibleFaultsAreRefused(t *testing.T) {
+	s := platform.NewServer(platform.NewStore())
+	for _, f := range []platform.Faults{{LostAnswers: 1.5}, {StaleReads: -1}, {Delay: -1}, {Outage: "partly"}} {
+		require.Error(t, s.SetFaults(f))
+	}
+}
--- a/emulator/target/host.go
+++ b/emulator/target/host.go
@@ -33,6 +33,7 @@
 	mu      sync.Mutex // guards the fields below
 	address string
 	server  *http.Server // nil while the process is away
+	inner   net.Listener // of server
 	restart *time.Timer  // set while the process is away
 	stopped bool
 }
@@ -67,7 +68,7 @@
 // serve must be called with h.mu held.
 func (h *Host) serve(inner net.Listener) {
 	server := NewHTTPServer(handler(h.searcher, h))
-	h.server = server
+	h.server, h.inner = server, inner
 	go func() { _ = server.Serve(listener{Listener: inner, connections: h.connections}) }() // ends by Close
 }
 
@@ -81,6 +82,7 @@
 	}
 	server := h.server
 	h.server = nil
+	_ = h.inner.Close() // The server may not have begun to accept yet, and would not close it then.
 	h.connections.reset()
 	// Close returns before handlers end, so a handler may call Crash.
 	_ = server.Close()
@@ -136,5 +138,8 @@
 	if h.restart != nil {
 		h.restart.Stop()
 	}
+	if h.inner != nil {
+		_ = h.inner.Close() // A second close has no effect.
+	}
 	return h.server
 }
