--- /dev/null
+++ b/adapter/caller/handler_test.go
@@ -0,0 +1,108 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/caller"
+	"hyssopcroft.example/adapter/problem"
+)
+
+// backend answers with p, or echoes the request if p is nil.
+type backend struct{ p *problem.Problem }
+
+func (b backend) Search(_ context.Context, s caller.Search) (caller.Result, *problem.Problem) {
+	return caller.Result{Index: s.Index}, b.p
+}
+
+func (b backend) Execute(_ context.Context, e caller.Execute) (caller.Execution, *problem.Problem) {
+	return caller.Execution{Key: e.Key}, b.p
+}
+
+func post(b backend, path, body string) *httptest.ResponseRecorder {
+	r := chi.NewRouter()
+	caller.Routes(r, b)
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+	return w
+}
+
+// Guards against a malformed request that reaches the backend or is refused without "not run" (I4).
+func TestMalformedRequests(t *testing.T) {
+	const search, execute = "/v1/search", "/v1/execute"
+	large := `{"plan":"` + strings.Repeat("x", 64<<10) + `"}`
+	cases := []struct {
+		name, path, body string
+		status           int
+		code             problem.Code
+		message          string
+	}{
+		{"no body", search, ``, 400, problem.BadRequest, "body: EOF"},
+		{"not JSON", search, `{`, 400, problem.BadRequest, "body: "},
+		{"wrong type", search, `{"plan":1}`, 400, problem.BadRequest, "body: "},
+		{"unknown key", search, `{"plan":"p","index":"i","colour":1}`, 400, problem.BadRequest, `"colour"`},
+		{"two values", search, `{"plan":"p","index":"i"}{}`, 400, problem.BadRequest, "more than one"},
+		{"no plan", search, `{"index":"i"}`, 400, problem.BadRequest, "plan: "},
+		{"no index", search, `{"plan":"p"}`, 400, problem.BadRequest, "index: "},
+		{"negative limit", search, `{"plan":"p","index":"i","limit":-1}`, 400, problem.BadRequest, "limit: "},
+		{"large limit", search, `{"plan":"p","index":"i","limit":1001}`, 400, problem.BadRequest, "limit: "},
+		{"negative deadline", search, `{"plan":"p","index":"i","deadline_ms":-1}`, 400, problem.BadRequest, "deadline_ms: "},
+		{"too large", search, large, 413, problem.TooLarge, "65536 bytes"},
+		{"execute without plan", execute, `{"index":"i","key":"k"}`, 400, problem.BadRequest, "plan: "},
+		{"execute without index", execute, `{"plan":"p","key":"k"}`, 400, problem.BadRequest, "index: "},
+		{"execute without key", execute, `{"plan":"p","index":"i"}`, 400, problem.BadRequest, "key: "},
+		{"execute too large", execute, large, 413, problem.TooLarge, "65536 bytes"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := post(backend{}, c.path, c.body)
+			require.Equal(t, c.status, w.Code)
+			p := problem.Read(w.Body.Bytes(), w.Code)
+			require.NotNil(t, p)
+			require.Equal(t, c.code, p.Code)
+			require.Contains(t, p.Message, c.message)
+			require.Equal(t, problem.NotRun, p.Run)
+		})
+	}
+}
+
+// Guards against a refusal that loses its code, its promise or its advice on the way to the caller.
+func TestRefusalsKeepTheirMeaning(t *testing.T) {
+	cases := []problem.Problem{
+		{Status: 403, Code: problem.PlanRefused, Message: "m", Run: problem.NotRun},
+		{Status: 429, Code: problem.LimitReached, Message: "m", Run: problem.NotRun, RetryAfterMillis: 1},
+		{Status: 503, Code: problem.Overloaded, Message: "m", Run: problem.NotRun, RetryAfterMillis: 1500},
+		{Status: 504, Code: problem.OutcomeUnknown, Message: "m", Run: problem.MayHaveRun},
+	}
+	retryAfter := []string{"", "1", "2", ""}
+	bodies := map[string]string{"/v1/search": `{"plan":"p","index":"i"}`, "/v1/execute": `{"plan":"p","index":"i","key":"k"}`}
+	for i, want := range cases {
+		for path, body := range bodies {
+			w := post(backend{p: &want}, path, body)
+			got := problem.Read(w.Body.Bytes(), w.Code)
+			require.Equal(t, &want, got)
+			require.Equal(t, retryAfter[i], w.Header().Get("Retry-After"))
+		}
+	}
+}
+
+// Guards against a good request that does not reach the backend.
+func TestGoodRequests(t *testing.T) {
+	var result caller.Result
+	w := post(backend{}, "/v1/search", `{"plan":"p","index":"i","limit":1000}`)
+	require.Equal(t, http.StatusOK, w.Code)
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &result))
+	require.Equal(t, "i", result.Index)
+	var execution caller.Execution
+	w = post(backend{}, "/v1/execute", `{"plan":"p","index":"i","key":"k"}`)
+	require.Equal(t, http.StatusOK, w.Code)
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &execution))
+	require.Equal(t, "k", execution.Key)
+}
--- a/adapter/problem/decode.go
+++ b/adapter/problem/decode.go
@@ -2,16 +2,21 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
 )
 
-// DecodeBody reads a JSON request body of at most limit bytes into v. Unknown keys are refused.
+// DecodeBody reads a JSON request body of at most limit bytes into v. Unknown keys and
+// anything after the value are refused.
 func DecodeBody(w http.ResponseWriter, r *http.Request, limit int64, v any) *Problem {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(v)
+	if err == nil {
+		err = endOf(decoder)
+	}
 	if err == nil {
 		return nil
 	}
@@ -24,3 +29,15 @@
 	}
 	return &Problem{Status: http.StatusBadRequest, Code: BadRequest, Run: NotRun, Message: "body: " + err.Error()}
 }
+
+// endOf returns an error if anything but white space follows the decoded value.
+func endOf(decoder *json.Decoder) error {
+	_, err := decoder.Token()
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return errors.New("more than one JSON value")
+	}
+	return err
+}
