--- /dev/null
+++ b/kernel/settings/format.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"regexp"
+
+	"github.com/pkg/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// format is a kind of text that a schema can ask for by its "format" keyword.
+type format struct {
+	// expected completes the sentence "expected …".
+	expected string
+	valid    func(string) bool
+}
+
+var (
+	namePattern     = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	durationPattern = regexp.MustCompile(`^[0-9]+(ms|s)$`)
+)
+
+var formats = map[string]format{
+	"name": {
+		expected: "1 to 63 lower-case letters, digits and hyphens, the first not a hyphen, such as entry-1",
+		valid:    namePattern.MatchString,
+	},
+	"address": {
+		expected: "an IP address with a port, such as 127.0.0.1:7101",
+		valid: func(s string) bool {
+			_, err := netip.ParseAddrPort(s)
+			return err == nil
+		},
+	},
+	"base-url": {
+		expected: "a URL with a host and no path, such as http://127.0.0.1:7000",
+		valid: func(s string) bool {
+			u, err := url.Parse(s)
+			return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "" &&
+				u.Path == "" && u.RawQuery == "" && u.Fragment == "" && u.User == nil
+		},
+	},
+	"time": {
+		expected: "a whole number with the unit ms or s, such as 30s",
+		valid:    durationPattern.MatchString,
+	},
+}
+
+// registerFormats makes a compiler check the formats. Values that are no strings are left to the
+// "type" keyword.
+func registerFormats(c *jsonschema.Compiler) {
+	for name, f := range formats {
+		c.RegisterFormat(&jsonschema.Format{Name: name, Validate: func(v any) error {
+			if s, ok := v.(string); ok && !f.valid(s) {
+				return errors.Errorf("not %s", f.expected)
+			}
+			return nil
+		}})
+	}
+	c.AssertFormat()
+}
