Add search, execute, load and filters to hyssopctl

Cause: operators had no command to run a request, to filter the timeline or to drive load, and exit codes did not tell a refusal from an unknown outcome. Change: subcommands search, execute, load and settings-reference; status of several instances names those behind; timeline filters by request, plan, target, kind and time and prints JSON lines; every subcommand has examples; exit codes 2 and 7 to 9 are new and documented. emulator/workload drives an open loop on loopback addresses only, with latency from the intended start.

--- a/cmd/hyssopctl/check.go
+++ b/cmd/hyssopctl/check.go
@@ -14,6 +14,18 @@
 	File string `arg:"" type:"path" help:"Settings file of an instance."`
 }
 
+// Help implements kong.HelpProvider.
+func (checkCmd) Help() string {
+	return `Prints all faults of the file at once, each with the path of its key and what was expected there, and
+exits with 5 if there are any.
+
+Examples:
+
+    hyssopctl check examples/entry-1.json
+
+    hyssopctl --json check examples/entry-1.json`
+}
+
 // Run prints all faults of a settings file.
 func (k checkCmd) Run(c *cli) error {
 	_, err := app.LoadSettings(k.File)
@@ -31,3 +43,31 @@
 	}
 	return &problem.Problem{Code: problem.Invalid, Message: err.Error()}
 }
+
+type settingsReferenceCmd struct{}
+
+// Help implements kong.HelpProvider.
+func (settingsReferenceCmd) Help() string {
+	return `Examples:
+
+    hyssopctl settings-reference > docs/settings.md`
+}
+
+// Run prints the reference of the settings.
+func (settingsReferenceCmd) Run(c *cli) error {
+	page, err := settingsReference()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(map[string]string{"page": page})
+	}
+	fmt.Print(page)
+	return nil
+}
+
+func settingsReference() (string, error) {
+	return settings.Reference("Settings of an instance",
+		"`hyssopctl settings-reference` makes this page from `instance/app/settings.schema.json`. An instance reads\n"+
+			"one JSON file at its start; `hyssopctl check FILE` reports all faults of a file at once.", app.Schema)
+}
--- a/cmd/hyssopctl/client.go
+++ b/cmd/hyssopctl/client.go
@@ -12,8 +12,8 @@
 	"hyssopcroft.example/adapter/problem"
 )
 
-// callTimeout bounds one call of an instance.
-const callTimeout = 10 * time.Second
+// callTimeout bounds one call of an instance. It is longer than the longest deadline of a plan.
+const callTimeout = 25 * time.Second
 
 // call sends a request to an instance and decodes the response into out, which may be nil. An
 // error response is returned as a *problem.Problem.
--- a/cmd/hyssopctl/demo.go
+++ b/cmd/hyssopctl/demo.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -42,10 +43,10 @@
 	if err != nil {
 		return err
 	}
-	if err := d.firstQuery(apps); err != nil || d.Once {
+	if err := d.firstQuery(c, apps); err != nil || d.Once {
 		return err
 	}
-	d.printHints(apps)
+	d.printHints(apps, f.PlatformURL())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	<-ctx.Done()
@@ -101,13 +102,19 @@
 	return nil
 }
 
-func (d demoCmd) firstQuery(apps []*app.App) error {
+func (d demoCmd) firstQuery(c *cli, apps []*app.App) error {
 	for _, a := range apps {
 		var result caller.Result
 		search := caller.Search{Plan: "counter", Index: "returns-counter", Query: "washed jars", Limit: 3}
 		if err := call(http.MethodPost, a.Address(), "/v1/search", nil, search, &result); err != nil {
 			return err
 		}
+		if c.JSON {
+			if err := printJSON(result); err != nil {
+				return err
+			}
+			continue
+		}
 		fmt.Printf("%s answered at snapshot %d: %d of %d shards, %d hits, the first is %q\n",
 			result.Instance, result.Snapshot, len(result.Coverage.Included),
 			len(result.Coverage.Included)+len(result.Coverage.Missing), len(result.Hits), result.Hits[0].Text)
@@ -115,7 +122,7 @@
 	return nil
 }
 
-func (d demoCmd) printHints(apps []*app.App) {
+func (d demoCmd) printHints(apps []*app.App, platformURL string) {
 	first, last := apps[0].Address(), apps[len(apps)-1].Address()
 	fmt.Printf(`
 Try a search:
@@ -124,7 +131,7 @@
   echo '{"name":"counter","priority":"high","prefer":"tail","suspended":true}' | go run ./cmd/hyssopctl --instance %s plan put --revision 1
   curl -s http://%s/v1/search -d '{"plan":"counter","index":"returns-counter","query":"washed jars"}'
 See what happened:
-  go run ./cmd/hyssopctl timeline %s %s
+  go run ./cmd/hyssopctl timeline %s %s %s
 Interrupt ends the demo.
-`, first, first, last, first, last)
+`, first, first, last, first, last, strings.TrimPrefix(platformURL, "http://"))
 }
--- /dev/null
+++ b/cmd/hyssopctl/exit.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/problem"
+)
+
+// Exit codes. Scripts rely on them; the description of the command explains them.
+const (
+	exitFailure     = 1
+	exitUsage       = 2
+	exitConflict    = 3
+	exitNotFound    = 4
+	exitInvalid     = 5
+	exitUnavailable = 6
+	exitRefused     = 7
+	exitUnknown     = 8
+	exitCoverage    = 9
+)
+
+var exitCodes = map[problem.Code]int{
+	problem.Conflict:            exitConflict,
+	problem.NotFound:            exitNotFound,
+	problem.UnknownPlan:         exitNotFound,
+	problem.UnknownIndex:        exitNotFound,
+	problem.Invalid:             exitInvalid,
+	problem.BadRequest:          exitInvalid,
+	problem.TooLarge:            exitInvalid,
+	problem.PlatformUnavailable: exitUnavailable,
+	problem.NotReady:            exitUnavailable,
+	problem.PlanRefused:         exitRefused,
+	problem.LimitReached:        exitRefused,
+	problem.Overloaded:          exitRefused,
+	problem.Quarantined:         exitRefused,
+	problem.OutcomeUnknown:      exitUnknown,
+	problem.CoverageShort:       exitCoverage,
+}
+
+// exitCode returns the exit code of a failed command. A refusal that may have run all the same
+// has the code of an unknown outcome.
+func exitCode(err error) int {
+	var p *problem.Problem
+	if !errors.As(err, &p) {
+		return exitFailure
+	}
+	code, ok := exitCodes[p.Code]
+	switch {
+	case !ok:
+		return exitFailure
+	case code == exitRefused && p.Run == problem.MayHaveRun:
+		return exitUnknown
+	}
+	return code
+}
--- a/cmd/hyssopctl/main.go
+++ b/cmd/hyssopctl/main.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"encoding/json"
+	"fmt"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -11,15 +13,6 @@
 	"hyssopcroft.example/adapter/problem"
 )
 
-// Exit codes. Scripts rely on them.
-const (
-	exitFailure     = 1 // anything not listed below
-	exitConflict    = 3 // the entry changed since it was read
-	exitNotFound    = 4 // the entry does not exist
-	exitInvalid     = 5 // the entry, the settings or the request has an impossible value
-	exitUnavailable = 6 // the instance or the platform did not answer; an edit may have been accepted
-)
-
 type cli struct {
 	Instance string `default:"127.0.0.1:7101" env:"HYSSOPCTL_INSTANCE" help:"Address of an instance."`
 	JSON     bool   `name:"json" help:"Print JSON instead of a table."`
@@ -27,39 +20,61 @@
 	Demo     demoCmd     `cmd:"" help:"Run the whole path in one process: stand-ins, two instances and one query."`
 	Standins standinsCmd `cmd:"" help:"Run the stand-ins for the platform and the targets."`
 	Check    checkCmd    `cmd:"" help:"Check a settings file without starting an instance."`
-	Plan     planCmd     `cmd:"" help:"List, show, change or delete plans."`
-	Limit    limitCmd    `cmd:"" help:"List, show, change or delete what plans may use."`
-	Status   statusCmd   `cmd:"" help:"Show the state of an instance and the members that it knows."`
-	PathCost pathCostCmd `cmd:"" help:"Measure what a sub-request costs an instance, against a bare net/http scatter."`
-	Timeline timelineCmd `cmd:"" help:"Merge the events of several instances into one timeline."`
-	Measure  measureCmd  `cmd:"" help:"Run a measure of the decisions, or list the measures."`
+	Load     loadCmd     `cmd:"" help:"Drive running instances with a workload."`
+
+	SettingsReference settingsReferenceCmd `cmd:"" help:"Print the page docs/settings.md from the schema."`
+	Plan              planCmd              `cmd:"" help:"List, show, change or delete plans."`
+	Limit             limitCmd             `cmd:"" help:"List, show, change or delete what plans may use."`
+	Search            searchCmd            `cmd:"" help:"Run one search."`
+	Execute           executeCmd           `cmd:"" help:"Run one request that may not be repeated."`
+	Status            statusCmd            `cmd:"" help:"Show the state of instances and the members that they know."`
+	PathCost          pathCostCmd          `cmd:"" help:"Measure what a sub-request costs an instance, against a bare net/http scatter."`
+	Timeline          timelineCmd          `cmd:"" help:"Merge the events of instances and stand-ins into one timeline."`
+	Measure           measureCmd           `cmd:"" help:"Run a measure of the decisions, or list the measures."`
 }
 
-func main() {
+const description = `Operates hyssopcroft.
+
+Exit codes: 0 done; 1 any failure not listed here; 2 wrong command line; 3 the entry changed since it
+was read; 4 the entry, plan, index or measure does not exist; 5 a value, the settings or the request
+is impossible; 6 an instance or the platform did not answer, so that an edit or a request may have
+taken effect; 7 the request was refused and not run; 8 the request may have run, its outcome is
+unknown; 9 the answer covers fewer shards than the plan demands.
+
+With --json the result goes to standard output and a failure, as {"error": {...}}, to standard error.`
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run executes one command line and returns the exit code.
+func run(args []string) int {
 	var c cli
-	k := kong.Parse(&c, kong.Name("hyssopctl"), kong.Description("Operates hyssopcroft."), kong.UsageOnError())
-	err := k.Run(&c)
-	if err == nil {
-		return
+	parser := newParser(&c)
+	k, err := parser.Parse(args)
+	if err != nil {
+		parser.Errorf("%s", err)
+		fmt.Fprintln(os.Stderr, "hyssopctl --help lists the commands; each has examples in its own --help")
+		return exitUsage
+	}
+	if err := k.Run(&c); err != nil {
+		printFailure(&c, parser, err)
+		return exitCode(err)
 	}
-	k.Errorf("%s", err)
-	os.Exit(exitCode(err))
+	return 0
+}
+
+func newParser(c *cli) *kong.Kong {
+	return kong.Must(c, kong.Name("hyssopctl"), kong.Description(description))
 }
 
-func exitCode(err error) int {
+func printFailure(c *cli, parser *kong.Kong, err error) {
+	if !c.JSON {
+		parser.Errorf("%s", err)
+		return
+	}
 	var p *problem.Problem
 	if !errors.As(err, &p) {
-		return exitFailure
-	}
-	switch p.Code {
-	case problem.Conflict:
-		return exitConflict
-	case problem.NotFound:
-		return exitNotFound
-	case problem.Invalid, problem.BadRequest, problem.TooLarge:
-		return exitInvalid
-	case problem.PlatformUnavailable, problem.NotReady:
-		return exitUnavailable
+		p = &problem.Problem{Code: "failure", Message: err.Error()}
 	}
-	return exitFailure
+	// Nothing can be done about a standard error that cannot be written.
+	_ = json.NewEncoder(os.Stderr).Encode(map[string]*problem.Problem{"error": p})
 }
--- a/cmd/hyssopctl/standins.go
+++ b/cmd/hyssopctl/standins.go
@@ -16,13 +16,15 @@
 }
 
 // Run serves the stand-ins until it is interrupted.
-func (s standinsCmd) Run() error {
+func (s standinsCmd) Run(c *cli) error {
 	f, err := fleet.Start(s.deployment())
 	if err != nil {
 		return err
 	}
 	defer f.Stop()
-	fmt.Printf("platform %s, %d searchers\n", f.PlatformURL(), len(f.Searchers))
+	if err := printStandins(c, f); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	<-ctx.Done()
@@ -35,3 +37,15 @@
 	}
 	return fanOutDeployment(s.PlatformPort, s.FanOut)
 }
+
+func printStandins(c *cli, f *fleet.Fleet) error {
+	type started struct {
+		Platform  string `json:"platform"`
+		Searchers int    `json:"searchers"`
+	}
+	if c.JSON {
+		return printJSON(started{Platform: f.PlatformURL(), Searchers: len(f.Searchers)})
+	}
+	fmt.Printf("platform %s, %d searchers\n", f.PlatformURL(), len(f.Searchers))
+	return nil
+}
--- a/cmd/hyssopctl/status.go
+++ b/cmd/hyssopctl/status.go
@@ -1,56 +1,95 @@
 package main
 
 import (
-	"cmp"
 	"fmt"
 	"net/http"
-	"slices"
 
 	"hyssopcroft.example/adapter/admin"
-	"hyssopcroft.example/kernel/timeline"
+	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/control/config"
 )
 
-type statusCmd struct{}
+type statusCmd struct {
+	Instances []string `arg:"" optional:"" help:"Addresses of instances; the one of --instance if there are none."`
+}
+
+// Help implements kong.HelpProvider.
+func (statusCmd) Help() string {
+	return `Prints the instances in the order of their addresses, then which of them are behind the newest
+configuration. An instance that does not answer is listed and makes the exit code 6.
+
+Examples:
+
+    hyssopctl status
+
+    hyssopctl status 127.0.0.1:7101 127.0.0.1:7102
+
+    hyssopctl --json status 127.0.0.1:7101 127.0.0.1:7102`
+}
+
+// instanceStatus is what became of asking one instance.
+type instanceStatus struct {
+	Address string        `json:"address"`
+	Status  *admin.Status `json:"status,omitempty"`
+	Error   string        `json:"error,omitempty"`
+}
 
-// Run prints the status of one instance.
-func (statusCmd) Run(c *cli) error {
-	var status admin.Status
-	if err := call(http.MethodGet, c.Instance, "/v1/status", nil, nil, &status); err != nil {
-		return err
+// Run prints the status of each instance.
+func (s statusCmd) Run(c *cli) error {
+	addresses := s.Instances
+	if len(addresses) == 0 {
+		addresses = []string{c.Instance}
+	}
+	var all []instanceStatus
+	var failed error
+	for _, address := range addresses {
+		one := instanceStatus{Address: address, Status: &admin.Status{}}
+		if err := call(http.MethodGet, address, "/v1/status", nil, nil, one.Status); err != nil {
+			one.Status, one.Error = nil, err.Error()
+			failed = &problem.Problem{Code: problem.NotReady, Message: "not every instance answered"}
+		}
+		all = append(all, one)
 	}
 	if c.JSON {
-		return printJSON(status)
+		if err := printJSON(all); err != nil {
+			return err
+		}
+		return failed
 	}
-	fmt.Printf("%s in %s: ready %t, configuration %d\n",
-		status.Instance, status.FailureDomain, status.Ready, status.ConfigSequence)
-	for _, m := range status.Members {
-		fmt.Printf("  %-16s %-22s %-16s %-9s configuration %d\n", m.ID, m.Address, m.FailureDomain, m.State, m.ConfigSequence)
+	for _, one := range all {
+		printStatus(one)
 	}
-	return nil
+	printBehind(all)
+	return failed
 }
 
-type timelineCmd struct {
-	Instances []string `arg:"" help:"Addresses of the instances to collect from."`
+func printStatus(one instanceStatus) {
+	if one.Status == nil {
+		fmt.Printf("%s: no answer: %s\n", one.Address, one.Error)
+		return
+	}
+	status := one.Status
+	fmt.Printf("%s at %s in %s: ready %t, configuration %d\n",
+		status.Instance, one.Address, status.FailureDomain, status.Ready, status.ConfigSequence)
+	for _, m := range status.Members {
+		fmt.Printf("  %-16s %-22s %-16s %-9s configuration %d\n", m.ID, m.Address, m.FailureDomain, m.State, m.ConfigSequence)
+	}
 }
 
-// Run merges the events of all given instances in the order of their stamps.
-func (t timelineCmd) Run(c *cli) error {
-	var all []timeline.Event
-	for _, address := range t.Instances {
-		var events []timeline.Event
-		if err := call(http.MethodGet, address, "/v1/timeline", nil, nil, &events); err != nil {
-			return err
+// printBehind names the instances that have not confirmed the newest configuration seen.
+func printBehind(all []instanceStatus) {
+	var newest config.Revision
+	for _, one := range all {
+		if one.Status != nil {
+			newest = max(newest, one.Status.ConfigSequence)
 		}
-		all = append(all, events...)
 	}
-	slices.SortStableFunc(all, func(a, b timeline.Event) int {
-		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Process, b.Process))
-	})
-	if c.JSON {
-		return printJSON(all)
-	}
-	for _, ev := range all {
-		fmt.Printf("%s  %-16s %-22s %-24s %s\n", ev.At, ev.Process, ev.Kind, ev.Subject, ev.Detail)
+	for _, one := range all {
+		switch {
+		case one.Status == nil:
+			fmt.Printf("not confirmed: configuration %d at %s, which did not answer\n", newest, one.Address)
+		case one.Status.ConfigSequence < newest:
+			fmt.Printf("not confirmed: configuration %d at %s, which has %d\n", newest, one.Status.Instance, one.Status.ConfigSequence)
+		}
 	}
-	return nil
 }
--- /dev/null
+++ b/emulator/workload/arrivals.go
@@ -0,0 +1,105 @@
+package workload
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+)
+
+// Request is one request of a workload.
+type Request struct {
+	// At is the intended start, counted from the start of the run.
+	At             time.Duration
+	Plan           string
+	Index          string
+	Query          string
+	DeadlineMillis int
+	// NonRepeatable requests are executes, Random makes their key unique; all others are searches.
+	NonRepeatable bool
+	Random        uint64
+}
+
+// Arrivals returns the requests of a workload in the order of their start. The same workload
+// returns the same requests. It is not safe for concurrent use.
+type Arrivals struct {
+	streams streams
+}
+
+// NewArrivals returns the arrivals of a workload, without regard to its bounds in time and count.
+func NewArrivals(w Workload) *Arrivals {
+	a := &Arrivals{}
+	for i, p := range w.Plans {
+		s := &stream{plan: p, source: rand.New(rand.NewPCG(w.Seed, uint64(i)))}
+		for _, q := range p.Mix {
+			s.weights += q.Weight
+		}
+		s.advance()
+		a.streams = append(a.streams, s)
+	}
+	heap.Init(&a.streams)
+	return a
+}
+
+// Next returns the next request.
+func (a *Arrivals) Next() Request {
+	s := a.streams[0]
+	r := s.request()
+	s.advance()
+	heap.Fix(&a.streams, 0)
+	return r
+}
+
+// stream is a Poisson process with a rate that follows the swing.
+type stream struct {
+	plan    Plan
+	source  *rand.Rand
+	weights float64
+	next    time.Duration
+}
+
+// advance draws arrivals at the full rate and keeps each with the probability of the swing.
+// Source: Lewis and Shedler, "Simulation of Nonhomogeneous Poisson Processes by Thinning", 1979.
+func (s *stream) advance() {
+	for {
+		s.next += time.Duration(s.source.ExpFloat64() / s.plan.RatePerSecond * float64(time.Second))
+		if s.source.Float64() < s.plan.Swing.share(s.next) {
+			return
+		}
+	}
+}
+
+func (s *stream) request() Request {
+	q := s.draw()
+	return Request{
+		At: s.next, Plan: s.plan.Plan, Index: q.Index, Query: q.Query, DeadlineMillis: s.plan.DeadlineMillis,
+		NonRepeatable: s.source.Float64() < s.plan.NonRepeatableShare, Random: s.source.Uint64(),
+	}
+}
+
+func (s *stream) draw() Query {
+	left := s.source.Float64() * s.weights
+	for _, q := range s.plan.Mix {
+		if left -= q.Weight; left < 0 {
+			return q
+		}
+	}
+	return s.plan.Mix[len(s.plan.Mix)-1] // reached only by rounding
+}
+
+// streams implements heap.Interface by the time of the next arrival.
+type streams []*stream
+
+func (s streams) Len() int           { return len(s) }
+func (s streams) Less(i, j int) bool { return s[i].next < s[j].next }
+func (s streams) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
+
+// Push implements heap.Interface. The number of streams is fixed after the start.
+func (s *streams) Push(x any) { *s = append(*s, x.(*stream)) }
+
+// Pop implements heap.Interface.
+func (s *streams) Pop() any {
+	last := len(*s) - 1
+	x := (*s)[last]
+	*s = (*s)[:last]
+	return x
+}
--- /dev/null
+++ b/emulator/workload/sender.go
@@ -0,0 +1,110 @@
+package workload
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/caller"
+	"hyssopcroft.example/adapter/problem"
+)
+
+const (
+	// sendTimeout is longer than any plan's deadline.
+	sendTimeout = 25 * time.Second
+	// maxResponseBytes bounds what is read of one response.
+	maxResponseBytes = 16 << 20
+)
+
+// HTTPSender sends requests to instances, to each in turn. It is safe for concurrent use.
+type HTTPSender struct {
+	addresses []string
+	client    *http.Client
+	sent      atomic.Uint64
+}
+
+// NewHTTPSender returns a sender to the given addresses. It fails unless all are loopback
+// addresses with a port; it dials no others, whatever a response asks for.
+func NewHTTPSender(addresses []string, maxInFlight int) (*HTTPSender, error) {
+	if len(addresses) == 0 {
+		return nil, errors.New("no addresses")
+	}
+	for _, a := range addresses {
+		if p, err := netip.ParseAddrPort(a); err != nil || !p.Addr().IsLoopback() {
+			return nil, errors.Errorf("expected a loopback address with a port, such as 127.0.0.1:7101, got %q", a)
+		}
+	}
+	s := &HTTPSender{addresses: slices.Clone(addresses)}
+	s.client = &http.Client{
+		Timeout:       sendTimeout,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport:     &http.Transport{MaxIdleConnsPerHost: maxInFlight, DialContext: s.dial},
+	}
+	return s, nil
+}
+
+func (s *HTTPSender) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if !slices.Contains(s.addresses, address) {
+		return nil, errors.Errorf("address %s was not given", address)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, network, address)
+}
+
+// Send implements Sender.
+func (s *HTTPSender) Send(ctx context.Context, r Request) string {
+	address := s.addresses[s.sent.Add(1)%uint64(len(s.addresses))]
+	if r.NonRepeatable {
+		key := fmt.Sprintf("%d-%016x", time.Now().UnixMilli(), r.Random)
+		in := caller.Execute{Plan: r.Plan, Index: r.Index, Key: key, Body: r.Query, FirstSubmission: true}
+		return s.post(ctx, address+"/v1/execute", in, nil)
+	}
+	in := caller.Search{Plan: r.Plan, Index: r.Index, Query: r.Query, DeadlineMillis: r.DeadlineMillis}
+	var result caller.Result
+	outcome := s.post(ctx, address+"/v1/search", in, &result)
+	if outcome == Answered && !result.Complete {
+		return Incomplete
+	}
+	return outcome
+}
+
+// post decodes a successful response into out, which may be nil.
+func (s *HTTPSender) post(ctx context.Context, url string, in, out any) string {
+	raw, err := json.Marshal(in)
+	if err != nil {
+		panic(errors.Wrap(err, "encode request"))
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, bytes.NewReader(raw))
+	if err != nil {
+		return NoConnection
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return NoConnection
+	}
+	defer resp.Body.Close()
+	raw, err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err != nil {
+		return NoConnection
+	}
+	if resp.StatusCode != http.StatusOK {
+		if p := problem.Read(raw, resp.StatusCode); p != nil {
+			return string(p.Code)
+		}
+		return fmt.Sprintf("status_%d", resp.StatusCode)
+	}
+	if out != nil && json.Unmarshal(raw, out) != nil {
+		return "malformed_response"
+	}
+	return Answered
+}
--- /dev/null
+++ b/emulator/workload/summary.go
@@ -0,0 +1,109 @@
+package workload
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// maxLatency is the largest latency that is told apart; longer ones count as this one.
+	maxLatency = 2 * time.Minute
+	// significantFigures is the precision of the latencies.
+	significantFigures = 3
+)
+
+// Summary says what came of a run or of its part so far.
+type Summary struct {
+	ElapsedSeconds float64 `json:"elapsed_seconds"`
+	Started        int64   `json:"started"`
+	Finished       int64   `json:"finished"`
+	Rows           []Row   `json:"rows"`
+}
+
+// Row is the part of a summary about one plan and kind of request.
+type Row struct {
+	Plan string `json:"plan"`
+	// Kind is "search" or "execute".
+	Kind     string           `json:"kind"`
+	Requests int64            `json:"requests"`
+	Outcomes map[string]int64 `json:"outcomes"`
+	// Latencies of all requests whatever their outcome, in milliseconds from the intended start.
+	P50Millis  float64 `json:"p50_ms"`
+	P90Millis  float64 `json:"p90_ms"`
+	P99Millis  float64 `json:"p99_ms"`
+	P999Millis float64 `json:"p999_ms"`
+	MaxMillis  float64 `json:"max_ms"`
+}
+
+type rowKey struct{ plan, kind string }
+
+type rowRecord struct {
+	outcomes map[string]int64
+	micros   *hdrhistogram.Histogram
+}
+
+// record collects what comes of requests. It is safe for concurrent use.
+type record struct {
+	start time.Time
+
+	mu    sync.Mutex // guards the fields below
+	begun int64
+	ended int64
+	rows  map[rowKey]*rowRecord
+}
+
+func newRecord(start time.Time) *record {
+	return &record{start: start, rows: map[rowKey]*rowRecord{}}
+}
+
+func (r *record) started() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.begun++
+}
+
+func (r *record) finished(req Request, outcome string, latency time.Duration) {
+	key := rowKey{plan: req.Plan, kind: "search"}
+	if req.NonRepeatable {
+		key.kind = "execute"
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended++
+	row, ok := r.rows[key]
+	if !ok {
+		row = &rowRecord{
+			outcomes: map[string]int64{},
+			micros:   hdrhistogram.New(1, maxLatency.Microseconds(), significantFigures),
+		}
+		r.rows[key] = row
+	}
+	row.outcomes[outcome]++
+	if err := row.micros.RecordValue(min(latency, maxLatency).Microseconds()); err != nil {
+		panic(err) // The value was brought into the range of the histogram.
+	}
+}
+
+func (r *record) summary() Summary {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := Summary{ElapsedSeconds: time.Since(r.start).Seconds(), Started: r.begun, Finished: r.ended}
+	for key, row := range r.rows {
+		s.Rows = append(s.Rows, Row{
+			Plan: key.plan, Kind: key.kind, Requests: row.micros.TotalCount(), Outcomes: maps.Clone(row.outcomes),
+			P50Millis: row.quantile(50), P90Millis: row.quantile(90), P99Millis: row.quantile(99),
+			P999Millis: row.quantile(99.9), MaxMillis: float64(row.micros.Max()) / 1000,
+		})
+	}
+	slices.SortFunc(s.Rows, func(a, b Row) int { return cmp.Or(cmp.Compare(a.Plan, b.Plan), cmp.Compare(a.Kind, b.Kind)) })
+	return s
+}
+
+func (r *rowRecord) quantile(percent float64) float64 {
+	return float64(r.micros.ValueAtQuantile(percent)) / 1000
+}
--- /dev/null
+++ b/emulator/workload/workload_test.go
@@ -0,0 +1,164 @@
+package workload_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/emulator/workload"
+	"hyssopcroft.example/kernel/settings"
+)
+
+func sample() workload.Workload {
+	return workload.Workload{
+		Seed: 3, Duration: settings.Duration(10 * time.Second), MaxRequests: 1_000_000, MaxInFlight: 1000,
+		Plans: []workload.Plan{{
+			Plan: "counter", RatePerSecond: 100, NonRepeatableShare: 0.25,
+			Mix: []workload.Query{{Index: "a", Weight: 3}, {Index: "b", Weight: 1}},
+		}},
+	}
+}
+
+// slow answers every request after a second.
+type slow struct{}
+
+func (slow) Send(context.Context, workload.Request) string {
+	time.Sleep(time.Second)
+	return workload.Answered
+}
+
+// Guards against a run that goes beyond its bounds, and against latency that counts from the
+// moment a request was sent instead of from its intended start.
+func TestRunIsBoundedAndLatencyCountsFromTheIntendedStart(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(*workload.Workload)
+		check  func(*testing.T, workload.Summary)
+	}{
+		{"by count", func(w *workload.Workload) { w.MaxRequests = 50 }, func(t *testing.T, s workload.Summary) {
+			require.EqualValues(t, 50, s.Finished)
+			require.EqualValues(t, 1000, s.Rows[0].P50Millis)
+		}},
+		{"by time", func(w *workload.Workload) { w.Duration = settings.Duration(time.Second) }, func(t *testing.T, s workload.Summary) {
+			require.Less(t, s.ElapsedSeconds, 2.1)
+			require.Equal(t, s.Started, s.Finished)
+		}},
+		{"waits count", func(w *workload.Workload) { w.MaxRequests, w.MaxInFlight = 10, 1 }, func(t *testing.T, s workload.Summary) {
+			longest := max(s.Rows[0].MaxMillis, s.Rows[1].MaxMillis)
+			require.Greater(t, longest, 9000.0)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := sample()
+				c.change(&w)
+				c.check(t, workload.Driver{Workload: w, Sender: slow{}}.Run(t.Context()))
+			})
+		})
+	}
+}
+
+// Guards against arrivals that differ between two runs, ignore the swing, or miss the shares of
+// the mix. Bounds are five standard deviations.
+func TestArrivalsFollowTheWorkload(t *testing.T) {
+	w := sample()
+	w.Plans[0].Swing = &workload.Swing{Period: settings.Duration(20 * time.Second), Low: 0}
+	first, second := workload.NewArrivals(w), workload.NewArrivals(w)
+	height, holidays, executes, a, all := 0, 0, 0, 0, 0
+	var last time.Duration
+	for {
+		r := first.Next()
+		require.Equal(t, r, second.Next())
+		require.GreaterOrEqual(t, r.At, last)
+		if last = r.At; r.At >= 20*time.Second {
+			break
+		}
+		all++
+		if r.At < 5*time.Second || r.At >= 15*time.Second {
+			height++
+		} else {
+			holidays++
+		}
+		if r.NonRepeatable {
+			executes++
+		}
+		if r.Index == "a" {
+			a++
+		}
+	}
+	// The mean rate is half of 100/s; the half period about the height holds 1/2 + 1/π of it.
+	require.InDelta(t, 1000, all, 5*32)
+	require.InDelta(t, 818, height, 5*29)
+	require.InDelta(t, 182, holidays, 5*14)
+	require.InDelta(t, 0.25, float64(executes)/float64(all), 5*0.014)
+	require.InDelta(t, 0.75, float64(a)/float64(all), 5*0.014)
+}
+
+// Guards against load on addresses that were not given or are not loopback.
+func TestSenderDialsOnlyGivenLoopbackAddresses(t *testing.T) {
+	for _, address := range []string{"192.0.2.1:80", "localhost:80", "127.0.0.1", ""} {
+		_, err := workload.NewHTTPSender([]string{address}, 1)
+		require.Error(t, err, address)
+	}
+	reached := false
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached = true }))
+	defer other.Close()
+	given := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	defer given.Close()
+	s, err := workload.NewHTTPSender([]string{strings.TrimPrefix(given.URL, "http://")}, 1)
+	require.NoError(t, err)
+	require.Equal(t, "status_307", s.Send(t.Context(), workload.Request{}))
+	require.False(t, reached)
+}
+
+// Guards against outcomes that are counted under the wrong name.
+func TestSenderNamesOutcomes(t *testing.T) {
+	cases := []struct {
+		status     int
+		body, want string
+	}{
+		{200, `{"complete":true}`, workload.Answered},
+		{200, `{"complete":false}`, workload.Incomplete},
+		{200, `{`, "malformed_response"},
+		{429, `{"error":{"code":"limit_reached"}}`, "limit_reached"},
+		{500, `oops`, "status_500"},
+	}
+	for _, c := range cases {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(c.status)
+			_, _ = w.Write([]byte(c.body))
+		}))
+		s, err := workload.NewHTTPSender([]string{strings.TrimPrefix(server.URL, "http://")}, 1)
+		require.NoError(t, err)
+		require.Equal(t, c.want, s.Send(t.Context(), workload.Request{}))
+		server.Close()
+		require.Equal(t, workload.NoConnection, s.Send(t.Context(), workload.Request{}))
+	}
+}
+
+// Guards against a faulty workload that runs, and against an example that does not.
+func TestWorkloadFilesAreChecked(t *testing.T) {
+	w, err := workload.Load("../../examples/workload.json")
+	require.NoError(t, err)
+	require.Positive(t, w.MaxInFlight)
+	require.EqualValues(t, 1, w.Plans[0].Mix[1].Weight)
+	file := filepath.Join(t.TempDir(), "workload.json")
+	require.NoError(t, os.WriteFile(file, []byte(`{"duration":"1s","max_requests":0,"plans":[{"plan":"p","rate_per_second":0,"mix":[]}]}`), 0o600))
+	_, err = workload.Load(file)
+	var faults *settings.FaultsError
+	require.ErrorAs(t, err, &faults)
+	require.Equal(t, []settings.Fault{
+		{Path: "/max_requests", Message: "expected a whole number from 1 to 10000000, got 0"},
+		{Path: "/plans/0/mix", Message: "expected a list of at least 1, got []"},
+		{Path: "/plans/0/rate_per_second", Message: "expected a number above 0 and at most 1000000, got 0"},
+	}, faults.Faults)
+}
