--- a/control/share/share_test.go
+++ b/control/share/share_test.go
@@ -39,7 +39,6 @@
 	now      time.Time
 	lender   *Lender
 	epoch    uint32
-	lastLent time.Time // latest time at which the present lender's predecessors may have lent
 	holders  []*Holder
 	onTheWay []sentAsk
 	restarts int
