Admit requests within lent shares of their plan's limit

Cause: the lending of control/share had no service, so no limit was in force.

Change: instance/limits borrows for the plans in use, one message to each lender in a tick of 50 ms, and lends the plans of 16 buckets under leases in the store. A lease object outlives its lender's loans, so a lender that finds none lends at once; one that was given back stays, so its successor waits for loans in use. While the store is away a lender goes on, because nobody else can get the lease. A request without room waits up to 100 ms for a loan or for the rate. A refused resend of a request that may not be repeated no longer promises "not run". Rendezvous hashing moves from control/claim to a package of its own.

Bound with one lender: the limit. If the store answers one region only, both sides may lend: twice the limit.

--- a/control/claim/key.go
+++ b/control/claim/key.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/pkg/errors"
+	"hyssopcroft.example/control/rendezvous"
 )
 
 const (
@@ -55,12 +57,5 @@
 // ChooseWriter returns the member that writes a bucket, by rendezvous hashing. It returns "" if
 // there are no members.
 func ChooseWriter(bucket int, members []string) string {
-	chosen, highest := "", uint64(0)
-	for _, m := range members {
-		weight := xxhash.Sum64String(m + "/" + strconv.Itoa(bucket))
-		if chosen == "" || weight > highest || (weight == highest && m < chosen) {
-			chosen, highest = m, weight
-		}
-	}
-	return chosen
+	return rendezvous.Choose(strconv.Itoa(bucket), members)
 }
--- a/control/share/holder.go
+++ b/control/share/holder.go
@@ -15,8 +15,10 @@
 	// notableShrink is the factor below which a smaller loan is acknowledged early. Smaller changes
 	// come with every ask and are not worth a message.
 	notableShrink = 0.8
-	// waitWhenEmpty is the advice to retry for a request that was refused.
+	// waitWhenEmpty is the longest advice to wait for a request that was refused.
 	waitWhenEmpty = 100 * time.Millisecond
+	// leastWait is the shortest, so that rounding does not make it zero.
+	leastWait = time.Millisecond
 )
 
 // Holder admits the requests of one plan at one instance. It is not safe for concurrent use. Each
@@ -57,17 +59,33 @@
 // Admit takes a request in if the holder's part of the limit has room. If not, it returns the time
 // after which to try again. Done must be called for every request that was admitted.
 func (h *Holder) Admit(now time.Time) (admitted bool, retryAfter time.Duration) {
-	h.settle(now)
 	h.demand.add(now)
+	return h.Retry(now)
+}
+
+// Retry does what Admit does for a request that was refused before and has waited since. It does
+// not count as demand again.
+func (h *Holder) Retry(now time.Time) (admitted bool, retryAfter time.Duration) {
+	h.settle(now)
 	h.peak = max(h.peak, h.inFlight+1)
 	if h.inFlight >= h.amount(now).Concurrency || !h.limiter.AllowN(now, 1) {
 		h.refusedLast = true
-		return false, waitWhenEmpty
+		return false, h.untilRoom(now)
 	}
 	h.inFlight++
 	return true, 0
 }
 
+// untilRoom returns the time until the next request fits the rate, waitWhenEmpty at most.
+func (h *Holder) untilRoom(now time.Time) time.Duration {
+	if h.limiterRate <= 0 || h.inFlight >= h.amount(now).Concurrency {
+		return waitWhenEmpty
+	}
+	missing := 1 - h.limiter.TokensAt(now)
+	wait := time.Duration(missing / h.limiterRate * float64(time.Second))
+	return min(waitWhenEmpty, max(leastWait, wait))
+}
+
 // Done says that an admitted request has ended.
 func (h *Holder) Done() {
 	if h.inFlight == 0 {
@@ -85,14 +103,14 @@
 		period = EarlyAskPeriod
 	}
 	want := h.want(now)
-	idle := want == Amount{} && h.loan.ID == 0
+	idle := want == Amount{} && !h.hasLoan() && !h.refusedLast
 	if idle || now.Sub(h.lastAsk) < period {
 		return Ask{}, false
 	}
 	h.lastAsk, h.refusedLast, h.shrank = now, false, false
 	h.peak = h.inFlight
 	ask := Ask{Holder: h.name, InFlight: h.inFlight, Want: want}
-	if h.loan.ID != 0 {
+	if h.hasLoan() {
 		ask.Using, ask.Held, ask.HeldFor = h.loan.ID, h.loan.Amount, h.loanExpires.Sub(now)
 	}
 	return ask, true
@@ -103,7 +121,7 @@
 func (h *Holder) OnLoan(sent, now time.Time, loan Loan) {
 	h.settle(now)
 	expires := sent.Add(loan.Time)
-	if loan.ID <= h.loan.ID || !now.Before(expires) {
+	if loan.ID.Compare(h.loan.ID) <= 0 || !now.Before(expires) {
 		return
 	}
 	h.shrank = loan.Amount.Rate < h.loan.Amount.Rate*notableShrink
@@ -111,6 +129,8 @@
 	h.setRate(now)
 }
 
+func (h *Holder) hasLoan() bool { return h.loan.ID != (LoanID{}) }
+
 // InFlight returns the number of admitted requests that have not ended.
 func (h *Holder) InFlight() int { return h.inFlight }
 
@@ -123,7 +143,7 @@
 // settle ends a loan whose time is over. The rate falls at the moment at which the loan ended, so
 // that the time since then counts at the lower rate.
 func (h *Holder) settle(now time.Time) {
-	if h.loan.ID == 0 || now.Before(h.loanExpires) {
+	if !h.hasLoan() || now.Before(h.loanExpires) {
 		return
 	}
 	ended := h.loanExpires
@@ -133,7 +153,7 @@
 
 func (h *Holder) amount(now time.Time) Amount {
 	floor := Floor(h.limit, h.members)
-	if h.loan.ID == 0 || !now.Before(h.loanExpires) {
+	if !h.hasLoan() || !now.Before(h.loanExpires) {
 		return floor
 	}
 	return floor.plus(h.loan.Amount)
--- a/control/share/lender.go
+++ b/control/share/lender.go
@@ -1,14 +1,13 @@
 package share
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
 // outstanding is a loan that its holder may be using.
 type outstanding struct {
-	id      uint64
+	id      LoanID
 	amount  Amount
 	expires time.Time
 }
@@ -24,7 +23,7 @@
 type Lender struct {
 	limit    Amount
 	accounts map[string]*account
-	lastID   uint64
+	last     LoanID
 	// growAfter is the time until which loans of a predecessor may be in use. Before it, a holder
 	// gets at most what it holds.
 	growAfter time.Time
@@ -32,8 +31,8 @@
 
 // NewLender returns a lender for a plan. epoch must be larger than that of every earlier lender of
 // the plan. hasPredecessor is false only if no other lender can have lent during LoanTime.
-func NewLender(limit Amount, epoch uint32, now time.Time, hasPredecessor bool) *Lender {
-	l := &Lender{limit: limit, accounts: map[string]*account{}, lastID: uint64(epoch) << 32}
+func NewLender(limit Amount, epoch uint64, now time.Time, hasPredecessor bool) *Lender {
+	l := &Lender{limit: limit, accounts: map[string]*account{}, last: LoanID{Epoch: epoch}}
 	if hasPredecessor {
 		l.growAfter = now.Add(LoanTime)
 	}
@@ -51,9 +50,9 @@
 	a.acknowledge(ask.Using)
 	a.want, a.inFlight = ask.Want, ask.InFlight
 	amount := l.amountFor(ask, now)
-	l.lastID++
-	a.loans = append(a.loans, outstanding{id: l.lastID, amount: amount, expires: now.Add(LoanTime)})
-	return Loan{ID: l.lastID, Amount: amount, Time: LoanTime}
+	l.last.Number++
+	a.loans = append(a.loans, outstanding{id: l.last, amount: amount, expires: now.Add(LoanTime)})
+	return Loan{ID: l.last, Amount: amount, Time: LoanTime}
 }
 
 // Lent returns the sum of what holders may be using.
@@ -70,11 +69,11 @@
 // so the sum of what is adopted does not exceed it either.
 func (l *Lender) adopt(a *account, ask Ask, now time.Time) {
 	known := slices.ContainsFunc(a.loans, func(o outstanding) bool { return o.id == ask.Using })
-	if ask.Using == 0 || known || !now.Before(l.growAfter) {
+	if ask.Using == (LoanID{}) || known || !now.Before(l.growAfter) {
 		return
 	}
 	a.loans = append(a.loans, outstanding{id: ask.Using, amount: ask.Held, expires: now.Add(ask.HeldFor)})
-	slices.SortFunc(a.loans, func(x, y outstanding) int { return cmp.Compare(x.id, y.id) })
+	slices.SortFunc(a.loans, func(x, y outstanding) int { return x.id.Compare(y.id) })
 }
 
 func (l *Lender) amountFor(ask Ask, now time.Time) Amount {
@@ -172,8 +171,8 @@
 }
 
 // acknowledge forgets the loans that were replaced by the one in use.
-func (a *account) acknowledge(using uint64) {
-	a.loans = slices.DeleteFunc(a.loans, func(o outstanding) bool { return o.id < using })
+func (a *account) acknowledge(using LoanID) {
+	a.loans = slices.DeleteFunc(a.loans, func(o outstanding) bool { return o.id.Compare(using) < 0 })
 }
 
 // reserved returns the largest amount that the holder may be using: any loan that was neither
--- a/control/share/share.go
+++ b/control/share/share.go
@@ -7,7 +7,10 @@
 // delay of the messages, as long as both clocks run at the same rate.
 package share
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// LoanTime is the time for which a part of a limit is lent.
@@ -56,12 +59,25 @@
 	return floor
 }
 
+// LoanID orders the loans of a plan over all its lenders. The zero value stands for no loan.
+type LoanID struct {
+	// Epoch is larger for each later lender.
+	Epoch uint64
+	// Number counts the loans of one lender.
+	Number uint64
+}
+
+// Compare returns -1, 0 or 1 as i was lent before, is, or was lent after j.
+func (i LoanID) Compare(j LoanID) int {
+	return cmp.Or(cmp.Compare(i.Epoch, j.Epoch), cmp.Compare(i.Number, j.Number))
+}
+
 // Ask is a holder's message to the lender.
 type Ask struct {
 	Holder string
-	// Using is the id of the loan in use, 0 if there is none. It acknowledges that loan: the holder
-	// will not use an older one again.
-	Using uint64
+	// Using is the id of the loan in use, if there is one. It acknowledges that loan: the holder will
+	// not use an older one again.
+	Using LoanID
 	// Held and HeldFor are the amount and the time left of the loan in use.
 	Held    Amount
 	HeldFor time.Duration
@@ -73,8 +89,7 @@
 
 // Loan is a lender's answer.
 type Loan struct {
-	// ID grows with every loan of a lender; those of a later lender are larger.
-	ID     uint64
+	ID     LoanID
 	Amount Amount
 	// Time counts from before the ask was sent.
 	Time time.Duration
--- a/control/share/share_test.go
+++ b/control/share/share_test.go
@@ -38,7 +38,7 @@
 type lending struct {
 	now      time.Time
 	lender   *Lender
-	epoch    uint32
+	epoch    uint64
 	holders  []*Holder
 	onTheWay []sentAsk
 	restarts int
@@ -119,7 +119,7 @@
 func TestPausedHolderFallsToTheFloor(t *testing.T) {
 	now := start()
 	h := NewHolder("a", testLimit, 2, now)
-	h.OnLoan(now, now, Loan{ID: 1, Amount: Amount{Rate: 900, Concurrency: 90}, Time: LoanTime})
+	h.OnLoan(now, now, Loan{ID: LoanID{Epoch: 1, Number: 1}, Amount: Amount{Rate: 900, Concurrency: 90}, Time: LoanTime})
 	require.Greater(t, h.Held(now).Rate, 900.0)
 	require.Equal(t, Floor(testLimit, 2), h.Held(now.Add(LoanTime)))
 }
@@ -128,10 +128,10 @@
 func TestLateLoansAreDropped(t *testing.T) {
 	now := start()
 	h := NewHolder("a", testLimit, 2, now)
-	h.OnLoan(now, now.Add(LoanTime), Loan{ID: 5, Amount: Amount{Rate: 500}, Time: LoanTime})
+	h.OnLoan(now, now.Add(LoanTime), Loan{ID: LoanID{Epoch: 1, Number: 5}, Amount: Amount{Rate: 500}, Time: LoanTime})
 	require.Equal(t, Floor(testLimit, 2), h.Held(now.Add(LoanTime)))
-	h.OnLoan(now, now, Loan{ID: 7, Amount: Amount{Rate: 100}, Time: LoanTime})
-	h.OnLoan(now, now, Loan{ID: 6, Amount: Amount{Rate: 800}, Time: LoanTime})
+	h.OnLoan(now, now, Loan{ID: LoanID{Epoch: 1, Number: 7}, Amount: Amount{Rate: 100}, Time: LoanTime})
+	h.OnLoan(now, now, Loan{ID: LoanID{Epoch: 1, Number: 6}, Amount: Amount{Rate: 800}, Time: LoanTime})
 	require.Less(t, h.Held(now).Rate, 200.0)
 }
 
@@ -149,14 +149,14 @@
 	l.OnAsk(now, Ask{Holder: "a", Want: Amount{Rate: 100}})
 	other := l.OnAsk(now, Ask{Holder: "b", Want: Amount{Rate: 900}})
 	require.LessOrEqual(t, first.Amount.Rate+other.Amount.Rate, Lendable(testLimit).Rate)
-	l.OnAsk(now, Ask{Holder: "a", Using: first.ID + 1, Want: Amount{Rate: 100}})
+	l.OnAsk(now, Ask{Holder: "a", Using: LoanID{Epoch: 1, Number: first.ID.Number + 1}, Want: Amount{Rate: 100}})
 	require.Greater(t, l.OnAsk(now, Ask{Holder: "b", Want: Amount{Rate: 900}}).Amount.Rate, other.Amount.Rate)
 }
 
 func BenchmarkAdmit(b *testing.B) {
 	now := start()
 	h := NewHolder("a", Amount{Rate: 1e9, Concurrency: 1 << 30}, 1, now)
-	h.OnLoan(now, now, Loan{ID: 1, Amount: Amount{Rate: 9e8, Concurrency: 1 << 29}, Time: time.Hour})
+	h.OnLoan(now, now, Loan{ID: LoanID{Epoch: 1, Number: 1}, Amount: Amount{Rate: 9e8, Concurrency: 1 << 29}, Time: time.Hour})
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(time.Microsecond)
--- a/emulator/fleet/fleet_test.go
+++ b/emulator/fleet/fleet_test.go
@@ -84,7 +84,7 @@
 	}
 	var result caller.Result
 	code := do(t, http.MethodPost, a, "/v1/search", nil, searchBody, &result)
-	return live == 2 && code == http.StatusOK && result.Complete
+	return status.Ready && live == 2 && code == http.StatusOK && result.Complete
 }
 
 var searchBody = caller.Search{Plan: "counter", Index: "ledger", Query: "washed jars"}
--- /dev/null
+++ b/emulator/fleet/limits_test.go
@@ -0,0 +1,73 @@
+package fleet_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/admin"
+	"hyssopcroft.example/adapter/caller"
+	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/control/share"
+	"hyssopcroft.example/instance/app"
+)
+
+// limitTo sets the plan's rate through the administration API and waits until it binds everywhere.
+func limitTo(t *testing.T, apps []*app.App, rate float64) {
+	t.Helper()
+	limit := testLists().Limits["counter"].Value
+	limit.RatePerSecond = rate
+	header := http.Header{}
+	header.Set(admin.HeaderIfRevision, "1")
+	header.Set(admin.HeaderEdit, "limit")
+	require.Equal(t, http.StatusOK, do(t, http.MethodPut, apps[0], "/v1/limits/counter", header, limit, nil))
+	for _, a := range apps {
+		require.Eventually(t, func() bool {
+			var status admin.Status
+			do(t, http.MethodGet, a, "/v1/status", nil, nil, &status)
+			return status.ConfigSequence == 2
+		}, settleTimeout, settlePoll)
+	}
+}
+
+// Guards against instances that together admit more than a plan's rate, and against refusals
+// without the promise that nothing was run.
+func TestRateHoldsOverBothInstances(t *testing.T) {
+	_, apps := start(t)
+	// At this rate a request waits longer for room than a refusal takes.
+	const rate = 5.0
+	limitTo(t, apps, rate)
+	// Loans under the earlier, larger limit end within their time.
+	ended := time.Now().Add(share.LoanTime)
+	require.Eventually(t, func() bool { return time.Now().After(ended) }, settleTimeout, settlePoll)
+	start, admitted, refused := time.Now(), 0, 0
+	for i := 0; time.Since(start) < time.Second; i++ {
+		var body struct{ Error problem.Problem }
+		if do(t, http.MethodPost, apps[i%2], "/v1/search", nil, searchBody, &body) == http.StatusOK {
+			admitted++
+			continue
+		}
+		require.Equal(t, problem.LimitReached, body.Error.Code)
+		require.Equal(t, problem.NotRun, body.Error.Run)
+		require.Positive(t, body.Error.RetryAfterMillis)
+		refused++
+	}
+	window := time.Since(start) + share.BurstTime
+	require.LessOrEqual(t, float64(admitted), rate*window.Seconds()+float64(len(apps)))
+	require.Positive(t, admitted)
+	require.Positive(t, refused)
+}
+
+// Guards against a refusal that promises "not run" for a key that an earlier submission ran.
+func TestRefusedResendDoesNotPromiseNotRun(t *testing.T) {
+	_, apps := start(t)
+	execute := caller.Execute{Plan: "counter", Index: "other", Key: "1700000000000-a"}
+	var body struct{ Error problem.Problem }
+	require.Equal(t, http.StatusForbidden, do(t, http.MethodPost, apps[0], "/v1/execute", nil, execute, &body))
+	require.Equal(t, problem.MayHaveRun, body.Error.Run)
+	execute.FirstSubmission = true
+	require.Equal(t, http.StatusForbidden, do(t, http.MethodPost, apps[0], "/v1/execute", nil, execute, &body))
+	require.Equal(t, problem.NotRun, body.Error.Run)
+}
--- a/emulator/measure/limits.go
+++ b/emulator/measure/limits.go
@@ -89,7 +89,7 @@
 	loop    *Loop
 	source  *rand.Rand
 	lender  *share.Lender // nil while there is none
-	epoch   uint32
+	epoch   uint64
 	holders []*limitHolder
 
 	admittedAt []time.Time
@@ -127,7 +127,7 @@
 // grantStatic gives an equal part of the limit for good, which is the baseline.
 func (r *limitRun) grantStatic(h *limitHolder) {
 	lendable := share.Lendable(share.Amount{Rate: limitRate, Concurrency: limitSlots})
-	loan := share.Loan{ID: 1, Time: time.Hour, Amount: share.Amount{
+	loan := share.Loan{ID: share.LoanID{Epoch: 1, Number: 1}, Time: time.Hour, Amount: share.Amount{
 		Rate: lendable.Rate / limitHolders, Concurrency: lendable.Concurrency / limitHolders,
 	}}
 	h.holder.OnLoan(r.loop.Now(), r.loop.Now(), loan)
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -19,6 +19,7 @@
 	"hyssopcroft.example/instance/claims"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/entry"
+	"hyssopcroft.example/instance/limits"
 	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/instance/operator"
 	"hyssopcroft.example/kernel"
@@ -62,16 +63,22 @@
 		Bus: k.Bus(), Log: log, Counters: c,
 	})
 	e.UseClaims(cl)
+	li := limits.New(limits.Config{
+		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: peer.NewTransport(),
+		Ring: ring, Log: log, Counters: c,
+	})
+	e.UseLimits(li)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
-	for _, service := range []kernel.Service{e, cfg, m, cl, op} {
+	op.RequireReady(li.Ready)
+	for _, service := range []kernel.Service{e, cfg, m, cl, li, op} {
 		if err := k.Register(service); err != nil {
 			return nil, err
 		}
 	}
-	return &App{settings: s, log: log, kernel: k, server: newServer(e, op, m, cl, c), listener: listener}, nil
+	return &App{settings: s, log: log, kernel: k, server: newServer(e, op, m, cl, li, c), listener: listener}, nil
 }
 
-func newServer(e *entry.Service, op *operator.Service, m *members.Service, cl *claims.Service, c *counters.Set) *http.Server {
+func newServer(e *entry.Service, op *operator.Service, m *members.Service, cl *claims.Service, li *limits.Service, c *counters.Set) *http.Server {
 	r := chi.NewRouter()
 	caller.Routes(r, e)
 	admin.Routes(r, op, c)
@@ -79,6 +86,8 @@
 	r.Handle(prefix+"*", handler)
 	prefix, handler = peer.ExecutionHandler(cl)
 	r.Handle(prefix+"*", handler)
+	prefix, handler = peer.LendingHandler(li)
+	r.Handle(prefix+"*", handler)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- a/instance/entry/execute.go
+++ b/instance/entry/execute.go
@@ -9,6 +9,7 @@
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/control/claim"
+	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/instance/claims"
 	"hyssopcroft.example/query"
 )
@@ -21,22 +22,22 @@
 // UseClaims sets what runs requests that may not be repeated. It must be called before Start.
 func (s *Service) UseClaims(c Claims) { s.claims = c }
 
-// Execute implements caller.Backend.
+// Execute implements caller.Backend. A refusal before the claim promises "not run" only for the
+// first submission of a key, because an earlier one may have run.
 func (s *Service) Execute(ctx context.Context, e caller.Execute) (caller.Execution, *problem.Problem) {
-	limit, p := s.authorise(e.Plan, e.Index)
-	if p == nil && !limit.MayExecute {
-		p = refusal(http.StatusForbidden, problem.PlanRefused, "plan "+e.Plan+" may not send requests that may not be repeated")
-	}
+	limit, p := s.authoriseExecute(e)
 	if p != nil {
-		return caller.Execution{}, p
-	}
-	if _, known := s.lookup(e.Index); !known {
-		return caller.Execution{}, refusal(http.StatusNotFound, problem.UnknownIndex, "no index is named "+e.Index)
+		return caller.Execution{}, s.refuseExecute(e, p)
 	}
 	key, err := claim.ParseKey(e.Key)
 	if err != nil {
 		return caller.Execution{}, refusal(http.StatusBadRequest, problem.BadRequest, err.Error())
 	}
+	release, p := s.limits.Admit(ctx, e.Plan)
+	if p != nil {
+		return caller.Execution{}, s.refuseExecute(e, p)
+	}
+	defer release()
 	a := s.claims.Execute(ctx, claims.Request{
 		Key: key, Plan: e.Plan, Index: e.Index, Body: e.Body, First: e.FirstSubmission,
 		Deadline: time.Now().Add(limit.Deadline()),
@@ -47,6 +48,30 @@
 	return caller.Execution{Key: e.Key, Instance: s.instance, Result: a.Result, Repeated: a.Repeated}, nil
 }
 
+// authoriseExecute returns the limit of a plan if it may send this request.
+func (s *Service) authoriseExecute(e caller.Execute) (config.Limit, *problem.Problem) {
+	limit, p := s.authorise(e.Plan, e.Index)
+	if p != nil {
+		return config.Limit{}, p
+	}
+	if !limit.MayExecute {
+		return config.Limit{}, refusal(http.StatusForbidden, problem.PlanRefused, "plan "+e.Plan+" may not send requests that may not be repeated")
+	}
+	if _, known := s.lookup(e.Index); !known {
+		return config.Limit{}, refusal(http.StatusNotFound, problem.UnknownIndex, "no index is named "+e.Index)
+	}
+	return limit, nil
+}
+
+func (s *Service) refuseExecute(e caller.Execute, p *problem.Problem) *problem.Problem {
+	s.counters.Counter("execute_refused_" + string(p.Code)).Add(1)
+	refused := *p
+	if !e.FirstSubmission {
+		refused.Run = problem.MayHaveRun
+	}
+	return &refused
+}
+
 // SendOnce implements claims.Targets. It sends the request to one target.
 func (s *Service) SendOnce(ctx context.Context, r claims.Request) (string, query.Outcome) {
 	ix, known := s.lookup(r.Index)
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -36,6 +36,7 @@
 	failureDomain string
 	config        *configsync.Service
 	claims        Claims
+	limits        Limits
 	targets       *target.Client
 	bus           *kernel.Bus
 	log           *slog.Logger
@@ -62,6 +63,15 @@
 	return s
 }
 
+// Limits admits requests within the limits of their plans.
+type Limits interface {
+	// Admit returns a function to call when the request has ended, or why it is refused.
+	Admit(ctx context.Context, plan string) (release func(), refused *problem.Problem)
+}
+
+// UseLimits sets what admits requests. It must be called before Start.
+func (s *Service) UseLimits(l Limits) { s.limits = l }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
@@ -102,6 +112,12 @@
 	if !known {
 		return caller.Result{}, refusal(http.StatusNotFound, problem.UnknownIndex, "no index is named "+c.Index)
 	}
+	release, p := s.limits.Admit(ctx, c.Plan)
+	if p != nil {
+		s.counters.Counter("search_refused_" + string(p.Code)).Add(1)
+		return caller.Result{}, p
+	}
+	defer release()
 	req := query.Request{
 		ID: query.RequestID(s.random()), Plan: c.Plan, Index: c.Index, Query: c.Query, Limit: c.Limit,
 		Deadline: start.Add(deadlineOf(limit, c.DeadlineMillis)), PreferCoverage: s.prefersCoverage(c.Plan),
--- a/instance/operator/service.go
+++ b/instance/operator/service.go
@@ -35,6 +35,8 @@
 	members  *members.Service
 	ring     *timeline.Ring
 	counters *counters.Set
+
+	ready []func() bool
 }
 
 // New returns a service for one instance.
@@ -45,6 +47,9 @@
 	}
 }
 
+// RequireReady adds a condition for the instance to be ready. It must be called before Start.
+func (s *Service) RequireReady(f func() bool) { s.ready = append(s.ready, f) }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
@@ -178,6 +183,11 @@
 
 // Ready reports whether the instance can take requests.
 func (s *Service) Ready() bool {
+	for _, ready := range s.ready {
+		if !ready() {
+			return false
+		}
+	}
 	_, known := s.config.InForce()
 	return known
 }
