--- a/adapter/target/client.go
+++ b/adapter/target/client.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -24,6 +25,9 @@
 	ContentType = "application/x-protobuf"
 	// maxResponseBytes bounds what is read of one answer.
 	maxResponseBytes = 4 << 20
+	// connectTimeout ends attempts to connect to a target whose network is silent, which proves that
+	// the request was not run. A new connection costs about 6 ms besides a round trip of 24 ms.
+	connectTimeout = 200 * time.Millisecond
 )
 
 // Client calls targets. It is safe for concurrent use.
@@ -41,7 +45,9 @@
 func NewTransport(pingAfter, pingTimeout time.Duration) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
+	dialer := net.Dialer{Timeout: connectTimeout}
 	return &http.Transport{
+		DialContext:        dialer.DialContext,
 		Protocols:          &protocols,
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DisableCompression: true,
--- /dev/null
+++ b/emulator/measure/cold.go
@@ -0,0 +1,42 @@
+package measure
+
+import "time"
+
+func init() {
+	Register(Measure{
+		Name:    "cold-start",
+		Summary: "tail latency while a third of the targets starts cold",
+		Run:     runColdStart,
+	})
+}
+
+// restartTime is the time for which the targets are away before they come back cold.
+const restartTime = time.Second
+
+// runColdStart replaces one replica of every shard at the first recorded query. No bound is stated
+// for the ratio, so the goal is that the result is not above the baseline.
+func runColdStart(seed uint64) Report {
+	r := NewReport()
+	for _, d := range Deployments() {
+		for _, ix := range d.Sharded() {
+			sc := Scenario{
+				Deployment: d, Index: ix, Service: heavyTail, Utilisation: 0.2, Queries: 5_000, WarmUp: 2_000,
+				Deadline: searchDeadline, Seed: seed,
+				Fault: func(d *Driver) {
+					for s := range ix.Shards {
+						d.searchers[ix.targetID(s, s%ix.Replicas)].crash()
+					}
+					d.Loop.After(restartTime, func() {
+						for s := range ix.Shards {
+							d.searchers[ix.targetID(s, s%ix.Replicas)].restore()
+						}
+					})
+				},
+			}
+			name := d.Name + "-" + ix.Name
+			r.runBoth(name, sc)
+			r.RatioAtMost(name+"/p99_ms", 1)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/emulator/measure/drain.go
@@ -0,0 +1,91 @@
+package measure
+
+import (
+	"slices"
+	"time"
+
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/scatter"
+)
+
+func init() {
+	Register(Measure{
+		Name:    "drain",
+		Summary: "attempts sent to leaving targets after 3 s, with and without a mark in the platform's list",
+		Run:     runDrain,
+	})
+}
+
+const (
+	// leavingGrace is the time after which a leaving target is to get no work.
+	leavingGrace = 3 * time.Second
+	// listLag is the time after which the platform's list marks a target as leaving. The page says
+	// that the list lags but not by how much.
+	listLag = 2 * time.Second
+)
+
+// runDrain lets one replica of every shard leave at the first recorded query. In one case the list
+// marks the targets after its lag, in the other it never does.
+func runDrain(seed uint64) Report {
+	r := NewReport()
+	for _, d := range Deployments() {
+		for _, ix := range d.Indexes {
+			for _, marked := range []bool{true, false} {
+				sc := Scenario{
+					Deployment: d, Index: ix, Service: heavyTail, Utilisation: 0.2, Queries: 8_000, WarmUp: 2_000,
+					Deadline: searchDeadline, Seed: seed,
+				}
+				name := d.Name + "-" + ix.Name + "-unmarked"
+				if marked {
+					name = d.Name + "-" + ix.Name + "-marked"
+				}
+				r.runDrainCase(name, sc, marked)
+			}
+		}
+	}
+	return r
+}
+
+func (r *Report) runDrainCase(name string, sc Scenario, marked bool) {
+	var late int
+	sc.Fault = func(d *Driver) {
+		late = 0
+		d.drainReplicas(marked, func() { late++ })
+	}
+	sc.Baseline = true
+	add(r.Baseline, name, NewDriver(sc).Run())
+	r.Baseline[name+"/sent_after_3s"] = float64(late)
+	sc.Baseline = false
+	add(r.Result, name, NewDriver(sc).Run())
+	r.Result[name+"/sent_after_3s"] = float64(late)
+	add(r.Sizes, name, sc.sizes())
+	r.ResultAtMost(name+"/sent_after_3s", 0)
+}
+
+// drainReplicas lets the first replica of every shard drain and calls late for each attempt that is
+// sent to one of them after the grace.
+func (d *Driver) drainReplicas(marked bool, late func()) {
+	until := d.Loop.Now().Add(leavingGrace)
+	leaving := map[query.TargetID]bool{}
+	targets := slices.Clone(d.targets)
+	for s := range d.index.Shards {
+		id := d.index.targetID(s, 0)
+		leaving[id] = true
+		d.searchers[id].health = draining
+	}
+	for i := range targets {
+		targets[i].Leaving = leaving[targets[i].ID]
+	}
+	if marked {
+		d.Loop.After(listLag, func() {
+			for _, e := range d.entries {
+				e.setTargets(targets)
+			}
+		})
+	}
+	d.onSend = func(_ *flight, a scatter.Action) {
+		if leaving[a.Target] && d.Loop.Now().After(until) {
+			late()
+		}
+	}
+}
--- a/emulator/measure/driver.go
+++ b/emulator/measure/driver.go
@@ -26,8 +26,8 @@
 	// Baseline selects one random live replica per shard without hedges, retries and admission.
 	Baseline bool
 	Seed     uint64
-	// Setup adds faults before the first query.
-	Setup func(*Driver)
+	// Setup runs before the first query, Fault at the first recorded one.
+	Setup, Fault func(*Driver)
 }
 
 // stats holds what a run recorded.
@@ -55,8 +55,8 @@
 	started   int
 	// tamper, if set, takes the place of the delivery of replies.
 	tamper func(f *flight, sent query.AttemptID, r query.Reply)
-	// onSend, if set, sees the target of every attempt.
-	onSend func(query.TargetID)
+	// onSend, if set, sees every attempt that is sent.
+	onSend func(f *flight, a scatter.Action)
 }
 
 const version query.Version = 7
@@ -95,6 +95,11 @@
 	return sc.Utilisation * slots / sc.Service.mean().Seconds()
 }
 
+// recordedTime returns the expected time between the first and the last recorded query.
+func (sc Scenario) recordedTime() time.Duration {
+	return time.Duration(float64(sc.Queries) / sc.rate() * float64(time.Second))
+}
+
 // Run runs all queries and returns the figures.
 func (d *Driver) Run() Figures {
 	d.arrive()
@@ -108,7 +113,13 @@
 		return
 	}
 	d.started++
+	if d.started == d.scenario.WarmUp+1 && d.scenario.Fault != nil {
+		d.scenario.Fault(d)
+	}
 	e := d.entries[d.source.IntN(len(d.entries))]
+	for e.away {
+		e = d.entries[d.source.IntN(len(d.entries))]
+	}
 	e.start(query.Request{
 		ID: query.RequestID(d.source.Uint64()), Plan: "plan", Index: d.index.Name,
 		Limit: len(d.shardMap.Shards), Deadline: d.Loop.Now().Add(d.scenario.Deadline),
@@ -179,12 +190,6 @@
 	return total
 }
 
-func (d *Driver) sent(id query.TargetID) {
-	if d.onSend != nil {
-		d.onSend(id)
-	}
-}
-
 func (d *Driver) figures() Figures {
 	s := &d.stats
 	millis := func(quantile float64) float64 { return float64(s.latency.ValueAtQuantile(quantile)) / 1000 }
--- a/emulator/measure/entry.go
+++ b/emulator/measure/entry.go
@@ -12,6 +12,8 @@
 const (
 	// pingClose is the time after which a silent connection with requests in flight is closed.
 	pingClose = 300 * time.Millisecond
+	// connectTimeout is the time after which an instance gives up connecting.
+	connectTimeout = 200 * time.Millisecond
 	// lossShare is the share of messages between failure domains that are lost and sent again.
 	lossShare = 0.001
 	// resendFloor is the shortest time after which a lost message is sent again.
@@ -28,6 +30,7 @@
 	pool        *scatter.Pool
 	connections map[query.TargetID]*connection
 	lastAttempt query.AttemptID
+	away        bool // lost with its failure domain; callers go elsewhere
 	source      *rand.Rand
 }
 
@@ -59,6 +62,14 @@
 	return e
 }
 
+// reset puts the entry instance into the state after a restart, with attempt ids from first on.
+func (e *entry) reset(first query.AttemptID) {
+	e.lastAttempt = first
+	e.connections = map[query.TargetID]*connection{}
+	e.pool = scatter.NewPool(e.driver.scenario.Deployment.FailureDomains[e.domain], e.source)
+	e.setTargets(e.driver.targets)
+}
+
 func (e *entry) setTargets(targets []query.Target) {
 	e.random.SetTargets(targets)
 	e.pool.SetTargets(targets)
@@ -134,7 +145,9 @@
 	if f.recorded {
 		d.stats.attempts++
 	}
-	d.sent(a.Target)
+	if d.onSend != nil {
+		d.onSend(f, a)
+	}
 	now := d.Loop.Now()
 	delay := d.delay(e.domain, s.domain)
 	c, open := e.connections[a.Target]
@@ -144,6 +157,7 @@
 			return
 		}
 		if s.health == silent {
+			d.Loop.After(connectTimeout, func() { d.deliver(f, a, query.OutcomeNotRun, false) })
 			return
 		}
 		c = &connection{ready: now.Add(2*delay + d.index.ConnectCost)}
--- /dev/null
+++ b/emulator/measure/loss.go
@@ -0,0 +1,75 @@
+package measure
+
+import "time"
+
+func init() {
+	Register(Measure{
+		Name:    "shard-loss",
+		Summary: "coverage while a replica and then a failure domain are lost under load",
+		Run:     runShardLoss,
+	})
+}
+
+// runShardLoss loses one replica of shard 0 at the first recorded query, and the failure domain of
+// another one after a quarter of the time. Both come back cold after three quarters. Shard 0 has one
+// live replica meanwhile.
+func runShardLoss(seed uint64) Report {
+	r := NewReport()
+	for _, d := range Deployments() {
+		for _, ix := range d.Sharded() {
+			for _, how := range []health{crashed, silent} {
+				sc := Scenario{
+					Deployment: d, Index: ix, Service: heavyTail, Utilisation: 0.2, Queries: 12_000, WarmUp: 2_000,
+					Deadline: searchDeadline, PreferCoverage: true, Seed: seed,
+				}
+				sc.Fault = func(d *Driver) { d.loseReplicaAndDomain(how, sc.recordedTime()) }
+				name := d.Name + "-" + ix.Name + "-" + lossNames[how]
+				r.runBoth(name, sc)
+				r.ResultAtLeast(name+"/coverage", 1)
+				r.ResultAtMost(name+"/attempts_per_shard", 1.1)
+			}
+		}
+	}
+	return r
+}
+
+var lossNames = map[health]string{crashed: "crashed", silent: "silent"}
+
+func (d *Driver) loseReplicaAndDomain(how health, total time.Duration) {
+	const lostDomain = 0
+	replica := d.searchers[d.index.targetID(0, 1)]
+	replica.lose(how)
+	d.Loop.After(total/4, func() { d.setDomain(lostDomain, true, func(s *searcher) { s.lose(how) }) })
+	d.Loop.After(3*total/4, func() {
+		replica.restore()
+		d.setDomain(lostDomain, false, (*searcher).restore)
+	})
+}
+
+// setDomain changes the searchers of a failure domain and keeps callers from its entry instances
+// while it is lost.
+func (d *Driver) setDomain(domain int, lost bool, change func(*searcher)) {
+	for _, t := range d.targets {
+		if s := d.searchers[t.ID]; s.domain == domain {
+			change(s)
+		}
+	}
+	for _, e := range d.entries {
+		if e.domain == domain {
+			e.away = lost
+		}
+	}
+}
+
+// lose makes a searcher crash or go silent. A silent one loses what it was running.
+func (s *searcher) lose(how health) {
+	if how == crashed {
+		s.crash()
+		return
+	}
+	s.health = silent
+	for _, j := range s.present {
+		j.ended, j.running = true, false
+	}
+	s.queue, s.present, s.busy = nil, nil, 0
+}
--- a/emulator/measure/searcher.go
+++ b/emulator/measure/searcher.go
@@ -154,6 +154,12 @@
 	}
 }
 
+// restore starts the searcher again, with cold caches.
+func (s *searcher) restore() {
+	s.health = serving
+	s.toWarm = warmAfter
+}
+
 func (s *searcher) release(j *job) {
 	s.present = slices.DeleteFunc(s.present, func(p *job) bool { return p == j })
 	j.ended = true
--- a/query/replica/target.go
+++ b/query/replica/target.go
@@ -136,7 +136,7 @@
 		s.coldLeft--
 	}
 	s.learn(now, e.Elapsed)
-	s.limit.onAnswer(now, s.inFlight+1, s.latency, s.lowest.Value())
+	s.limit.onAnswer(now, s.inFlight+1, e.Elapsed, s.lowest.Value())
 }
 
 // onSilence takes an attempt that this instance cancelled. It counts against the target only if the
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -230,9 +230,6 @@
 	sh := &m.shards[a.shard]
 	a.ended = true
 	sh.inFlight--
-	if a.use == replica.Hedge {
-		sh.hedges--
-	}
 	delete(m.byID, a.id)
 	e.Target, e.Elapsed = a.target, now.Sub(a.sent)
 	m.policy.End(now, e)
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -22,7 +22,7 @@
 	// overdueFactor is the multiple of the hedge delay after which a straggler may use a retry token
 	// if there is no hedge token.
 	overdueFactor = 3
-	// maxHedges is the number of attempts of one shard that may run besides the first.
+	// maxHedges is the number of attempts of one shard that may run besides another one.
 	maxHedges = 2
 )
 
@@ -30,7 +30,6 @@
 type shardState struct {
 	open     bool // not covered and not given up
 	inFlight int32
-	hedges   int32 // hedges in flight
 	latest   int32 // latest attempt, -1 before the first
 	round    int32 // latest attempt of the earlier rounds, -1 in the first round
 	free     bool  // the next retry replaces an attempt that certainly did not run
@@ -48,23 +47,30 @@
 	sent     time.Time
 	shard    int32
 	previous int32 // earlier attempt of the same shard, -1 if none
-	use      replica.Use
 	ended    bool
 }
 
 // send asks the policy for an attempt and sends it.
 func (m *Machine) send(now time.Time, i int32, use replica.Use, free bool) replica.Verdict {
-	sh := &m.shards[i]
-	grant, verdict := m.policy.Choose(now, Want{
-		Plan: m.cfg.Request.Plan, Shard: m.cfg.Map.Shards[i], Use: use, Free: free, Tried: m.triedTargets(sh),
-		TimeLeft: m.cfg.Request.Deadline.Sub(now),
-	})
-	if verdict != replica.Chosen {
-		return verdict
+	grant, verdict := m.choose(now, i, use, free)
+	if verdict == replica.Chosen {
+		m.dispatch(now, i, grant)
 	}
+	return verdict
+}
+
+func (m *Machine) choose(now time.Time, i int32, use replica.Use, free bool) (Grant, replica.Verdict) {
+	return m.policy.Choose(now, Want{
+		Plan: m.cfg.Request.Plan, Shard: m.cfg.Map.Shards[i], Use: use, Free: free,
+		Tried: m.triedTargets(&m.shards[i]), TimeLeft: m.cfg.Request.Deadline.Sub(now),
+	})
+}
+
+func (m *Machine) dispatch(now time.Time, i int32, grant Grant) {
+	sh := &m.shards[i]
 	id := m.cfg.NextAttempt()
 	m.attempts = append(m.attempts, attempt{
-		id: id, target: grant.Target, sent: now, shard: i, previous: sh.latest, use: use,
+		id: id, target: grant.Target, sent: now, shard: i, previous: sh.latest,
 	})
 	sh.latest = int32(len(m.attempts) - 1)
 	m.byID[id] = sh.latest
@@ -72,15 +78,11 @@
 		sh.since = now
 	}
 	sh.inFlight++
-	if use == replica.Hedge {
-		sh.hedges++
-	}
 	m.actions = append(m.actions, Action{
 		Kind: Send, Attempt: id, Shard: m.cfg.Map.Shards[i], Target: grant.Target,
 		TimeLeft: m.cfg.Request.Deadline.Sub(now) - grant.Return,
 	})
 	m.armHedge(now, i, grant.HedgeAfter)
-	return replica.Chosen
 }
 
 // triedTargets lists the targets of the shard's attempts in this round and of those in flight.
@@ -166,18 +168,36 @@
 // hedge sends an attempt besides the ones in flight.
 func (m *Machine) hedge(now time.Time, i int32, free bool) {
 	sh := &m.shards[i]
-	if sh.hedges >= maxHedges {
+	if sh.inFlight > maxHedges {
 		return
 	}
 	verdict := m.send(now, i, replica.Hedge, free)
-	if verdict == replica.NoToken && now.Sub(sh.since) >= overdueFactor*sh.delay {
+	overdue := now.Sub(sh.since) >= overdueFactor*sh.delay
+	if overdue && (verdict == replica.NoToken || verdict == replica.Limited) {
 		verdict = m.send(now, i, replica.Retry, free)
 	}
-	if verdict == replica.NoToken || verdict == replica.Limited {
+	if overdue && verdict == replica.NoReplica && m.cfg.Request.PreferCoverage {
+		verdict = m.repeat(now, i)
+	}
+	if verdict != replica.Chosen && verdict != replica.Final {
 		m.arm(now.Add(max(sh.delay/2, limitedWait)), i)
 	}
 }
 
+// repeat sends another attempt to any replica, which may be one that has an attempt in flight. It is
+// the last resort of a plan that prefers coverage when no other replica is left.
+func (m *Machine) repeat(now time.Time, i int32) replica.Verdict {
+	sh := &m.shards[i]
+	latest := sh.latest
+	sh.latest = -1 // No target counts as tried.
+	grant, verdict := m.choose(now, i, replica.Retry, false)
+	sh.latest = latest
+	if verdict == replica.Chosen {
+		m.dispatch(now, i, grant)
+	}
+	return verdict
+}
+
 // closeShard ends the work for a shard that is covered, or that the answer will lack.
 func (m *Machine) closeShard(i int32) {
 	m.shards[i].open = false
