Pay hedges from the first attempt's class and avoid silent targets early

Cause: an instance sends first attempts to its own failure domain and hedges elsewhere, where the budget earned nothing, so that stragglers stayed without a hedge. After the loss of a failure domain every target cost three tokens before it was left alone. Change: an extra attempt is paid from the class of the shard's first attempt, or else from the one that bears the load. An overdue attempt to a target that has answered nothing since makes other replicas preferred at once. Two failures in a row open the breaker. Retries may save up 200 tokens.

--- a/instance/entry/version_policy.go
+++ b/instance/entry/version_policy.go
@@ -23,6 +23,13 @@
 	return p.index.pool.Choose(now, w)
 }
 
+// Overdue implements scatter.Policy.
+func (p *versionPolicy) Overdue(target query.TargetID, sent time.Time) {
+	p.index.mu.Lock()
+	defer p.index.mu.Unlock()
+	p.index.pool.Overdue(target, sent)
+}
+
 // End implements scatter.Policy.
 func (p *versionPolicy) End(now time.Time, e replica.End) {
 	p.index.mu.Lock()
--- a/query/hedge/budget.go
+++ b/query/hedge/budget.go
@@ -3,29 +3,36 @@
 package hedge
 
 const (
-	// HedgeShare and RetryShare are the tokens that a first attempt earns for hedges and for retries.
+	// hedgeShare and retryShare are the tokens that a first attempt earns for hedges and for retries.
 	// Together they keep extra sub-requests within 3 % of the first attempts.
-	HedgeShare = 0.02
-	RetryShare = 0.01
-	// maxTokens bounds the burst after a quiet time. It covers the attempts in flight to one lost
-	// failure domain.
-	maxTokens = 50
-	// initialTokens lets a new instance hedge before it has earned anything.
-	initialTokens = 5
+	hedgeShare = 0.02
+	retryShare = 0.01
+	// maxHedges and maxRetries bound the burst after a quiet time. Retries have to cover the attempts
+	// that are lost with a failure domain before its targets are known to be silent: a few for each of
+	// up to about 60 targets.
+	maxHedges  = 50
+	maxRetries = 200
+	// initialHedges and initialRetries let a new instance act before it has earned anything.
+	initialHedges  = 5
+	initialRetries = 50
 )
 
 // Budget is a token bucket for the extra attempts of one plan at one target class. Its unit is one
 // sub-request. It is not safe for concurrent use.
 type Budget struct {
-	share  float64
-	tokens float64
+	share, limit, tokens float64
 }
 
-// NewBudget returns a bucket to which each first attempt adds share tokens.
-func NewBudget(share float64) Budget { return Budget{share: share, tokens: initialTokens} }
+// NewHedges returns the bucket for hedges.
+func NewHedges() Budget { return Budget{share: hedgeShare, limit: maxHedges, tokens: initialHedges} }
+
+// NewRetries returns the bucket for retries.
+func NewRetries() Budget {
+	return Budget{share: retryShare, limit: maxRetries, tokens: initialRetries}
+}
 
 // Earn adds the tokens of one first attempt.
-func (b *Budget) Earn() { b.tokens = min(b.tokens+b.share, maxTokens) }
+func (b *Budget) Earn() { b.tokens = min(b.tokens+b.share, b.limit) }
 
 // Take removes one token. It returns false if there is none.
 func (b *Budget) Take() bool {
--- a/query/replica/breaker.go
+++ b/query/replica/breaker.go
@@ -7,10 +7,12 @@
 
 const (
 	// failuresToOpen is the number of failures in a row, without an answer between them, after which
-	// a target gets no more attempts.
-	failuresToOpen = 3
-	firstPause     = 100 * time.Millisecond
-	longestPause   = 2 * time.Second
+	// a target gets no more attempts. Each costs a token while a failure domain is silent.
+	failuresToOpen = 2
+	// firstPause and longestPause bound the time to the next probe. A probe of a silent target costs a
+	// token as well.
+	firstPause   = 250 * time.Millisecond
+	longestPause = 2 * time.Second
 )
 
 // breaker stops attempts to a target that does not answer, until a probe answers.
@@ -29,7 +31,8 @@
 	return was
 }
 
-// onFailure counts a failure. certain is set if the target refused the connection.
+// onFailure counts a failure. certain is set if one is enough: the target refused the connection, or
+// closed it after it had answered nothing for long.
 func (b *breaker) onFailure(now time.Time, certain bool, source *rand.Rand) {
 	b.failures++
 	if !certain && b.failures < failuresToOpen && !b.open {
--- a/query/replica/chooser.go
+++ b/query/replica/chooser.go
@@ -68,7 +68,9 @@
 	Outcome query.Outcome
 	// Cancelled is set if this instance ended the attempt; Outcome means nothing then.
 	Cancelled bool
-	Cold      bool
+	// Overdue is set if Overdue was called for the attempt.
+	Overdue bool
+	Cold    bool
 }
 
 // Chooser chooses replicas by two random choices on (in-flight + 1) × latency, with locality as a
@@ -81,6 +83,7 @@
 	classes map[string]Class
 	typical []time.Duration // moving average of the latency by class
 	usable  []*state        // scratch space of Choose
+	suspect []*state        // scratch space of Choose
 }
 
 // NewChooser returns a chooser without targets. domain is the failure domain of this instance.
@@ -131,7 +134,7 @@
 
 // Choose returns a replica and counts the attempt as in flight until End.
 func (c *Chooser) Choose(now time.Time, ask Ask) (Pick, Verdict) {
-	c.usable = c.usable[:0]
+	c.usable, c.suspect = c.usable[:0], c.suspect[:0]
 	verdict := NoReplica
 	for _, s := range c.byShard[ask.Shard] {
 		if ask.excludes(s.id) {
@@ -148,25 +151,32 @@
 			verdict = Limited
 			continue
 		}
+		if s.suspects > 0 {
+			c.suspect = append(c.suspect, s)
+			continue
+		}
 		c.usable = append(c.usable, s)
 	}
-	if len(c.usable) == 0 {
-		return Pick{}, verdict
+	switch {
+	case len(c.usable) > 0:
+		return c.take(c.better(now, c.usable)), Chosen
+	case len(c.suspect) > 0:
+		return c.take(c.better(now, c.suspect)), Chosen
 	}
-	return c.take(c.better(now)), Chosen
+	return Pick{}, verdict
 }
 
-func (c *Chooser) better(now time.Time) *state {
-	n := len(c.usable)
+func (c *Chooser) better(now time.Time, among []*state) *state {
+	n := len(among)
 	if n == 1 {
-		return c.usable[0]
+		return among[0]
 	}
 	i := c.source.IntN(n)
 	j := c.source.IntN(n - 1)
 	if j >= i {
 		j++
 	}
-	a, b := c.usable[i], c.usable[j]
+	a, b := among[i], among[j]
 	if b.cost(now, c.typical[b.class]) < a.cost(now, c.typical[a.class]) {
 		return b
 	}
@@ -186,6 +196,14 @@
 	}
 }
 
+// Overdue takes an attempt that is in flight for longer than usual. If the target has answered
+// nothing since the attempt was sent, it is avoided until it answers or the attempt ends.
+func (c *Chooser) Overdue(target query.TargetID, sent time.Time) {
+	if s := c.targets[target]; s != nil && s.answeredAt.Before(sent) {
+		s.suspects++
+	}
+}
+
 // End takes what became of an attempt. It returns the class of the target, or false if the target
 // is no longer known.
 func (c *Chooser) End(now time.Time, e End) (Class, bool) {
@@ -194,9 +212,12 @@
 		return 0, false
 	}
 	s.inFlight = max(0, s.inFlight-1)
+	if e.Overdue {
+		s.suspects = max(0, s.suspects-1)
+	}
 	switch {
 	case e.Cancelled:
-		s.onSilence(now, e, c.typical[s.class], c.source)
+		s.onSilence(now, e, c.source)
 	case e.Outcome == query.OutcomeAnswered:
 		s.onAnswer(now, e)
 		c.learnTypical(s.class, e.Elapsed)
@@ -209,7 +230,7 @@
 	case e.Outcome == query.OutcomeNotRun:
 		s.breaker.onFailure(now, true, c.source)
 	case e.Outcome == query.OutcomeUnknown, e.Outcome == query.OutcomeCrashed:
-		s.breaker.onFailure(now, false, c.source)
+		s.breaker.onFailure(now, e.Overdue && s.quietFor(now, e.Elapsed), c.source)
 	default: // The target refused or stopped the request, so it lives.
 		s.alive(now)
 	}
--- a/query/replica/target.go
+++ b/query/replica/target.go
@@ -25,8 +25,6 @@
 	// localityCost is the cost of another failure domain besides its latency: its links vary and cost
 	// more than usual.
 	localityCost = time.Millisecond
-	// silenceFactor is the multiple of the usual latency after which a wait counts as silence.
-	silenceFactor = 3
 	// drainMemory is the time after which a target that refused as draining, and that the platform's
 	// list has neither marked as leaving nor removed, gets one attempt to see whether it is back.
 	drainMemory = 10 * time.Minute
@@ -48,6 +46,7 @@
 	coldLeft   int // answers until the target counts as warm
 	shedAt     time.Time
 	answeredAt time.Time
+	suspects   int // overdue attempts since whose sending the target has answered nothing
 	draining   bool
 	drainedAt  time.Time
 	returning  bool // a probe after drainMemory is in flight
@@ -117,7 +116,7 @@
 
 // alive notes that the target answered or refused. A target that was out of use is a new one.
 func (s *state) alive(now time.Time) {
-	s.answeredAt = now
+	s.answeredAt, s.suspects = now, 0
 	if s.breaker.onAnswer() {
 		s.limit, s.coldLeft = newLimit(), coldAnswers
 	}
@@ -139,14 +138,17 @@
 	s.limit.onAnswer(now, s.inFlight+1, e.Elapsed, s.lowest.Value())
 }
 
-// onSilence takes an attempt that this instance cancelled. It counts against the target only if the
-// wait was long and the target has answered nothing meanwhile, because a busy target is not a lost
+// onSilence takes an attempt that this instance cancelled. It counts against the target only if it
+// was overdue and the target has answered nothing meanwhile, because a busy target is not a lost
 // one. A probe that was cancelled counts in any case.
-func (s *state) onSilence(now time.Time, e End, typical time.Duration, source *rand.Rand) {
-	long := e.Elapsed >= silenceFactor*max(s.latency, typical)
+func (s *state) onSilence(now time.Time, e End, source *rand.Rand) {
 	s.learn(now, max(e.Elapsed, s.latency))
-	quiet := s.answeredAt.Before(now.Add(-e.Elapsed))
-	if s.breaker.open || long && quiet {
+	if s.breaker.open || e.Overdue && s.quietFor(now, e.Elapsed) {
 		s.breaker.onFailure(now, false, source)
 	}
 }
+
+// quietFor reports whether the target has answered nothing for at least d.
+func (s *state) quietFor(now time.Time, d time.Duration) bool {
+	return !s.answeredAt.After(now.Add(-d))
+}
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -231,7 +231,7 @@
 	a.ended = true
 	sh.inFlight--
 	delete(m.byID, a.id)
-	e.Target, e.Elapsed = a.target, now.Sub(a.sent)
+	e.Target, e.Elapsed, e.Overdue = a.target, now.Sub(a.sent), a.overdue
 	m.policy.End(now, e)
 }
 
--- a/query/scatter/policy.go
+++ b/query/scatter/policy.go
@@ -14,6 +14,9 @@
 	Use   replica.Use
 	// Free is set if the attempt adds no load, because the one that it replaces certainly did not run.
 	Free bool
+	// From is the class of the shard's first attempt. A hedge or a retry is paid from its budget, or
+	// else from that of the class that bears the load.
+	From replica.Class
 	// TimeLeft is the time until the query's deadline.
 	TimeLeft time.Duration
 	// Tried lists the targets that are not to be chosen. It is valid during the call only.
@@ -26,6 +29,7 @@
 // Grant is the permission to send an attempt to a target.
 type Grant struct {
 	Target query.TargetID
+	Class  replica.Class
 	// HedgeAfter is the time after which a hedge is due: 0 if that is not known yet, never if none is.
 	HedgeAfter time.Duration
 	// Return is the time that an answer takes on its way back.
@@ -39,6 +43,8 @@
 // attempt is reported to End once.
 type Policy interface {
 	Choose(now time.Time, w Want) (Grant, replica.Verdict)
+	// Overdue tells that an attempt sent at the given time is still in flight after its hedge delay.
+	Overdue(target query.TargetID, sent time.Time)
 	End(now time.Time, e replica.End)
 }
 
@@ -56,4 +62,6 @@
 	return Grant{Target: target, HedgeAfter: never}, replica.Chosen
 }
 
+func (single) Overdue(query.TargetID, time.Time) {}
+
 func (single) End(time.Time, replica.End) {}
--- a/query/scatter/pool.go
+++ b/query/scatter/pool.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// Choose implements Policy. The tokens belong to the class that bears the additional load.
+// Choose implements Policy.
 func (p *Pool) Choose(now time.Time, w Want) (Grant, replica.Verdict) {
 	ask := replica.Ask{Shard: w.Shard, Use: w.Use, Tried: w.Tried, Unfit: w.Unfit}
 	pick, verdict := p.chooser.Choose(now, ask)
@@ -64,33 +64,48 @@
 		verdict = replica.NoToken
 	default:
 		after, _ := c.delay.Value()
-		return Grant{Target: pick.Target, HedgeAfter: after, Return: c.lowest.Value() / 2}, replica.Chosen
+		return Grant{Target: pick.Target, Class: pick.Class, HedgeAfter: after, Return: c.lowest.Value() / 2}, replica.Chosen
 	}
 	p.chooser.Release(pick.Target)
 	return Grant{}, verdict
 }
 
-// pay takes the token of an extra attempt, or earns for a first one.
+// pay takes the token of an extra attempt, or earns for a first one. An instance sends most first
+// attempts to its own failure domain and most hedges elsewhere, so the budget of the class that bears
+// the load alone would leave it without hedges.
 func (p *Pool) pay(w Want, c replica.Class) bool {
-	key := budgetKey{plan: w.Plan, class: c}
+	switch {
+	case w.Free:
+		return true
+	case w.Use == replica.First:
+		b := p.budget(w.Plan, c)
+		b.hedges.Earn()
+		b.retries.Earn()
+		return true
+	}
+	return p.budget(w.Plan, w.From).take(w.Use) || w.From != c && p.budget(w.Plan, c).take(w.Use)
+}
+
+func (p *Pool) budget(plan string, c replica.Class) *budgets {
+	key := budgetKey{plan: plan, class: c}
 	b := p.budgets[key]
 	if b == nil {
-		b = &budgets{hedges: hedge.NewBudget(hedge.HedgeShare), retries: hedge.NewBudget(hedge.RetryShare)}
+		b = &budgets{hedges: hedge.NewHedges(), retries: hedge.NewRetries()}
 		p.budgets[key] = b
 	}
-	switch {
-	case w.Free:
-		return true
-	case w.Use == replica.Hedge:
+	return b
+}
+
+func (b *budgets) take(use replica.Use) bool {
+	if use == replica.Hedge {
 		return b.hedges.Take()
-	case w.Use == replica.Retry:
-		return b.retries.Take()
 	}
-	b.hedges.Earn()
-	b.retries.Earn()
-	return true
+	return b.retries.Take()
 }
 
+// Overdue implements Policy.
+func (p *Pool) Overdue(target query.TargetID, sent time.Time) { p.chooser.Overdue(target, sent) }
+
 // End implements Policy.
 func (p *Pool) End(now time.Time, e replica.End) {
 	c, known := p.chooser.End(now, e)
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -34,9 +34,10 @@
 	round    int32 // latest attempt of the earlier rounds, -1 in the first round
 	free     bool  // the next retry replaces an attempt that certainly did not run
 	pause    time.Duration
-	wake     time.Time // timer in force; others of the shard are out of date
-	since    time.Time // when the oldest attempt in flight was sent
-	delay    time.Duration
+	wake     time.Time     // timer in force; others of the shard are out of date
+	since    time.Time     // when the oldest attempt in flight was sent
+	delay    time.Duration // after which the latest attempt is overdue
+	from     replica.Class // class of the first attempt
 	cause    query.Cause
 }
 
@@ -47,6 +48,7 @@
 	sent     time.Time
 	shard    int32
 	previous int32 // earlier attempt of the same shard, -1 if none
+	overdue  bool
 	ended    bool
 }
 
@@ -62,6 +64,7 @@
 func (m *Machine) choose(now time.Time, i int32, use replica.Use, free bool) (Grant, replica.Verdict) {
 	return m.policy.Choose(now, Want{
 		Plan: m.cfg.Request.Plan, Shard: m.cfg.Map.Shards[i], Use: use, Free: free,
+		From:  m.shards[i].from,
 		Tried: m.triedTargets(&m.shards[i]), TimeLeft: m.cfg.Request.Deadline.Sub(now),
 	})
 }
@@ -72,6 +75,9 @@
 	m.attempts = append(m.attempts, attempt{
 		id: id, target: grant.Target, sent: now, shard: i, previous: sh.latest,
 	})
+	if sh.latest < 0 {
+		sh.from = grant.Class
+	}
 	sh.latest = int32(len(m.attempts) - 1)
 	m.byID[id] = sh.latest
 	if sh.inFlight == 0 {
@@ -198,6 +204,17 @@
 	return verdict
 }
 
+// markOverdue tells the policy of attempts that have been in flight for longer than their delay.
+func (m *Machine) markOverdue(now time.Time, sh *shardState) {
+	for i := sh.latest; i >= 0; i = m.attempts[i].previous {
+		a := &m.attempts[i]
+		if !a.ended && !a.overdue && now.Sub(a.sent) >= sh.delay {
+			a.overdue = true
+			m.policy.Overdue(a.target, a.sent)
+		}
+	}
+}
+
 // closeShard ends the work for a shard that is covered, or that the answer will lack.
 func (m *Machine) closeShard(i int32) {
 	m.shards[i].open = false
@@ -209,6 +226,7 @@
 	sh := &m.shards[i]
 	switch {
 	case sh.inFlight > 0:
+		m.markOverdue(now, sh)
 		m.hedge(now, i, false)
 	case sh.latest < 0:
 		m.first(now, i)
