--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -3,6 +3,8 @@
 package scatter
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"hyssopcroft.example/query"
@@ -46,7 +48,8 @@
 	// at the target that Chooser returns.
 	Policy  Policy
 	Chooser Chooser
-	// NextAttempt returns an id that this instance has not used yet.
+	// NextAttempt returns an id that this instance has not used yet, above those that it returned
+	// before (modulo 2^64).
 	NextAttempt func() query.AttemptID
 }
 
@@ -57,7 +60,6 @@
 	merger     *merge.Merger
 	shards     []shardState // in the order of the map
 	attempts   []attempt    // in the order of sending
-	byID       map[query.AttemptID]int32
 	timers     timers
 	openShards int
 	finished   bool
@@ -75,7 +77,6 @@
 		merger:     merge.New(cfg.Request.ID, cfg.Map.Version, cfg.Map.Shards, cfg.Request.Limit),
 		shards:     make([]shardState, n),
 		attempts:   make([]attempt, 0, n+n/16+1),
-		byID:       make(map[query.AttemptID]int32, n),
 		timers:     make(timers, 0, n+n/16+1),
 		actions:    make([]Action, 0, n+1),
 		openShards: n,
@@ -103,8 +104,8 @@
 // ids in the reply are what the target claims.
 func (m *Machine) OnReply(now time.Time, sent query.AttemptID, r query.Reply) []Action {
 	m.actions = m.actions[:0]
-	i, known := m.byID[sent]
-	if !known || m.finished {
+	i, known := m.find(sent)
+	if !known || m.finished || m.attempts[i].ended {
 		m.drop("reply_late")
 		return m.actions
 	}
@@ -224,13 +225,27 @@
 	}
 }
 
+// find returns the position of an attempt. Ids ascend, so that a search takes the place of a map.
+func (m *Machine) find(id query.AttemptID) (int32, bool) {
+	if len(m.attempts) == 0 {
+		return 0, false
+	}
+	first := m.attempts[0].id
+	if i := id - first; i < query.AttemptID(len(m.attempts)) && m.attempts[i].id == id {
+		return int32(i), true // No other query took ids in between.
+	}
+	i, found := slices.BinarySearchFunc(m.attempts, id, func(a attempt, id query.AttemptID) int {
+		return cmp.Compare(a.id-first, id-first)
+	})
+	return int32(i), found
+}
+
 // end takes an attempt out of those in flight and reports it to the policy.
 func (m *Machine) end(now time.Time, i int32, e replica.End) {
 	a := &m.attempts[i]
 	sh := &m.shards[a.shard]
 	a.ended = true
 	sh.inFlight--
-	delete(m.byID, a.id)
 	e.Target, e.Elapsed, e.Overdue = a.target, now.Sub(a.sent), a.overdue
 	m.policy.End(now, e)
 }
--- a/query/scatter/pool.go
+++ b/query/scatter/pool.go
@@ -14,7 +14,8 @@
 type Pool struct {
 	chooser *replica.Chooser
 	classes []class
-	budgets map[budgetKey]*budgets
+	plans   map[string]*planBudgets
+	latest  *planBudgets // of the plan asked for last; a query asks for each of its shards
 }
 
 // class is what was learnt of one target class.
@@ -23,9 +24,10 @@
 	lowest replica.Lowest
 }
 
-type budgetKey struct {
-	plan  string
-	class replica.Class
+// planBudgets holds the budgets of one plan by target class.
+type planBudgets struct {
+	plan    string
+	classes []budgets
 }
 
 type budgets struct {
@@ -34,7 +36,7 @@
 
 // NewPool returns a pool without targets. domain is the failure domain of this instance.
 func NewPool(domain string, source *rand.Rand) *Pool {
-	return &Pool{chooser: replica.NewChooser(domain, source), budgets: map[budgetKey]*budgets{}}
+	return &Pool{chooser: replica.NewChooser(domain, source), plans: map[string]*planBudgets{}}
 }
 
 // SetTargets replaces the known targets.
@@ -87,13 +89,19 @@
 }
 
 func (p *Pool) budget(plan string, c replica.Class) *budgets {
-	key := budgetKey{plan: plan, class: c}
-	b := p.budgets[key]
+	b := p.latest
+	if b == nil || b.plan != plan {
+		b = p.plans[plan]
+	}
 	if b == nil {
-		b = &budgets{hedges: hedge.NewHedges(), retries: hedge.NewRetries()}
-		p.budgets[key] = b
+		b = &planBudgets{plan: plan}
+		p.plans[plan] = b
+	}
+	p.latest = b
+	for len(b.classes) <= int(c) {
+		b.classes = append(b.classes, budgets{hedges: hedge.NewHedges(), retries: hedge.NewRetries()})
 	}
-	return b
+	return &b.classes[c]
 }
 
 func (b *budgets) take(use replica.Use) bool {
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -79,7 +79,6 @@
 		sh.from = grant.Class
 	}
 	sh.latest = int32(len(m.attempts) - 1)
-	m.byID[id] = sh.latest
 	if sh.inFlight == 0 {
 		sh.since = now
 	}
