--- /dev/null
+++ b/query/hedge/hedge_test.go
@@ -0,0 +1,73 @@
+package hedge_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/query/hedge"
+)
+
+// Guards against a bucket that grants more than it earned, or saves without a bound.
+func TestBudget(t *testing.T) {
+	const firsts = 100_000
+	for name, c := range map[string]struct {
+		budget hedge.Budget
+		share  float64
+		burst  int
+	}{
+		"hedges":  {hedge.NewHedges(), 0.02, 50},
+		"retries": {hedge.NewRetries(), 0.01, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range firsts {
+				c.budget.Earn()
+			}
+			taken := 0
+			for c.budget.Take() {
+				taken++
+			}
+			require.Equal(t, c.burst, taken)
+			for range firsts {
+				c.budget.Earn()
+				if c.budget.Take() {
+					taken++
+				}
+			}
+			require.InDelta(t, c.share*firsts+float64(c.burst), taken, 1)
+		})
+	}
+}
+
+// Guards against a delay that is used before it rests on enough, that is not near the 98th
+// percentile, or that keeps what is long past.
+func TestDelayFollowsThePercentile(t *testing.T) {
+	d := hedge.NewDelay()
+	now := time.Unix(1000, 0)
+	source := rand.New(rand.NewPCG(1, 1))
+	record := func(n int, longest time.Duration) {
+		for range n {
+			now = now.Add(10 * time.Millisecond)
+			d.Record(now, time.Duration(source.Int64N(int64(longest))))
+		}
+	}
+	record(50, 100*time.Millisecond)
+	_, known := d.Value()
+	require.False(t, known)
+	record(2000, 100*time.Millisecond)
+	got, known := d.Value()
+	require.True(t, known)
+	require.InDelta(t, 98, got.Seconds()*1000, 1.5)
+	record(4000, 10*time.Millisecond)
+	got, _ = d.Value()
+	require.InDelta(t, 9.8, got.Seconds()*1000, 0.2)
+}
+
+// Guards against allocations on the path of every sub-request.
+func TestDelayDoesNotAllocate(t *testing.T) {
+	d := hedge.NewDelay()
+	now := time.Unix(1000, 0)
+	require.Zero(t, testing.AllocsPerRun(1000, func() { d.Record(now, 5*time.Millisecond) }))
+}
--- a/query/replica/target.go
+++ b/query/replica/target.go
@@ -13,9 +13,9 @@
 	// outlierFactor bounds a new latency relative to the average, so that one straggler does not
 	// move the queries of a healthy target elsewhere.
 	outlierFactor = 4
-	// staleHalfLife is the time in which half of what was learnt above the class's latency is
-	// forgotten while nothing is learnt, so that a target that was slow is tried again.
-	staleHalfLife = 5 * time.Second
+	// staleAfter is the time without a new latency after which the known one counts half, so that a
+	// target that was slow is tried again.
+	staleAfter = 10 * time.Second
 	// coldAnswers is the number of answers after which a new or returned target counts as warm.
 	coldAnswers = 8
 	// coldCost is the additional cost of a cold target's first attempt, as a multiple of its cost.
@@ -68,7 +68,8 @@
 func (s *state) cost(now time.Time, typical time.Duration) float64 {
 	latency := typical
 	if s.latency > 0 {
-		latency = s.present(now, typical)
+		idle := float64(now.Sub(s.learntAt)) / float64(staleAfter)
+		latency = time.Duration(float64(s.latency) / (1 + idle*idle))
 	}
 	cost := float64(s.inFlight+1) * float64(latency)
 	if !s.local {
@@ -77,16 +78,6 @@
 	return cost * (1 + coldCost*float64(s.coldLeft)/coldAnswers)
 }
 
-// present returns the learnt latency less what is stale of it.
-func (s *state) present(now time.Time, typical time.Duration) time.Duration {
-	excess := s.latency - typical
-	if excess <= 0 {
-		return s.latency
-	}
-	halvings := float64(now.Sub(s.learntAt)) / float64(staleHalfLife)
-	return typical + time.Duration(float64(excess)/(1+halvings*halvings))
-}
-
 func (s *state) learn(now time.Time, latency time.Duration) {
 	if s.latency == 0 {
 		s.latency = latency
