--- a/adapter/target/client.go
+++ b/adapter/target/client.go
@@ -26,6 +26,9 @@
 	ContentType = "application/x-protobuf"
 	// maxResponseBytes bounds what is read of one answer.
 	maxResponseBytes = 4 << 20
+	// connectTimeout ends attempts to connect to a target whose network is silent, which proves that
+	// the request was not run. A new connection costs about 6 ms besides a round trip of 24 ms.
+	connectTimeout = 200 * time.Millisecond
 )
 
 // Client calls targets. It is safe for concurrent use.
@@ -43,11 +46,12 @@
 func NewTransport(pingAfter, pingTimeout time.Duration) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
+	dialer := net.Dialer{Timeout: connectTimeout}
 	return &http.Transport{
 		Protocols:          &protocols,
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DisableCompression: true,
-		DialContext:        ObserveDial((&net.Dialer{}).DialContext),
+		DialContext:        ObserveDial(dialer.DialContext),
 	}
 }
 
