Send queries over two levels where connections do not suffice

Cause: every instance connected to every target, at once and with as many connections as requests found none.

Change: instance/relay serves ScatterGroup over twirp. Where placement says that the fan-out is not flat, the entry sends one message per group (query/group): again at once only if the relay certainly did not run it, and to a second relay within a token budget if the first is silent.

--- /dev/null
+++ b/adapter/peer/relay_wire.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"time"
+
+	"hyssopcroft.example/adapter/wire/relaypb"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/group"
+)
+
+func groupToWire(s ScatterGroup) *relaypb.GroupRequest {
+	return &relaypb.GroupRequest{
+		RequestId: uint64(s.Request), AttemptId: uint64(s.Attempt), Index: s.Index, Snapshot: uint64(s.Snapshot),
+		Shards: numbers[uint32](s.Shards), Query: s.Query, Limit: uint32(s.Limit),
+		TimeLeftUs: uint32(max(0, s.TimeLeft.Microseconds())), Plan: s.Plan, Priority: s.Priority,
+	}
+}
+
+// GroupFromWire converts a request for a group.
+func GroupFromWire(r *relaypb.GroupRequest) ScatterGroup {
+	return ScatterGroup{
+		Request: query.RequestID(r.RequestId), Attempt: query.AttemptID(r.AttemptId), Index: r.Index,
+		Snapshot: query.Version(r.Snapshot), Shards: numbers[query.Shard](r.Shards), Query: r.Query, Limit: int(r.Limit),
+		TimeLeft: time.Duration(r.TimeLeftUs) * time.Microsecond, Plan: r.Plan, Priority: r.Priority,
+	}
+}
+
+// PartialToWire converts a partial answer.
+func PartialToWire(p Partial) *relaypb.GroupResponse {
+	a := p.Answer
+	resp := &relaypb.GroupResponse{
+		RequestId: uint64(a.Request), AttemptId: uint64(p.Attempt), Snapshot: uint64(a.Snapshot),
+		Outcome: outcomeToWire(p.Outcome), Included: numbers[uint32](a.Coverage.Included),
+		VersionsKnown: p.VersionsKnown, Held: numbers[uint64](p.Held), Ready: numbers[uint64](p.Ready),
+		TookUs: uint32(p.Took.Microseconds()),
+	}
+	for _, m := range a.Coverage.Missing {
+		resp.Missing = append(resp.Missing, &relaypb.MissingShard{Shard: uint32(m.Shard), Cause: string(m.Cause)})
+	}
+	for _, h := range a.Hits {
+		resp.Hits = append(resp.Hits, &relaypb.Hit{Id: h.ID, Score: h.Score, Text: h.Text})
+	}
+	return resp
+}
+
+// PartialFromWire converts a partial answer for an index.
+func PartialFromWire(index string, r *relaypb.GroupResponse) Partial {
+	a := query.Answer{Request: query.RequestID(r.RequestId), Index: index, Snapshot: query.Version(r.Snapshot)}
+	a.Coverage.Included = numbers[query.Shard](r.Included)
+	for _, m := range r.Missing {
+		a.Coverage.Missing = append(a.Coverage.Missing, query.MissingShard{Shard: query.Shard(m.Shard), Cause: query.Cause(m.Cause)})
+	}
+	for _, h := range r.Hits {
+		a.Hits = append(a.Hits, query.Hit{ID: h.Id, Score: h.Score, Text: h.Text})
+	}
+	return Partial{
+		Reply:         group.Reply{Attempt: query.AttemptID(r.AttemptId), Outcome: outcomeFromWire(r.Outcome), Answer: a},
+		VersionsKnown: r.VersionsKnown, Held: numbers[query.Version](r.Held), Ready: numbers[query.Version](r.Ready),
+		Took: time.Duration(r.TookUs) * time.Microsecond,
+	}
+}
+
+func outcomeToWire(o query.Outcome) relaypb.Outcome {
+	switch o {
+	case query.OutcomeAnswered:
+		return relaypb.Outcome_OUTCOME_ANSWERED
+	case query.OutcomeShed:
+		return relaypb.Outcome_OUTCOME_SHED
+	case query.OutcomeDraining:
+		return relaypb.Outcome_OUTCOME_DRAINING
+	case query.OutcomeWrongShard:
+		return relaypb.Outcome_OUTCOME_NOT_HELD
+	}
+	return relaypb.Outcome_OUTCOME_UNSPECIFIED
+}
+
+func outcomeFromWire(o relaypb.Outcome) query.Outcome {
+	switch o {
+	case relaypb.Outcome_OUTCOME_ANSWERED:
+		return query.OutcomeAnswered
+	case relaypb.Outcome_OUTCOME_SHED:
+		return query.OutcomeShed
+	case relaypb.Outcome_OUTCOME_DRAINING:
+		return query.OutcomeDraining
+	case relaypb.Outcome_OUTCOME_NOT_HELD:
+		return query.OutcomeWrongShard
+	}
+	return query.OutcomeUnknown
+}
+
+type number interface{ ~uint32 | ~uint64 }
+
+// numbers converts a list between the types of messages and of package query.
+func numbers[To, From number](list []From) []To {
+	if len(list) == 0 {
+		return nil
+	}
+	out := make([]To, len(list))
+	for i, n := range list {
+		out[i] = To(n)
+	}
+	return out
+}
--- /dev/null
+++ b/emulator/fleet/two_level_test.go
@@ -0,0 +1,106 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/admin"
+	"hyssopcroft.example/adapter/caller"
+	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/emulator/fleet"
+	"hyssopcroft.example/instance/app"
+	"hyssopcroft.example/query"
+)
+
+// startTwoLevels runs more instances than may connect to one searcher: five, and two per searcher.
+func startTwoLevels(t *testing.T) (*fleet.Fleet, []*app.App) {
+	t.Helper()
+	domains := []string{"caernarfon", "llandrindod", "pontypridd"}
+	f, err := fleet.Start(fleet.Deployment{
+		Host: "127.0.0.1", FailureDomains: domains, Lists: testLists(), Seed: 1,
+		Indexes: []fleet.Index{{Name: "ledger", Shards: testShards, Replicas: 3, Slots: 2, Connections: 5}},
+	})
+	require.NoError(t, err)
+	t.Cleanup(f.Stop)
+	var apps []*app.App
+	var list []platform.Instance
+	for i := range 5 {
+		id, domain := fmt.Sprintf("entry-%d", i), domains[i%len(domains)]
+		a, err := app.New(app.Settings{
+			Instance: id, FailureDomain: domain, Region: "wales", Listen: "127.0.0.1:0", Platform: f.PlatformURL(),
+		}, slog.New(slog.DiscardHandler))
+		require.NoError(t, err)
+		apps = append(apps, a)
+		list = append(list, platform.Instance{ID: id, Address: a.Address(), FailureDomain: domain, State: platform.InstanceLive})
+	}
+	f.SetInstances(list)
+	for _, a := range apps {
+		require.NoError(t, a.Start(context.Background()))
+		t.Cleanup(func() { require.NoError(t, a.Stop(context.Background())) })
+	}
+	for _, a := range apps {
+		require.Eventually(t, func() bool { return knows(t, a, len(apps)) && completeAt(t, a, 1) }, settleTimeout, settlePoll)
+	}
+	return f, apps
+}
+
+func knows(t *testing.T, a *app.App, live int) bool {
+	var status admin.Status
+	require.Equal(t, http.StatusOK, do(t, http.MethodGet, a, "/v1/status", nil, nil, &status))
+	n := 0
+	for _, m := range status.Members {
+		if m.State == "live" {
+			n++
+		}
+	}
+	return n == live
+}
+
+func completeAt(t *testing.T, a *app.App, v query.Version) bool {
+	var result caller.Result
+	code := do(t, http.MethodPost, a, "/v1/search", nil, searchBody, &result)
+	return code == http.StatusOK && result.Complete && result.Snapshot == v && len(result.Coverage.Included) == testShards
+}
+
+// sentGroups returns how many groups the instance sent.
+func sentGroups(t *testing.T, a *app.App) int {
+	var vars struct {
+		Sent int `json:"groups_sent"`
+	}
+	require.Equal(t, http.StatusOK, do(t, http.MethodGet, a, "/debug/vars", nil, nil, &vars))
+	return vars.Sent
+}
+
+// Guards against answers over two levels that lack shards or differ by instance, when a version is
+// dropped, and when an instance that holds targets is gone.
+func TestTwoLevels(t *testing.T) {
+	f, apps := startTwoLevels(t)
+	var first caller.Result
+	require.Equal(t, http.StatusOK, do(t, http.MethodPost, apps[0], "/v1/search", nil, searchBody, &first))
+	for _, a := range apps {
+		var result caller.Result
+		before := sentGroups(t, a)
+		require.Equal(t, http.StatusOK, do(t, http.MethodPost, a, "/v1/search", nil, searchBody, &result))
+		require.Equal(t, first.Hits, result.Hits)
+		require.Equal(t, first.Coverage, result.Coverage)
+		require.Greater(t, sentGroups(t, a), before, "one level although the searchers' connections do not suffice")
+	}
+	shards := []query.Shard{0, 1, 2, 3}
+	publish(t, f, []query.Map{{Version: 1, Shards: shards}, {Version: 2, Shards: shards}})
+	for _, s := range f.Searchers {
+		s.SetSnapshots([]query.Version{2})
+	}
+	for _, a := range apps {
+		require.Eventually(t, func() bool { return completeAt(t, a, 2) }, settleTimeout, settlePoll)
+	}
+	require.NoError(t, apps[4].Stop(context.Background()))
+	for _, a := range slices.Clone(apps[:4]) {
+		require.True(t, completeAt(t, a, 2), "group not sent to a second relay")
+	}
+}
--- a/emulator/pathcost/entry_side.go
+++ b/emulator/pathcost/entry_side.go
@@ -21,8 +21,9 @@
 
 const (
 	planName = "counter"
-	// readyTimeout bounds the wait for configuration and target lists.
-	readyTimeout = 10 * time.Second
+	// readyTimeout bounds the wait for configuration, target lists and connections, which an instance
+	// opens at 19 a second.
+	readyTimeout = 2 * time.Minute
 	readyPoll    = 20 * time.Millisecond
 )
 
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -20,6 +20,7 @@
 	"hyssopcroft.example/instance/entry"
 	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/instance/operator"
+	"hyssopcroft.example/instance/relay"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
 	"hyssopcroft.example/kernel/hlc"
@@ -56,21 +57,25 @@
 	cfg := configsync.New(client, k.Bus(), ring, log, c)
 	m := members.New(self, client, k.Bus(), ring, log, c)
 	e := entry.New(s.Instance, cfg, client, k.Bus(), log, c)
+	e.UseMembers(m)
+	rel := relay.New(e, c)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
-	for _, service := range []kernel.Service{e, cfg, m, op} {
+	for _, service := range []kernel.Service{e, cfg, m, op, rel} {
 		if err := k.Register(service); err != nil {
 			return nil, err
 		}
 	}
-	return &App{settings: s, log: log, kernel: k, server: newServer(e, op, m, c), listener: listener}, nil
+	return &App{settings: s, log: log, kernel: k, server: newServer(e, op, m, rel, c), listener: listener}, nil
 }
 
-func newServer(e *entry.Service, op *operator.Service, m *members.Service, c *counters.Set) *http.Server {
+func newServer(e *entry.Service, op *operator.Service, m *members.Service, rel *relay.Service, c *counters.Set) *http.Server {
 	r := chi.NewRouter()
 	caller.Routes(r, e)
-	admin.Routes(r, op, c)
+	admin.Routes(r, connectedBackend{Service: op, entry: e}, c)
 	prefix, handler := peer.MembershipHandler(m)
 	r.Handle(prefix+"*", handler)
+	prefix, handler = peer.RelayHandler(rel)
+	r.Handle(prefix+"*", handler)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- a/instance/entry/index.go
+++ b/instance/entry/index.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/latency"
+	"hyssopcroft.example/query/placement"
 	"hyssopcroft.example/query/replica"
 	"hyssopcroft.example/query/snapshot"
 )
@@ -14,17 +16,21 @@
 type index struct {
 	name string
 
-	mu        sync.Mutex // guards the fields below
-	snapshots snapshot.Chooser
-	median    *snapshot.Median // of the latency of complete answers
+	mu        sync.Mutex       // guards the fields below
+	snapshots snapshot.Chooser // over targets, or over groups in a fan-out over two levels
+	local     snapshot.Chooser // over targets
+	latencies *latency.Window  // of complete answers
 	replicas  *replica.Random
+	targets   []query.Target
 	addresses map[query.TargetID]string
+	place     *placement.Index // nil until members are known
+	groups    *groupTimes
 }
 
 func newIndex(name string, source *rand.Rand) *index {
 	return &index{
-		name: name, median: snapshot.NewMedian(), replicas: replica.NewRandom(source),
-		addresses: map[query.TargetID]string{},
+		name: name, latencies: latency.NewWindow(), replicas: replica.NewRandom(source),
+		addresses: map[query.TargetID]string{}, groups: newGroupTimes(),
 	}
 }
 
@@ -32,17 +38,20 @@
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
 	ix.snapshots.Publish(maps)
+	ix.local.Publish(maps)
 }
 
 func (ix *index) setTargets(targets []query.Target) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	ix.snapshots.SetTargets(targets)
+	ix.targets = targets
+	ix.local.SetTargets(targets)
 	ix.replicas.SetTargets(targets)
 	clear(ix.addresses)
 	for _, t := range targets {
 		ix.addresses[t.ID] = t.Address
 	}
+	ix.setReplicas()
 }
 
 func (ix *index) chooseSnapshot() (query.Map, bool) {
@@ -55,31 +64,37 @@
 func (ix *index) observe(id query.TargetID, held []query.Version) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	ix.snapshots.Observe(id, held)
+	ix.local.Observe(id, held)
+	if ix.flat() {
+		ix.snapshots.Observe(id, held)
+	}
 }
 
 // recordLatency takes the latency of a complete answer.
 func (ix *index) recordLatency(d time.Duration) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	ix.median.Record(d)
+	ix.latencies.Record(d)
 }
 
 // restartOnReply returns the map to restart at if the reply says that a shard lost the snapshot.
 func (ix *index) restartOnReply(r *snapshot.Restart, s query.Shard, o query.Outcome) (query.Map, bool) {
-	if o != query.OutcomeSnapshotGone {
+	if r == nil || o != query.OutcomeSnapshotGone {
 		return query.Map{}, false
 	}
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	return r.OnReply(time.Now(), &ix.snapshots, s, o, ix.median.Value())
+	return r.OnReply(time.Now(), &ix.snapshots, s, o, ix.latencies.Quantile(50))
 }
 
-// restartOnFinish returns the map to restart at if the answer lacks a shard that lost the snapshot.
-func (ix *index) restartOnFinish(r *snapshot.Restart, got query.Coverage) (query.Map, bool) {
+// restartOnMissing returns the map to restart at if the coverage lacks a shard that lost the snapshot.
+func (ix *index) restartOnMissing(r *snapshot.Restart, got query.Coverage) (query.Map, bool) {
+	if r == nil {
+		return query.Map{}, false
+	}
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	return r.OnFinish(time.Now(), &ix.snapshots, got, ix.median.Value())
+	return r.OnMissing(time.Now(), &ix.snapshots, got, ix.latencies.Quantile(50))
 }
 
 // Choose implements scatter.Chooser.
@@ -96,7 +111,7 @@
 func (ix *index) mayHold(id query.TargetID, v query.Version) bool {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	return ix.snapshots.MayHold(id, v)
+	return ix.local.MayHold(id, v)
 }
 
 func (ix *index) address(id query.TargetID) string {
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -39,7 +39,7 @@
 	}
 	restart := snapshot.NewRestart(shardMap.Version, req.Deadline)
 	for {
-		answer, other, again := s.newRun(ix, req, shardMap, restart).loop(ctx)
+		answer, other, again := s.runOnce(ctx, ix, req, shardMap, restart)
 		if !again {
 			if answer.Coverage.Complete() {
 				ix.recordLatency(time.Since(start))
@@ -51,6 +51,16 @@
 	}
 }
 
+// runOnce asks at one snapshot, over one level or two.
+func (s *Service) runOnce(ctx context.Context, ix *index, req query.Request, m query.Map, restart *snapshot.Restart) (query.Answer, query.Map, bool) {
+	if place, twoLevels := ix.placed(); twoLevels {
+		return s.newGroupRun(ix, place, req, m, restart).loop(ctx)
+	}
+	return s.newRun(ix, req, m, restart).loop(ctx)
+}
+
+// newRun returns a run over the targets that this instance holds. restart is nil at a relay, which
+// does not restart a query.
 func (s *Service) newRun(ix *index, req query.Request, shardMap query.Map, restart *snapshot.Restart) *run {
 	cfg := scatter.Config{Request: req, Map: shardMap, Chooser: ix.at(shardMap.Version), NextAttempt: s.nextAttempt}
 	return &run{
@@ -79,10 +89,12 @@
 		case <-timer.C:
 			finished = r.perform(ctx, r.machine.OnWake(time.Now()))
 			timer.Reset(time.Until(r.machine.NextWake()))
+		case <-ctx.Done():
+			finished = true
 		}
 	}
 	answer := r.machine.Answer()
-	other, again := r.index.restartOnFinish(r.restart, answer.Coverage)
+	other, again := r.index.restartOnMissing(r.restart, answer.Coverage)
 	return answer, other, again
 }
 
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -11,11 +11,14 @@
 	"time"
 
 	"hyssopcroft.example/adapter/caller"
+	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/control/config"
+	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
 	"hyssopcroft.example/query"
@@ -41,21 +44,37 @@
 	log      *slog.Logger
 	counters *counters.Set
 
-	transport   *http.Transport
+	relays      *peer.RelayClient
+	members     Members // nil if unused
+	pool        *target.Pool
+	peerPool    *http.Transport
 	cancel      context.CancelFunc
+	background  sync.WaitGroup
 	lastAttempt atomic.Uint64
+	connected   atomic.Bool
+	placeWanted chan struct{}
+	opened      map[string]bool // addresses that were connected to; used by placeLoop alone
 
-	mu      sync.Mutex // guards indexes and source
+	mu      sync.Mutex // guards indexes, peers and source
 	indexes map[string]*index
+	peers   map[string]membership.Member
 	source  *rand.Rand
 }
 
 // New returns a service for one instance.
 func New(instance string, cfg *configsync.Service, client *platform.Client, bus *kernel.Bus, log *slog.Logger, c *counters.Set) *Service {
-	transport := target.NewTransport(pingAfter, pingTimeout)
+	dials := target.NewDialLimiter()
+	pool := target.NewPool(func() *http.Transport {
+		t := target.NewTransport(pingAfter, pingTimeout)
+		dials.Limit(t)
+		return t
+	})
+	peerPool := peer.NewTransport()
+	dials.Limit(peerPool)
 	s := &Service{
-		instance: instance, config: cfg, platform: client, targets: target.NewClient(transport),
-		bus: bus, log: log, counters: c, transport: transport,
+		instance: instance, config: cfg, platform: client, targets: target.NewClient(pool),
+		bus: bus, log: log, counters: c, relays: peer.NewRelayClient(peerPool), pool: pool, peerPool: peerPool,
+		placeWanted: make(chan struct{}, 1), peers: map[string]membership.Member{},
 		indexes: map[string]*index{}, source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	s.lastAttempt.Store(rand.Uint64())
@@ -68,7 +87,7 @@
 // Needs implements kernel.Service. The subscriptions must exist before the first event.
 func (s *Service) Needs() []string { return nil }
 
-// Start subscribes to maps and targets.
+// Start subscribes to maps, targets and members.
 func (s *Service) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
@@ -78,15 +97,23 @@
 	if err != nil {
 		return err
 	}
-	return kernel.Subscribe(ctx, s.bus, func(ev configsync.TargetsChanged) {
+	err = kernel.Subscribe(ctx, s.bus, func(ev configsync.TargetsChanged) {
 		s.indexFor(ev.Index).setTargets(ev.Targets)
+		s.placeAgain()
 	})
+	if err != nil {
+		return err
+	}
+	s.background.Go(func() { s.placeLoop(ctx) })
+	return kernel.Subscribe(ctx, s.bus, func(members.Changed) { s.placeAgain() })
 }
 
 // Stop closes idle connections.
 func (s *Service) Stop(context.Context) error {
 	s.cancel()
-	s.transport.CloseIdleConnections()
+	s.background.Wait()
+	s.pool.CloseIdleConnections()
+	s.peerPool.CloseIdleConnections()
 	return nil
 }
 
--- /dev/null
+++ b/instance/entry/two_level.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/group"
+	"hyssopcroft.example/query/placement"
+	"hyssopcroft.example/query/snapshot"
+)
+
+// mostRelays bounds the relays that are considered for one group of one query.
+const mostRelays = 4
+
+// groupRun performs the actions of one group.Machine. Only its own goroutine uses the machine.
+type groupRun struct {
+	service  *Service
+	index    *index
+	request  query.Request
+	priority string
+	shardMap query.Map
+	restart  *snapshot.Restart
+	place    *placement.Index
+	machine  *group.Machine
+	replies  chan sentPartial
+	cancels  map[query.AttemptID]context.CancelFunc
+}
+
+type sentPartial struct {
+	attempt query.AttemptID
+	partial peer.Partial
+}
+
+func (s *Service) newGroupRun(ix *index, place *placement.Index, req query.Request, m query.Map, restart *snapshot.Restart) *groupRun {
+	parts := s.parts(place, m)
+	return &groupRun{
+		service: s, index: ix, request: req, priority: s.priorityOf(req.Plan), shardMap: m, restart: restart, place: place,
+		machine: group.New(group.Config{
+			Request: req, Map: m, Parts: parts, HedgeAfter: ix.hedgeAfter(), Budget: ix, NextAttempt: s.nextAttempt,
+		}),
+		replies: make(chan sentPartial, mostRelays*len(parts)),
+		cancels: make(map[query.AttemptID]context.CancelFunc, len(parts)),
+	}
+}
+
+// parts divides the shards of a map by group. Shards that no target serves form a part without relays.
+func (s *Service) parts(place *placement.Index, m query.Map) []group.Part {
+	positions := map[placement.GroupID]int{}
+	var parts []group.Part
+	for _, shard := range m.Shards {
+		g, known := place.GroupOf(shard)
+		i, present := positions[g.ID]
+		if !present {
+			i = len(parts)
+			positions[g.ID] = i
+			var relays []string
+			if known {
+				relays = s.relaysOf(place, g.ID)
+			}
+			parts = append(parts, group.Part{Relays: relays})
+		}
+		parts[i].Shards = append(parts[i].Shards, shard)
+	}
+	return parts
+}
+
+// loop returns the answer, or true with the map that the query has to be asked at again.
+func (r *groupRun) loop(ctx context.Context) (query.Answer, query.Map, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends all attempts that are still in flight
+	defer r.countDropped()
+	finished := r.perform(ctx, r.machine.Start(time.Now()))
+	timer := time.NewTimer(time.Until(r.machine.NextWake()))
+	defer timer.Stop()
+	for !finished {
+		select {
+		case p := <-r.replies:
+			if other, again := r.index.restartOnMissing(r.restart, p.partial.Answer.Coverage); again {
+				return query.Answer{}, other, true
+			}
+			finished = r.perform(ctx, r.machine.OnReply(time.Now(), p.attempt, p.partial.Reply))
+		case <-timer.C:
+			finished = r.perform(ctx, r.machine.OnWake(time.Now()))
+		case <-ctx.Done():
+			finished = true
+		}
+		timer.Reset(time.Until(r.machine.NextWake()))
+	}
+	return r.machine.Answer(), query.Map{}, false
+}
+
+func (r *groupRun) countDropped() {
+	for reason, n := range r.machine.Dropped() {
+		r.service.counters.Counter(reason).Add(n)
+	}
+}
+
+// perform returns true if the machine has finished.
+func (r *groupRun) perform(ctx context.Context, actions []group.Action) bool {
+	finished := false
+	for _, a := range actions {
+		switch a.Kind {
+		case group.Send:
+			r.send(ctx, a)
+		case group.Cancel:
+			r.cancels[a.Attempt]()
+		case group.Finish:
+			finished = true
+		}
+	}
+	return finished
+}
+
+func (r *groupRun) send(ctx context.Context, a group.Action) {
+	ctx, cancel := context.WithDeadline(ctx, r.request.Deadline)
+	r.cancels[a.Attempt] = cancel
+	call := peer.ScatterGroup{
+		Request: r.request.ID, Attempt: a.Attempt, Index: r.request.Index, Snapshot: r.shardMap.Version, Shards: a.Shards,
+		Query: r.request.Query, Limit: r.request.Limit, Plan: r.request.Plan, Priority: r.priority,
+	}
+	r.service.counters.Counter("groups_sent").Add(1)
+	go func() {
+		defer cancel()
+		start := time.Now()
+		p := r.ask(ctx, a.Relay, call)
+		if p.Outcome == query.OutcomeAnswered && p.Attempt == a.Attempt {
+			r.observe(a, p, time.Since(start))
+		}
+		select {
+		case r.replies <- sentPartial{attempt: a.Attempt, partial: p}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// ask runs the group here if this instance holds it, and otherwise sends it to the relay.
+func (r *groupRun) ask(ctx context.Context, relay string, call peer.ScatterGroup) peer.Partial {
+	left := time.Until(r.request.Deadline)
+	if relay == r.service.instance {
+		call.TimeLeft = left
+		return r.service.RunGroup(ctx, call)
+	}
+	call.TimeLeft = left - r.index.returnTime()
+	address, known := r.service.peerAddress(relay)
+	if !known {
+		return peer.Partial{Reply: group.Reply{Attempt: call.Attempt, Outcome: query.OutcomeNotRun}}
+	}
+	return r.service.relays.Scatter(ctx, address, call)
+}
+
+func (r *groupRun) observe(a group.Action, p peer.Partial, took time.Duration) {
+	if g, known := r.place.GroupOf(a.Shards[0]); known {
+		r.index.observeGroup(g.ID, p, took)
+	}
+}
+
+// RunGroup implements relay.Backend: it asks the targets of this instance for the shards of a group.
+// A snapshot that is gone is reported to the entry, which alone can restart the query as a whole.
+func (s *Service) RunGroup(ctx context.Context, g peer.ScatterGroup) peer.Partial {
+	start := time.Now()
+	p := peer.Partial{Reply: group.Reply{Attempt: g.Attempt, Outcome: query.OutcomeWrongShard}}
+	ix, known := s.lookup(g.Index)
+	if !known || !ix.holdsAll(g.Shards) {
+		return p
+	}
+	req := query.Request{
+		ID: g.Request, Plan: g.Plan, Index: g.Index, Query: g.Query, Limit: g.Limit, Deadline: start.Add(g.TimeLeft),
+	}
+	asked := query.Map{Version: g.Snapshot, Shards: g.Shards}
+	p.Answer, _, _ = s.newRun(ix, req, asked, nil).loop(ctx)
+	p.Outcome = query.OutcomeAnswered
+	ix.describeVersions(&p, asked)
+	p.Took = time.Since(start)
+	return p
+}
+
+func (s *Service) priorityOf(plan string) string {
+	lists, _ := s.config.InForce()
+	return string(lists.Plans[plan].Value.Priority)
+}
--- a/query/snapshot/restart.go
+++ b/query/snapshot/restart.go
@@ -34,9 +34,9 @@
 	return r.take(now, c, median)
 }
 
-// OnFinish is to be called with the coverage of the answer before it is returned. It returns the map
+// OnMissing is to be called with the coverage of an answer, or of a part of it. It returns the map
 // to restart at if a shard is missing because its snapshot is gone.
-func (r *Restart) OnFinish(now time.Time, c *Chooser, got query.Coverage, median time.Duration) (query.Map, bool) {
+func (r *Restart) OnMissing(now time.Time, c *Chooser, got query.Coverage, median time.Duration) (query.Map, bool) {
 	gone := slices.ContainsFunc(got.Missing, func(m query.MissingShard) bool { return m.Cause == query.CauseSnapshotGone })
 	if !gone {
 		return query.Map{}, false
