--- a/adapter/target/dial.go
+++ b/adapter/target/dial.go
@@ -23,7 +23,6 @@
 type DialLimiter struct {
 	limiter *rate.Limiter
 	jitter  func() time.Duration
-	dialer  func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewDialLimiter returns a limiter for one instance.
@@ -31,19 +30,26 @@
 	return &DialLimiter{
 		limiter: rate.NewLimiter(dialsPerSecond, 1),
 		jitter:  func() time.Duration { return rand.N(dialJitter) },
-		dialer:  (&net.Dialer{}).DialContext,
 	}
 }
 
-// Limit makes the transport open its connections through the limiter.
-func (l *DialLimiter) Limit(transport *http.Transport) { transport.DialContext = l.dial }
+// Limit makes the transport wait for the limiter before it opens a connection.
+func (l *DialLimiter) Limit(transport *http.Transport) {
+	open := transport.DialContext
+	if open == nil {
+		open = (&net.Dialer{}).DialContext
+	}
+	transport.DialContext = l.limited(open)
+}
 
-// dial returns a *net.OpError of a dial when the wait ends early, so that the request counts as not run.
-func (l *DialLimiter) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	if err := l.wait(ctx); err != nil {
-		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+// limited returns a *net.OpError of a dial when the wait ends early, so that the request counts as not run.
+func (l *DialLimiter) limited(open DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if err := l.wait(ctx); err != nil {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: err}
+		}
+		return open(ctx, network, address)
 	}
-	return l.dialer(ctx, network, address)
 }
 
 func (l *DialLimiter) wait(ctx context.Context) error {
--- a/adapter/target/dial_test.go
+++ b/adapter/target/dial_test.go
@@ -27,15 +27,15 @@
 			defer mu.Unlock()
 			return time.Duration(source.Int64N(int64(dialJitter)))
 		}
-		l.dialer = func(context.Context, string, string) (net.Conn, error) {
+		dial := l.limited(func(context.Context, string, string) (net.Conn, error) {
 			mu.Lock()
 			defer mu.Unlock()
 			opened = append(opened, time.Now())
 			return nil, nil
-		}
+		})
 		var wait sync.WaitGroup
 		for range 100 {
-			wait.Go(func() { _, _ = l.dial(t.Context(), "tcp", "target") })
+			wait.Go(func() { _, _ = dial(t.Context(), "tcp", "target") })
 		}
 		wait.Wait()
 		require.Len(t, opened, 100)
@@ -51,9 +51,14 @@
 func TestWaitForConnectionCountsAsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := NewDialLimiter()
-		ctx, cancel := context.WithCancel(t.Context())
-		cancel()
-		_, err := l.dial(ctx, "tcp", "target")
-		require.Equal(t, query.OutcomeNotRun, failureOutcome(err))
+		l.limiter.Allow() // the next connection has to wait
+		transport := NewTransport(time.Second, time.Second)
+		transport.DialContext = func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+		l.Limit(transport)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		r := NewClient(transport).Search(ctx, Search{Address: "127.0.0.1:1", TimeLeft: time.Second})
+		require.Equal(t, query.OutcomeNotRun, r.Outcome)
+		time.Sleep(time.Second) // the transport dials on without the request
 	})
 }
--- a/adapter/target/pool_test.go
+++ b/adapter/target/pool_test.go
@@ -73,8 +73,9 @@
 		l := &listener{conns: make(chan net.Conn, 1000)}
 		var protocols http.Protocols
 		protocols.SetUnencryptedHTTP2(true)
-		server := &http.Server{Protocols: &protocols, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		server := &http.Server{Protocols: &protocols, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			time.Sleep(10 * time.Millisecond)
+			_, _ = w.Write([]byte("{}"))
 		})}
 		go func() { _ = server.Serve(l) }()
 		pool := NewPool(func() *http.Transport {
@@ -83,10 +84,14 @@
 			return transport
 		})
 		client := NewClient(pool)
+		ask := func() error {
+			_, err := client.Info(t.Context(), "target:1")
+			return err
+		}
 		burst := func() {
 			var wait sync.WaitGroup
 			for range 50 {
-				wait.Go(func() { require.NoError(t, client.Connect(t.Context(), "target:1")) })
+				wait.Go(func() { require.NoError(t, ask()) })
 			}
 			wait.Wait()
 		}
@@ -100,7 +105,7 @@
 		require.Equal(t, [2]int{1, 2}, [2]int{open, total})
 
 		slow := make(chan error)
-		go func() { slow <- client.Connect(t.Context(), "target:1") }()
+		go func() { slow <- ask() }()
 		time.Sleep(time.Millisecond)
 		pool.Keep(func(string) bool { return false })
 		require.NoError(t, <-slow)
--- a/instance/entry/index.go
+++ b/instance/entry/index.go
@@ -8,7 +8,7 @@
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/latency"
 	"hyssopcroft.example/query/placement"
-	"hyssopcroft.example/query/replica"
+	"hyssopcroft.example/query/scatter"
 	"hyssopcroft.example/query/snapshot"
 )
 
@@ -20,16 +20,16 @@
 	snapshots snapshot.Chooser // over targets, or over groups in a fan-out over two levels
 	local     snapshot.Chooser // over targets
 	latencies *latency.Window  // of complete answers
-	replicas  *replica.Random
+	pool      *scatter.Pool
 	targets   []query.Target
 	addresses map[query.TargetID]string
 	place     *placement.Index // nil until members are known
 	groups    *groupTimes
 }
 
-func newIndex(name string, source *rand.Rand) *index {
+func newIndex(name, failureDomain string, source *rand.Rand) *index {
 	return &index{
-		name: name, latencies: latency.NewWindow(), replicas: replica.NewRandom(source),
+		name: name, latencies: latency.NewWindow(), pool: scatter.NewPool(failureDomain, source),
 		addresses: map[query.TargetID]string{}, groups: newGroupTimes(),
 	}
 }
@@ -46,7 +46,7 @@
 	defer ix.mu.Unlock()
 	ix.targets = targets
 	ix.local.SetTargets(targets)
-	ix.replicas.SetTargets(targets)
+	ix.pool.SetTargets(targets)
 	clear(ix.addresses)
 	for _, t := range targets {
 		ix.addresses[t.ID] = t.Address
@@ -97,21 +97,18 @@
 	return r.OnMissing(time.Now(), &ix.snapshots, got, ix.latencies.Quantile(50))
 }
 
-// Choose implements scatter.Chooser.
-func (ix *index) Choose(s query.Shard) (query.TargetID, bool) {
-	ix.mu.Lock()
-	defer ix.mu.Unlock()
-	return ix.replicas.Choose(s)
+// at returns the policy of a query at the version.
+func (ix *index) at(v query.Version) *versionPolicy {
+	return &versionPolicy{
+		index: ix, unfit: func(id query.TargetID) bool { return !ix.local.MayHold(id, v) },
+	}
 }
 
-// at returns a chooser that avoids the targets that do not hold the version.
-func (ix *index) at(v query.Version) *versionChooser { return &versionChooser{index: ix, version: v} }
-
-// mayHold reports whether the target is not known to lack the version.
-func (ix *index) mayHold(id query.TargetID, v query.Version) bool {
+// peek returns a target for a request that is sent once and not counted.
+func (ix *index) peek(s query.Shard) (query.TargetID, bool) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	return ix.local.MayHold(id, v)
+	return ix.pool.Peek(time.Now(), s)
 }
 
 func (ix *index) address(id query.TargetID) string {
--- a/instance/entry/peers.go
+++ b/instance/entry/peers.go
@@ -103,7 +103,7 @@
 		wait.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 			defer cancel()
-			if err := s.targets.Connect(ctx, address); err != nil {
+			if _, err := s.targets.Info(ctx, address); err != nil {
 				s.counters.Counter("connects_failed").Add(1)
 			}
 			return nil
@@ -137,14 +137,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.source.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
-	own := s.peers[s.instance].FailureDomain
 	cost := func(i placement.Instance) int {
 		switch {
 		case i.ID == s.instance:
 			return 0
 		case s.peers[i.ID].State != membership.Live:
 			return 3
-		case i.FailureDomain != own:
+		case i.FailureDomain != s.failureDomain:
 			return 2
 		}
 		return 1
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -12,7 +12,6 @@
 
 	"hyssopcroft.example/adapter/caller"
 	"hyssopcroft.example/adapter/peer"
-	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/control/config"
@@ -36,13 +35,14 @@
 
 // Service runs searches and executes. It is safe for concurrent use.
 type Service struct {
-	instance string
-	config   *configsync.Service
-	platform *platform.Client
-	targets  *target.Client
-	bus      *kernel.Bus
-	log      *slog.Logger
-	counters *counters.Set
+	instance      string
+	failureDomain string
+	config        *configsync.Service
+	claims        Claims
+	targets       *target.Client
+	bus           *kernel.Bus
+	log           *slog.Logger
+	counters      *counters.Set
 
 	relays      *peer.RelayClient
 	members     Members // nil if unused
@@ -61,8 +61,8 @@
 	source  *rand.Rand
 }
 
-// New returns a service for one instance.
-func New(instance string, cfg *configsync.Service, client *platform.Client, bus *kernel.Bus, log *slog.Logger, c *counters.Set) *Service {
+// New returns a service for one instance in the given failure domain.
+func New(instance, failureDomain string, cfg *configsync.Service, bus *kernel.Bus, log *slog.Logger, c *counters.Set) *Service {
 	dials := target.NewDialLimiter()
 	pool := target.NewPool(func() *http.Transport {
 		t := target.NewTransport(pingAfter, pingTimeout)
@@ -72,7 +72,7 @@
 	peerPool := peer.NewTransport()
 	dials.Limit(peerPool)
 	s := &Service{
-		instance: instance, config: cfg, platform: client, targets: target.NewClient(pool),
+		instance: instance, failureDomain: failureDomain, config: cfg, targets: target.NewClient(pool),
 		bus: bus, log: log, counters: c, relays: peer.NewRelayClient(peerPool), pool: pool, peerPool: peerPool,
 		placeWanted: make(chan struct{}, 1), peers: map[string]membership.Member{},
 		indexes: map[string]*index{}, source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -131,7 +131,7 @@
 	}
 	req := query.Request{
 		ID: query.RequestID(s.random()), Plan: c.Plan, Index: c.Index, Query: c.Query, Limit: c.Limit,
-		Deadline: start.Add(deadlineOf(limit, c.DeadlineMillis)),
+		Deadline: start.Add(deadlineOf(limit, c.DeadlineMillis)), PreferCoverage: s.prefersCoverage(c.Plan),
 	}
 	answer, p := s.scatter(ctx, ix, req)
 	if p != nil {
@@ -173,6 +173,11 @@
 	return limit.Value, nil
 }
 
+func (s *Service) prefersCoverage(plan string) bool {
+	lists, _ := s.config.InForce()
+	return lists.Plans[plan].Value.Prefer == config.PreferCoverage
+}
+
 func deadlineOf(limit config.Limit, wantedMillis int) time.Duration {
 	wanted := time.Duration(wantedMillis) * time.Millisecond
 	if wanted > 0 && wanted < limit.Deadline() {
@@ -216,7 +221,7 @@
 	defer s.mu.Unlock()
 	ix, ok := s.indexes[name]
 	if !ok {
-		ix = newIndex(name, rand.New(rand.NewPCG(s.source.Uint64(), s.source.Uint64())))
+		ix = newIndex(name, s.failureDomain, rand.New(rand.NewPCG(s.source.Uint64(), s.source.Uint64())))
 		s.indexes[name] = ix
 	}
 	return ix
--- a/instance/entry/two_level.go
+++ b/instance/entry/two_level.go
@@ -167,6 +167,7 @@
 	}
 	req := query.Request{
 		ID: g.Request, Plan: g.Plan, Index: g.Index, Query: g.Query, Limit: g.Limit, Deadline: start.Add(g.TimeLeft),
+		PreferCoverage: s.prefersCoverage(g.Plan),
 	}
 	asked := query.Map{Version: g.Snapshot, Shards: g.Shards}
 	p.Answer, _, _ = s.newRun(ix, req, asked, nil).loop(ctx)
