Keep the decisions of the relay path free of I/O

Cause: what a relay reports of its targets' versions, and how a query is divided into groups, was written in the entry service, where a measure in virtual time cannot use it.

The upper level takes its hedge delay and budget from package hedge. The test over two levels counts the connections of the searchers.

Conclusion: no change of behaviour but for the hedge delay of relays.

--- a/adapter/peer/relay.go
+++ b/adapter/peer/relay.go
@@ -12,6 +12,7 @@
 	"hyssopcroft.example/adapter/wire/relaypb"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/group"
+	"hyssopcroft.example/query/snapshot"
 )
 
 // ScatterGroup is one attempt at the shards of a group of targets.
@@ -33,10 +34,8 @@
 // Partial is what a relay returns for a group.
 type Partial struct {
 	group.Reply
-	// VersionsKnown is set if Held and Ready say what the targets of the group hold.
-	VersionsKnown bool
-	// Held lists the versions that a live replica of each shard holds, Ready those that two hold.
-	Held, Ready []query.Version
+	// Versions says what the targets of the group hold.
+	Versions snapshot.Report
 	// Took is the time that the relay spent.
 	Took time.Duration
 }
--- a/adapter/peer/relay_wire.go
+++ b/adapter/peer/relay_wire.go
@@ -6,6 +6,7 @@
 	"hyssopcroft.example/adapter/wire/relaypb"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/group"
+	"hyssopcroft.example/query/snapshot"
 )
 
 func groupToWire(s ScatterGroup) *relaypb.GroupRequest {
@@ -31,7 +32,7 @@
 	resp := &relaypb.GroupResponse{
 		RequestId: uint64(a.Request), AttemptId: uint64(p.Attempt), Snapshot: uint64(a.Snapshot),
 		Outcome: outcomeToWire(p.Outcome), Included: numbers[uint32](a.Coverage.Included),
-		VersionsKnown: p.VersionsKnown, Held: numbers[uint64](p.Held), Ready: numbers[uint64](p.Ready),
+		VersionsKnown: p.Versions.Known, Held: numbers[uint64](p.Versions.Held), Ready: numbers[uint64](p.Versions.Ready),
 		TookUs: uint32(p.Took.Microseconds()),
 	}
 	for _, m := range a.Coverage.Missing {
@@ -54,8 +55,10 @@
 		a.Hits = append(a.Hits, query.Hit{ID: h.Id, Score: h.Score, Text: h.Text})
 	}
 	return Partial{
-		Reply:         group.Reply{Attempt: query.AttemptID(r.AttemptId), Outcome: outcomeFromWire(r.Outcome), Answer: a},
-		VersionsKnown: r.VersionsKnown, Held: numbers[query.Version](r.Held), Ready: numbers[query.Version](r.Ready),
+		Reply: group.Reply{Attempt: query.AttemptID(r.AttemptId), Outcome: outcomeFromWire(r.Outcome), Answer: a},
+		Versions: snapshot.Report{
+			Known: r.VersionsKnown, Held: numbers[query.Version](r.Held), Ready: numbers[query.Version](r.Ready),
+		},
 		Took: time.Duration(r.TookUs) * time.Microsecond,
 	}
 }
--- a/emulator/fleet/two_level_test.go
+++ b/emulator/fleet/two_level_test.go
@@ -77,6 +77,15 @@
 	return vars.Sent
 }
 
+// mostConnections returns the largest number of connections of one searcher.
+func mostConnections(f *fleet.Fleet) int {
+	most := 0
+	for _, h := range f.Hosts {
+		most = max(most, h.Connections())
+	}
+	return most
+}
+
 // Guards against answers over two levels that lack shards or differ by instance, when a version is
 // dropped, and when an instance that holds targets is gone.
 func TestTwoLevels(t *testing.T) {
@@ -91,6 +100,7 @@
 		require.Equal(t, first.Coverage, result.Coverage)
 		require.Greater(t, sentGroups(t, a), before, "one level although the searchers' connections do not suffice")
 	}
+	require.Eventually(t, func() bool { return mostConnections(f) == 2 }, settleTimeout, settlePoll, "connections not released")
 	shards := []query.Shard{0, 1, 2, 3}
 	publish(t, f, []query.Map{{Version: 1, Shards: shards}, {Version: 2, Shards: shards}})
 	for _, s := range f.Searchers {
--- a/instance/entry/index_groups.go
+++ b/instance/entry/index_groups.go
@@ -5,16 +5,14 @@
 
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/query"
-	"hyssopcroft.example/query/group"
+	"hyssopcroft.example/query/hedge"
 	"hyssopcroft.example/query/latency"
 	"hyssopcroft.example/query/placement"
+	"hyssopcroft.example/query/snapshot"
 )
 
 const (
-	// hedgePercentile of the latency of partial answers is the silence after which a relay is hedged.
-	// A lower one would ask for more hedges than the budget holds.
-	hedgePercentile = 98
-	// firstHedgeAfter is used until partial answers were timed: half of the time in which 99 of 100
+	// firstHedgeAfter is used until enough partial answers were timed: half of the time in which 99 of 100
 	// answers are due.
 	firstHedgeAfter = 50 * time.Millisecond
 	// returnPercentile of the time that messages spend between entry and relay is left for the return.
@@ -24,13 +22,13 @@
 // groupTimes holds what the upper level of a fan-out over two levels learns. The mutex of the index
 // guards it.
 type groupTimes struct {
-	partials *latency.Window // of accepted partial answers
-	returns  *latency.Window // half of what a partial answer took beyond the relay's own time
-	budget   *group.Tokens
+	delay   *hedge.Delay    // of partial answers
+	returns *latency.Window // half of what a partial answer took beyond the relay's own time
+	budget  hedge.Budget
 }
 
 func newGroupTimes() *groupTimes {
-	return &groupTimes{partials: latency.NewWindow(), returns: latency.NewWindow(), budget: group.NewTokens()}
+	return &groupTimes{delay: hedge.NewDelay(), returns: latency.NewWindow(), budget: hedge.NewBudget(hedge.HedgeShare)}
 }
 
 // flat reports whether the instance holds all targets. The caller holds the mutex.
@@ -44,24 +42,17 @@
 	ix.setReplicas()
 }
 
-// setReplicas tells the chooser of snapshots what its replicas are. In a fan-out over two levels
-// each group counts as two replicas of its shards: one reports the versions that a target of each
-// shard holds, the other those that two targets hold. The caller holds the mutex.
+// setReplicas tells the chooser of snapshots who reports the versions. The caller holds the mutex.
 func (ix *index) setReplicas() {
 	if ix.flat() {
 		ix.snapshots.SetTargets(ix.targets)
 		return
 	}
-	var replicas []query.Target
+	var groups []snapshot.Group
 	for _, g := range ix.place.Groups() {
-		held, ready := groupReplicas(g.ID)
-		replicas = append(replicas, query.Target{ID: held, Shards: g.Shards}, query.Target{ID: ready, Shards: g.Shards})
+		groups = append(groups, snapshot.Group{ID: string(g.ID), Shards: g.Shards})
 	}
-	ix.snapshots.SetTargets(replicas)
-}
-
-func groupReplicas(id placement.GroupID) (held, ready query.TargetID) {
-	return query.TargetID(id) + "#held", query.TargetID(id) + "#ready"
+	ix.snapshots.SetGroups(groups)
 }
 
 // placed returns the placement, or false if the fan-out is flat.
@@ -100,8 +91,8 @@
 	return out
 }
 
-// describeVersions adds to a partial answer which versions the targets of its shards hold.
-func (ix *index) describeVersions(p *peer.Partial, asked query.Map) {
+// report returns which versions the targets of the shards hold.
+func (ix *index) report(asked query.Map) snapshot.Report {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
 	shards := asked.Shards
@@ -110,29 +101,23 @@
 			shards = g.Shards
 		}
 	}
-	p.Held, p.VersionsKnown = ix.local.Held(asked, shards, 1)
-	p.Ready, _ = ix.local.Held(asked, shards, 2)
+	return ix.local.Report(asked, shards)
 }
 
 // observeGroup takes what a relay reported of the versions of a group, and the times of its answer.
 func (ix *index) observeGroup(id placement.GroupID, p peer.Partial, took time.Duration) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	ix.groups.partials.Record(took)
+	ix.groups.delay.Record(time.Now(), took)
 	ix.groups.returns.Record((took - p.Took) / 2)
-	if !p.VersionsKnown {
-		return
-	}
-	held, ready := groupReplicas(id)
-	ix.snapshots.Observe(held, p.Held)
-	ix.snapshots.Observe(ready, p.Ready)
+	ix.snapshots.ObserveGroup(string(id), p.Versions)
 }
 
 // hedgeAfter returns the silence after which a relay is hedged.
 func (ix *index) hedgeAfter() time.Duration {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	if d := ix.groups.partials.Quantile(hedgePercentile); d > 0 {
+	if d, known := ix.groups.delay.Value(); known {
 		return d
 	}
 	return firstHedgeAfter
--- a/instance/entry/two_level.go
+++ b/instance/entry/two_level.go
@@ -34,7 +34,7 @@
 }
 
 func (s *Service) newGroupRun(ix *index, place *placement.Index, req query.Request, m query.Map, restart *snapshot.Restart) *groupRun {
-	parts := s.parts(place, m)
+	parts := group.Divide(place, m, func(id placement.GroupID) []string { return s.relaysOf(place, id) })
 	return &groupRun{
 		service: s, index: ix, request: req, priority: s.priorityOf(req.Plan), shardMap: m, restart: restart, place: place,
 		machine: group.New(group.Config{
@@ -45,27 +45,6 @@
 	}
 }
 
-// parts divides the shards of a map by group. Shards that no target serves form a part without relays.
-func (s *Service) parts(place *placement.Index, m query.Map) []group.Part {
-	positions := map[placement.GroupID]int{}
-	var parts []group.Part
-	for _, shard := range m.Shards {
-		g, known := place.GroupOf(shard)
-		i, present := positions[g.ID]
-		if !present {
-			i = len(parts)
-			positions[g.ID] = i
-			var relays []string
-			if known {
-				relays = s.relaysOf(place, g.ID)
-			}
-			parts = append(parts, group.Part{Relays: relays})
-		}
-		parts[i].Shards = append(parts[i].Shards, shard)
-	}
-	return parts
-}
-
 // loop returns the answer, or true with the map that the query has to be asked at again.
 func (r *groupRun) loop(ctx context.Context) (query.Answer, query.Map, bool) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -172,7 +151,7 @@
 	asked := query.Map{Version: g.Snapshot, Shards: g.Shards}
 	p.Answer, _, _ = s.newRun(ix, req, asked, nil).loop(ctx)
 	p.Outcome = query.OutcomeAnswered
-	ix.describeVersions(&p, asked)
+	p.Versions = ix.report(asked)
 	p.Took = time.Since(start)
 	return p
 }
--- /dev/null
+++ b/query/group/divide.go
@@ -0,0 +1,27 @@
+package group
+
+import (
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/placement"
+)
+
+// Divide divides the shards of a map by group. relays returns the instances to ask, the best first.
+// Shards that no target serves form a part without relays.
+func Divide(p *placement.Index, m query.Map, relays func(placement.GroupID) []string) []Part {
+	positions := map[placement.GroupID]int{}
+	var parts []Part
+	for _, shard := range m.Shards {
+		g, known := p.GroupOf(shard)
+		i, present := positions[g.ID]
+		if !present {
+			i = len(parts)
+			positions[g.ID] = i
+			parts = append(parts, Part{})
+			if known {
+				parts[i].Relays = relays(g.ID)
+			}
+		}
+		parts[i].Shards = append(parts[i].Shards, shard)
+	}
+	return parts
+}
--- a/query/snapshot/chooser.go
+++ b/query/snapshot/chooser.go
@@ -205,39 +205,3 @@
 	}
 	return c.maps[i], true
 }
-
-// Held returns the versions that at least want live replicas of each shard hold, or all replicas of a
-// shard that has fewer. It looks at the shards of the map asked at its version, and at those of the
-// list shards in each published map. It returns false unless a replica of each shard of asked has
-// reported its versions.
-func (c *Chooser) Held(asked query.Map, shards []query.Shard, want int) ([]query.Version, bool) {
-	for _, s := range asked.Shards {
-		reported := func(t query.TargetID) bool { _, ok := c.held[t]; return ok }
-		if len(c.replicas[s]) > 0 && !slices.ContainsFunc(c.replicas[s], reported) {
-			return nil, false
-		}
-	}
-	var out []query.Version
-	if c.reported(asked, want) {
-		out = append(out, asked.Version)
-	}
-	for _, m := range c.maps {
-		part := query.Map{Version: m.Version, Shards: intersection(m.Shards, shards)}
-		if m.Version != asked.Version && c.reported(part, want) {
-			out = append(out, m.Version)
-		}
-	}
-	slices.Sort(out)
-	return out, true
-}
-
-// intersection returns the elements of list that are in the sorted list among.
-func intersection(list, among []query.Shard) []query.Shard {
-	var out []query.Shard
-	for _, s := range list {
-		if _, ok := slices.BinarySearch(among, s); ok {
-			out = append(out, s)
-		}
-	}
-	return out
-}
