--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -22,6 +22,7 @@
 	"hyssopcroft.example/instance/limits"
 	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/instance/operator"
+	"hyssopcroft.example/instance/relay"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
 	"hyssopcroft.example/kernel/hlc"
@@ -68,26 +69,36 @@
 		Ring: ring, Log: log, Counters: c,
 	})
 	e.UseLimits(li)
+	e.UseMembers(m)
+	rel := relay.New(e, c)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
 	op.RequireReady(li.Ready)
-	for _, service := range []kernel.Service{e, cfg, m, cl, li, op} {
+	for _, service := range []kernel.Service{e, cfg, m, cl, li, op, rel} {
 		if err := k.Register(service); err != nil {
 			return nil, err
 		}
 	}
-	return &App{settings: s, log: log, kernel: k, server: newServer(e, op, m, cl, li, c), listener: listener}, nil
+	server := newServer(connectedBackend{Service: op, entry: e}, e, c,
+		route(peer.MembershipHandler(m)), route(peer.ExecutionHandler(cl)),
+		route(peer.LendingHandler(li)), route(peer.RelayHandler(rel)))
+	return &App{settings: s, log: log, kernel: k, server: server, listener: listener}, nil
 }
 
-func newServer(e *entry.Service, op *operator.Service, m *members.Service, cl *claims.Service, li *limits.Service, c *counters.Set) *http.Server {
+// peerRoute is the handler of one twirp service and the prefix of its paths.
+type peerRoute struct {
+	prefix  string
+	handler http.Handler
+}
+
+func route(prefix string, handler http.Handler) peerRoute { return peerRoute{prefix, handler} }
+
+func newServer(operators admin.Backend, callers caller.Backend, c *counters.Set, peers ...peerRoute) *http.Server {
 	r := chi.NewRouter()
-	caller.Routes(r, e)
-	admin.Routes(r, op, c)
-	prefix, handler := peer.MembershipHandler(m)
-	r.Handle(prefix+"*", handler)
-	prefix, handler = peer.ExecutionHandler(cl)
-	r.Handle(prefix+"*", handler)
-	prefix, handler = peer.LendingHandler(li)
-	r.Handle(prefix+"*", handler)
+	caller.Routes(r, callers)
+	admin.Routes(r, operators, c)
+	for _, p := range peers {
+		r.Handle(p.prefix+"*", p.handler)
+	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
