Measure requests that may not be repeated under faults

Cause: the log of claims was tested with few keys; its cost in store writes was not known.

Change: hyssopctl measure at-most-once drives the logs of eight instances in virtual time against a model of the store, with the former one object per key as the baseline. An oracle counts what ran against what callers were told.

--- /dev/null
+++ b/emulator/measure/at_most_once_test.go
@@ -0,0 +1,28 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against credits that run twice or whose callers are told something false, and against a
+// run that does not repeat itself.
+func TestCreditsUnderFaults(t *testing.T) {
+	sc := claimScenario{
+		Credits: 3000, Rate: 200, Instances: 4, Seed: 3,
+		Faults: claimFaults{
+			loseAnswer: 0.03, lateEffect: 0.02, refuse: 0.01, replaceEvery: 2 * time.Second,
+			pauseEvery: time.Second, outageEvery: 5 * time.Second, outage: 2 * time.Second,
+		},
+	}
+	f := runCredits(sc).figures()
+	require.Positive(t, f["ran"])
+	for _, figure := range []string{
+		"run_twice", "said_not_run_but_run", "said_done_but_not_run", "without_an_answer", "submissions_without_an_answer",
+	} {
+		require.Zero(t, f[figure], figure)
+	}
+	require.Equal(t, f, runCredits(sc).figures())
+}
--- /dev/null
+++ b/emulator/measure/claim_store.go
@@ -0,0 +1,133 @@
+package measure
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hyssopcroft.example/control/claim"
+)
+
+const (
+	storeDelay = 3 * time.Millisecond // of one call, there and back
+	// storeTimeout is the time after which a call without an answer is given up.
+	storeTimeout = 2 * time.Second
+	// longestLateEffect bounds how late a write without an answer takes effect.
+	longestLateEffect = 10 * time.Second
+)
+
+// writeResult is what a writer learns of a write.
+type writeResult uint8
+
+const (
+	written writeResult = iota
+	refused
+	answerLost
+)
+
+// claimStore is a model of the object API: conditional writes with lost answers, late effects and
+// outages, and a ceiling of writes per second.
+type claimStore struct {
+	loop   *Loop
+	source *rand.Rand
+
+	heads    [claim.Buckets]claim.Head
+	versions [claim.Buckets]claim.Version
+	segments map[string][]claim.Record
+	keys     map[claim.Key]keyObject // objects of the baseline
+	revision claim.Version
+
+	away       bool
+	loseAnswer float64
+	lateEffect float64
+	// gap is the time between two writes at the ceiling, 0 without a ceiling.
+	gap    time.Duration
+	free   time.Time
+	writes int64
+	bytes  int64 // of records, without the syntax of the head
+}
+
+func newClaimStore(loop *Loop, source *rand.Rand) *claimStore {
+	return &claimStore{
+		loop: loop, source: source, segments: map[string][]claim.Record{}, keys: map[claim.Key]keyObject{},
+	}
+}
+
+// write performs apply, which reports whether its condition held, and tells the result.
+func (s *claimStore) write(apply func() bool, tell func(writeResult)) {
+	s.writes++
+	p := s.source.Float64()
+	switch {
+	case s.away:
+		s.loop.After(storeTimeout, func() { tell(answerLost) })
+		return
+	case p < s.lateEffect:
+		s.loop.After(time.Duration(s.source.Int64N(int64(longestLateEffect))), func() { apply() })
+		s.loop.After(storeTimeout, func() { tell(answerLost) })
+		return
+	}
+	begin := later(s.loop.Now(), s.free)
+	s.free = begin.Add(s.gap)
+	s.loop.At(begin.Add(storeDelay), func() {
+		ok := apply()
+		switch {
+		case p < s.lateEffect+s.loseAnswer:
+			s.loop.After(storeTimeout, func() { tell(answerLost) })
+		case ok:
+			tell(written)
+		default:
+			tell(refused)
+		}
+	})
+}
+
+// read performs get at once and tells what it returned after the delay of a call, so that the answer
+// may be stale. It tells false if the store is away.
+func (s *claimStore) read(get func() func(ok bool)) {
+	if s.away {
+		s.loop.After(storeTimeout, func() { get()(false) })
+		return
+	}
+	tell := get()
+	s.loop.After(storeDelay, func() { tell(true) })
+}
+
+func (s *claimStore) writeHead(bucket int, a claim.Action, tell func(writeResult, claim.Version)) {
+	var v claim.Version
+	s.bytes += sizeOf(a.Head.Claims)
+	s.write(func() bool {
+		if s.versions[bucket] != a.Expected {
+			return false
+		}
+		s.revision++
+		v = s.revision
+		s.heads[bucket], s.versions[bucket] = a.Head, v
+		return true
+	}, func(r writeResult) { tell(r, v) })
+}
+
+func (s *claimStore) writeSegment(a claim.Action, tell func(writeResult)) {
+	s.bytes += sizeOf(a.Records)
+	s.write(func() bool {
+		if _, exists := s.segments[a.Segment]; !exists {
+			s.segments[a.Segment] = a.Records
+		}
+		return true
+	}, tell)
+}
+
+// sizeOf returns the size of records in JSON, in bytes.
+func sizeOf(records []claim.Record) int64 {
+	const syntax = 20
+	total := 0
+	for _, r := range records {
+		total += len(r.Key) + len(r.Result) + syntax
+	}
+	return int64(total)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
