--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -56,7 +56,7 @@
 	}
 	cfg := configsync.New(client, k.Bus(), ring, log, c)
 	m := members.New(self, client, k.Bus(), ring, log, c)
-	e := entry.New(s.Instance, cfg, k.Bus(), log, c)
+	e := entry.New(s.Instance, s.FailureDomain, cfg, k.Bus(), log, c)
 	cl := claims.New(claims.Config{
 		Instance: s.Instance, Client: client, Members: m, Targets: e, Peers: peer.NewTransport(),
 		Bus: k.Bus(), Log: log, Counters: c,
--- a/instance/entry/execute.go
+++ b/instance/entry/execute.go
@@ -57,7 +57,7 @@
 	if !known {
 		return "", query.OutcomeNotRun
 	}
-	id, ok := ix.Choose(m.Shards[0])
+	id, ok := ix.peek(m.Shards[0])
 	if !ok {
 		return "", query.OutcomeNotRun
 	}
--- a/instance/entry/index.go
+++ b/instance/entry/index.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"hyssopcroft.example/query"
-	"hyssopcroft.example/query/replica"
+	"hyssopcroft.example/query/scatter"
 	"hyssopcroft.example/query/snapshot"
 )
 
@@ -17,13 +17,13 @@
 	mu        sync.Mutex // guards the fields below
 	snapshots snapshot.Chooser
 	median    *snapshot.Median // of the latency of complete answers
-	replicas  *replica.Random
+	pool      *scatter.Pool
 	addresses map[query.TargetID]string
 }
 
-func newIndex(name string, source *rand.Rand) *index {
+func newIndex(name, failureDomain string, source *rand.Rand) *index {
 	return &index{
-		name: name, median: snapshot.NewMedian(), replicas: replica.NewRandom(source),
+		name: name, median: snapshot.NewMedian(), pool: scatter.NewPool(failureDomain, source),
 		addresses: map[query.TargetID]string{},
 	}
 }
@@ -38,7 +38,7 @@
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
 	ix.snapshots.SetTargets(targets)
-	ix.replicas.SetTargets(targets)
+	ix.pool.SetTargets(targets)
 	clear(ix.addresses)
 	for _, t := range targets {
 		ix.addresses[t.ID] = t.Address
@@ -82,21 +82,18 @@
 	return r.OnFinish(time.Now(), &ix.snapshots, got, ix.median.Value())
 }
 
-// Choose implements scatter.Chooser.
-func (ix *index) Choose(s query.Shard) (query.TargetID, bool) {
-	ix.mu.Lock()
-	defer ix.mu.Unlock()
-	return ix.replicas.Choose(s)
+// at returns the policy of a query at the version.
+func (ix *index) at(v query.Version) *versionPolicy {
+	return &versionPolicy{
+		index: ix, unfit: func(id query.TargetID) bool { return !ix.snapshots.MayHold(id, v) },
+	}
 }
 
-// at returns a chooser that avoids the targets that do not hold the version.
-func (ix *index) at(v query.Version) *versionChooser { return &versionChooser{index: ix, version: v} }
-
-// mayHold reports whether the target is not known to lack the version.
-func (ix *index) mayHold(id query.TargetID, v query.Version) bool {
+// peek returns a target for a request that is sent once and not counted.
+func (ix *index) peek(s query.Shard) (query.TargetID, bool) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	return ix.snapshots.MayHold(id, v)
+	return ix.pool.Peek(time.Now(), s)
 }
 
 func (ix *index) address(id query.TargetID) string {
