Shut down gracefully in phases and without waiting for idle connections

Cause: app.Stop closed the listener at once, while the balancer still sent requests, and then took more than a second: http.Server.Shutdown takes every HTTP/2 connection for active until the connection ends, and an idle one ends one second after its GOAWAY.

The setting balancer_lag is new, 5 s by default; the demo and tests without a balancer set it to 1 ms.

--- a/cmd/hyssopctl/demo.go
+++ b/cmd/hyssopctl/demo.go
@@ -17,6 +17,7 @@
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/emulator/fleet"
 	"hyssopcroft.example/instance/app"
+	"hyssopcroft.example/kernel/settings"
 )
 
 const (
@@ -62,6 +63,7 @@
 		s := app.Settings{
 			Instance: fmt.Sprintf("entry-%d", i+1), FailureDomain: domains[i%len(domains)], Region: "north",
 			Listen: fmt.Sprintf("127.0.0.1:%d", port), Platform: f.PlatformURL(),
+			BalancerLag: settings.Duration(time.Millisecond), // no balancer sends requests here
 		}
 		a, err := app.New(s, log)
 		if err != nil {
--- a/emulator/fleet/fleet_test.go
+++ b/emulator/fleet/fleet_test.go
@@ -21,6 +21,7 @@
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/emulator/fleet"
 	"hyssopcroft.example/instance/app"
+	"hyssopcroft.example/kernel/settings"
 )
 
 const (
@@ -57,6 +58,7 @@
 	for _, id := range []string{"entry-1", "entry-2"} {
 		a, err := app.New(app.Settings{
 			Instance: id, FailureDomain: "caernarfon", Region: "wales", Listen: "127.0.0.1:0", Platform: f.PlatformURL(),
+			BalancerLag: settings.Duration(time.Millisecond), // no balancer sends requests here
 		}, slog.New(slog.DiscardHandler))
 		require.NoError(t, err)
 		apps = append(apps, a)
--- a/emulator/measure/claim_store.go
+++ b/emulator/measure/claim_store.go
@@ -124,10 +124,3 @@
 	}
 	return int64(total)
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/emulator/pathcost/entry_side.go
+++ b/emulator/pathcost/entry_side.go
@@ -16,6 +16,7 @@
 	"hyssopcroft.example/instance/app"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/entry"
+	"hyssopcroft.example/kernel/settings"
 	"hyssopcroft.example/query"
 )
 
@@ -38,6 +39,7 @@
 func newEntrySide(platformURL string, log *slog.Logger) (*entrySide, error) {
 	a, err := app.New(app.Settings{
 		Instance: "path-cost", FailureDomain: "local", Region: "local", Listen: "127.0.0.1:0", Platform: platformURL,
+		BalancerLag: settings.Duration(time.Millisecond), // no balancer sends requests here
 	}, log)
 	if err != nil {
 		return nil, err
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -15,6 +15,7 @@
 	"hyssopcroft.example/adapter/caller"
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/control/drain"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/claims"
 	"hyssopcroft.example/instance/configsync"
@@ -32,8 +33,12 @@
 	settings Settings
 	log      *slog.Logger
 	kernel   *kernel.Kernel
-	server   *http.Server
-	listener net.Listener
+	members  *members.Service
+	drain    *drainer
+
+	server      *http.Server
+	connections *connections
+	listener    net.Listener
 }
 
 // New assembles an instance and binds its address. Nothing is served before Start.
@@ -68,12 +73,26 @@
 			return nil, err
 		}
 	}
-	return &App{settings: s, log: log, kernel: k, server: newServer(e, op, m, cl, c), listener: listener}, nil
+	d := newDrainer(e, s, c, func(p drain.Phase) {
+		ev := DrainPhase{Instance: s.Instance, Phase: p.String()}
+		log.Info("drain phase changed", "phase", ev.Phase)
+		ring.Add(ev.Topic(), ev.Instance, ev.Phase)
+		if err := k.Bus().Publish(ev); err != nil {
+			log.Error("event not published", "topic", ev.Topic(), "error", err)
+		}
+	})
+	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), listener: listener}
+	a.server = newServer(d, op, m, cl, c)
+	a.server.ConnState = a.connections.follow
+	return a, nil
 }
 
-func newServer(e *entry.Service, op *operator.Service, m *members.Service, cl *claims.Service, c *counters.Set) *http.Server {
+func newServer(d *drainer, op *operator.Service, m *members.Service, cl *claims.Service, c *counters.Set) *http.Server {
 	r := chi.NewRouter()
-	caller.Routes(r, e)
+	r.Group(func(r chi.Router) {
+		r.Use(d.closeWhileLeaving)
+		caller.Routes(r, d)
+	})
 	admin.Routes(r, op, c)
 	prefix, handler := peer.MembershipHandler(m)
 	r.Handle(prefix+"*", handler)
@@ -114,14 +133,22 @@
 // Address returns the address on which the instance listens.
 func (a *App) Address() string { return a.listener.Addr().String() }
 
-// Stop finishes the requests in flight and stops the services, within the shutdown timeout.
+// Stop leaves the fleet gracefully: it announces that it is leaving, serves until the balancer has
+// noticed, refuses new work, finishes the work in flight and stops the services. It takes at most
+// the shutdown timeout.
 func (a *App) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(a.settings.ShutdownTimeout))
 	defer cancel()
-	err := a.server.Shutdown(ctx)
+	idle := a.drain.begin()
+	a.members.Leave(ctx)
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+	err := a.connections.close(ctx, a.server)
 	if stopErr := a.kernel.Stop(ctx); err == nil {
 		err = stopErr
 	}
-	a.log.Info("instance stopped")
+	a.log.Info("instance stopped", "requests_cut", a.drain.cut())
 	return errors.Wrap(err, "stop instance")
 }
--- a/instance/app/settings.go
+++ b/instance/app/settings.go
@@ -14,6 +14,7 @@
 
 const (
 	defaultShutdownTimeout = 30 * time.Second
+	defaultBalancerLag     = 5 * time.Second
 	defaultTimelineEvents  = 4096
 )
 
@@ -27,7 +28,9 @@
 	// Platform is the base URL of the platform's object API.
 	Platform        string            `json:"platform"`
 	ShutdownTimeout settings.Duration `json:"shutdown_timeout"`
-	TimelineEvents  int               `json:"timeline_events"`
+	// BalancerLag is the time that the balancer takes to notice that the instance is not ready.
+	BalancerLag    settings.Duration `json:"balancer_lag"`
+	TimelineEvents int               `json:"timeline_events"`
 }
 
 // LoadSettings reads and checks a settings file. A *settings.FaultsError lists all faults.
@@ -40,6 +43,9 @@
 	if s.ShutdownTimeout == 0 {
 		s.ShutdownTimeout = settings.Duration(defaultShutdownTimeout)
 	}
+	if s.BalancerLag == 0 {
+		s.BalancerLag = settings.Duration(defaultBalancerLag)
+	}
 	if s.TimelineEvents == 0 {
 		s.TimelineEvents = defaultTimelineEvents
 	}
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -94,6 +94,17 @@
 	return nil
 }
 
+// Leave announces to all peers that the instance is leaving, and returns when each has been told or
+// could not be reached.
+func (s *Service) Leave(ctx context.Context) {
+	s.change(func(m *membership.Member) { m.State = membership.Leaving })
+	s.announce(s.self())
+	s.exchangeWithAll(ctx)
+}
+
+// Leaving reports whether the instance has announced that it is leaving.
+func (s *Service) Leaving() bool { return s.self().State == membership.Leaving }
+
 // Members returns all known members, the instance itself included.
 func (s *Service) Members() []membership.Member {
 	s.mu.Lock()
@@ -138,6 +149,11 @@
 	if !changed {
 		return
 	}
+	s.announce(m)
+}
+
+// announce tells the other services of this instance about a changed record.
+func (s *Service) announce(m membership.Member) {
 	s.ring.Add("member_changed", m.ID, m.State.String())
 	if err := s.bus.Publish(Changed{ID: m.ID, State: m.State.String()}); err != nil {
 		s.log.Error("event not published", "topic", "member_changed", "error", err)
--- a/instance/operator/service.go
+++ b/instance/operator/service.go
@@ -176,10 +176,10 @@
 	return status
 }
 
-// Ready reports whether the instance can take requests.
+// Ready reports whether the instance should be sent requests.
 func (s *Service) Ready() bool {
 	_, known := s.config.InForce()
-	return known
+	return known && !s.members.Leaving()
 }
 
 // Timeline returns the latest events of this instance.
