Measure the replacement of instances under load, and route executes again

Cause: nothing showed whether callers notice that an instance is replaced. A longer run found executes refused because every replica of the shard was at its concurrency limit, which uses up the key.

Change: emulator/rolling replaces each instance on loopback under load, as a test and as the measure rolling-replace; instance/claims looks for the writer again for up to two seconds while the request certainly was not sent; instance/members reads the list of instances before its first exchange; an execute waits for a target below its limit.

--- a/emulator/measure/claim_instance.go
+++ b/emulator/measure/claim_instance.go
@@ -56,22 +56,42 @@
 
 // submit implements executor.
 func (i *claimInstance) submit(k claim.Key, first bool, tell func(claim.Answer)) {
-	i.on(func() { i.route(k, first, 1, tell) })
+	answered := false
+	once := func(a claim.Answer) {
+		if !answered {
+			answered = true
+			tell(a)
+		}
+	}
+	i.on(func() { i.route(k, first, 1, once) })
+	i.world.loop.After(creditDeadline+creditMargin, func() {
+		i.on(func() { once(claim.Answer{State: claim.Unknown}) })
+	})
 }
 
-// route gives the submission to the writer of its bucket and looks for it again if the instance that
-// it found is gone or says that it is not the writer.
+// creditMargin is the time after the deadline in which the answer of a writer still counts.
+const creditMargin = 500 * time.Millisecond
+
+// route gives the submission to the writer of its bucket and looks for it again while the instance
+// that it found has done nothing with the request.
 func (i *claimInstance) route(k claim.Key, first bool, attempt int, tell func(claim.Answer)) {
 	again := func() {
-		if attempt == forwardAttempts {
+		if attempt == routeAttempts {
 			tell(i.unsent(first))
 			return
 		}
-		i.world.loop.After(forwardRetry, func() { i.on(func() { i.route(k, first, attempt+1, tell) }) })
+		i.world.loop.After(routeRetry, func() { i.on(func() { i.route(k, first, attempt+1, tell) }) })
+	}
+	answer := func(a claim.Answer) {
+		if a.Reason == claim.ReasonReplaced {
+			again()
+			return
+		}
+		tell(a)
 	}
 	id := claim.ChooseWriter(k.Bucket(), i.view)
 	if id == i.id {
-		i.execute(k, first, tell)
+		i.execute(k, first, answer)
 		return
 	}
 	n := slices.IndexFunc(i.world.instances, func(o *claimInstance) bool { return o.id == id })
@@ -79,7 +99,10 @@
 		again()
 		return
 	}
-	writer := i.world.instances[n]
+	i.forward(i.world.instances[n], k, first, again, answer)
+}
+
+func (i *claimInstance) forward(writer *claimInstance, k claim.Key, first bool, again func(), answer func(claim.Answer)) {
 	lost := i.world.source.Float64() < i.world.scenario.Faults.loseAnswer
 	back := func(f func()) { i.world.loop.After(peerDelay, func() { i.on(f) }) }
 	i.world.loop.After(peerDelay, func() {
@@ -90,12 +113,11 @@
 			}
 			writer.execute(k, first, func(a claim.Answer) {
 				if !lost {
-					back(func() { tell(a) })
+					back(func() { answer(a) })
 				}
 			})
 		})
 	})
-	i.world.loop.After(creditDeadline, func() { i.on(func() { tell(claim.Answer{State: claim.Unknown}) }) })
 }
 
 func (i *claimInstance) unsent(first bool) claim.Answer {
--- a/emulator/measure/claim_world.go
+++ b/emulator/measure/claim_world.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	creditDeadline  = 5 * time.Second
-	claimWait       = 2500 * time.Millisecond
-	forwardRetry    = 250 * time.Millisecond
-	forwardAttempts = 3
-	peerDelay       = 4 * time.Millisecond // one way
+	creditDeadline = 5 * time.Second
+	claimWait      = 2500 * time.Millisecond
+	routeRetry     = 250 * time.Millisecond
+	routeAttempts  = 8
+	peerDelay      = 4 * time.Millisecond // one way
 	// longestViewLag bounds how late an instance learns that another one came or went.
 	longestViewLag  = 5 * time.Second
 	creditService   = 10 * time.Millisecond
--- /dev/null
+++ b/emulator/measure/rolling_replace.go
@@ -0,0 +1,50 @@
+package measure
+
+import (
+	"time"
+
+	"hyssopcroft.example/emulator/rolling"
+)
+
+func init() {
+	Register(Measure{
+		Name:    "rolling-replace",
+		Summary: "requests that callers lose while each instance of a fleet on loopback is replaced, in real time",
+		Run:     rollingReplace,
+	})
+}
+
+// rollingReplace compares the phases of a shutdown with instances that refuse work and stop at once.
+func rollingReplace(seed uint64) Report {
+	r := NewReport()
+	cfg := rolling.Config{
+		Instances: 4, Workers: 40, BalancerPoll: time.Second, MeanServiceTime: 20 * time.Millisecond,
+		Settle: 2 * time.Second, Seed: seed,
+	}
+	r.Sizes["instances"] = float64(cfg.Instances)
+	r.Sizes["workers"] = float64(cfg.Workers)
+	r.Sizes["balancer_poll_s"] = cfg.BalancerPoll.Seconds()
+	cfg.BalancerLag = time.Millisecond
+	r.Baseline = replaced(cfg)
+	cfg.BalancerLag = 5 * time.Second
+	r.Result = replaced(cfg)
+	r.ResultAtMost("requests_cut", 0)
+	r.ResultAtMost("new_work_after_3s_of_refusal", 0)
+	r.ResultAtMost("run_twice", 0)
+	r.ResultAtLeast("replaced", float64(cfg.Instances))
+	return r
+}
+
+func replaced(cfg rolling.Config) Figures {
+	result, err := rolling.Run(cfg)
+	f := Figures{
+		"requests": float64(result.Requests), "requests_cut": float64(result.Cut),
+		"requests_refused": float64(result.Refused), "new_work_after_3s_of_refusal": float64(result.Late),
+		"run_twice": float64(result.RunTwice), "longest_stop_s": result.LongestStop.Seconds(),
+		"replaced": float64(result.Replaced),
+	}
+	if err != nil {
+		f["replaced"] = 0
+	}
+	return f
+}
--- /dev/null
+++ b/emulator/rolling/balancer.go
@@ -0,0 +1,101 @@
+package rolling
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/platform"
+)
+
+// balancer is a small stand-in for the platform's balancer: it gives callers the address of an
+// instance that was ready when it looked last.
+type balancer struct {
+	poll   time.Duration
+	client *http.Client
+
+	mu        sync.Mutex // guards the fields below
+	instances []platform.Instance
+	ready     []string
+}
+
+func newBalancer(poll time.Duration) *balancer {
+	return &balancer{poll: poll, client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+func (b *balancer) add(id, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = append(b.instances, instanceOf(id, address))
+}
+
+func (b *balancer) remove(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = slices.DeleteFunc(b.instances, func(i platform.Instance) bool { return i.Address == address })
+}
+
+func (b *balancer) list() []platform.Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.instances)
+}
+
+// watch looks at all instances once in each period until ctx is done.
+func (b *balancer) watch(ctx context.Context) {
+	ticker := time.NewTicker(b.poll)
+	defer ticker.Stop()
+	for {
+		var ready []string
+		for _, i := range b.list() {
+			if b.isReady(i.Address) {
+				ready = append(ready, i.Address)
+			}
+		}
+		b.mu.Lock()
+		b.ready = ready
+		b.mu.Unlock()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *balancer) isReady(address string) bool {
+	resp, err := b.client.Get("http://" + address + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // nothing is read from it
+	return resp.StatusCode == http.StatusOK
+}
+
+// choose returns a ready instance, or false if there is none.
+func (b *balancer) choose(source *rand.Rand) (string, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return "", false
+	}
+	return b.ready[source.IntN(len(b.ready))], true
+}
+
+// awaitReady waits until n instances are ready.
+func (b *balancer) awaitReady(n int) error {
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(b.poll / 4) {
+		b.mu.Lock()
+		ready := len(b.ready)
+		b.mu.Unlock()
+		if ready >= n {
+			return nil
+		}
+	}
+	return errors.Errorf("%d instances are not ready after %s", n, readyTimeout)
+}
--- /dev/null
+++ b/emulator/rolling/worker.go
@@ -0,0 +1,128 @@
+package rolling
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"hyssopcroft.example/adapter/caller"
+	"hyssopcroft.example/adapter/problem"
+)
+
+const (
+	// executeShare is the share of requests that may not be repeated.
+	executeShare = 0.2
+	// thinkTime is the pause between two requests of a worker.
+	thinkTime = 5 * time.Millisecond
+)
+
+// worker sends one request at a time.
+type worker struct {
+	run    *run
+	number int
+	client *http.Client
+	source *rand.Rand
+	// pinned workers stay on their connection until they are asked to close it.
+	pinned  bool
+	address string
+	sent    int
+}
+
+func (r *run) work(ctx context.Context, n int) {
+	w := &worker{
+		run: r, number: n, client: &http.Client{Transport: &http.Transport{}, Timeout: 2 * deadline},
+		source: rand.New(rand.NewPCG(r.cfg.Seed, uint64(n))), pinned: n%2 == 0,
+	}
+	defer w.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		w.request()
+		time.Sleep(thinkTime)
+	}
+}
+
+func (w *worker) request() {
+	if !w.pinned || w.address == "" {
+		address, ok := w.run.balancer.choose(w.source)
+		if !ok {
+			w.run.count(func(r *Result) { r.Requests++; r.Cut++; r.Causes["no ready instance"]++ })
+			return
+		}
+		w.address = address
+	}
+	w.sent++
+	path, body := "/v1/search", any(caller.Search{Plan: plan, Index: index, Query: "washed jars"})
+	if w.source.Float64() < executeShare {
+		key := fmt.Sprintf("%d-%d.%d", time.Now().UnixMilli(), w.number, w.sent)
+		path, body = "/v1/execute", caller.Execute{Plan: plan, Index: index, Key: key, Body: "credit 2", FirstSubmission: true}
+		w.run.addKey(key)
+	}
+	begin, address := time.Now(), w.address
+	cause, refused, leave := w.post(path, body)
+	if leave || cause != "" {
+		w.address = ""
+	}
+	w.run.count(func(r *Result) {
+		r.Requests++
+		switch {
+		case refused:
+			r.Refused++
+		case cause != "":
+			r.Cut++
+		}
+		if cause != "" {
+			r.Causes[cause]++
+		}
+	})
+	w.run.countLate(address, begin)
+}
+
+// post returns why a request was cut, "" if it was not; whether it was refused as not run; and
+// whether the instance asked to close the connection.
+func (w *worker) post(path string, body any) (cause string, refused, leave bool) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err.Error(), false, false
+	}
+	resp, err := w.client.Post("http://"+w.address+path, "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return fmt.Sprintf("%s: %T", path, err), false, true
+	}
+	defer resp.Body.Close()
+	raw, err = io.ReadAll(resp.Body)
+	if err != nil {
+		return path + ": body cut", false, true
+	}
+	if resp.StatusCode == http.StatusOK {
+		return "", false, resp.Close
+	}
+	p := problem.Read(raw, resp.StatusCode)
+	if p == nil {
+		return fmt.Sprintf("%s: status %d", path, resp.StatusCode), false, resp.Close
+	}
+	return path + ": " + p.Error(), p.Run == problem.NotRun, resp.Close
+}
+
+func (r *run) addKey(key string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.keys = append(r.keys, key)
+}
+
+func (r *run) count(change func(*Result)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.result)
+}
+
+func (r *run) countLate(address string, begin time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at, ok := r.refusing[address]; ok && begin.After(at.Add(lateAfter)) {
+		r.result.Late++
+	}
+}
--- a/instance/claims/service.go
+++ b/instance/claims/service.go
@@ -32,8 +32,9 @@
 	claimTimeout = 2500 * time.Millisecond
 	// refreshPeriod is the time between two looks at the members.
 	refreshPeriod = 250 * time.Millisecond
-	// forwardAttempts bounds how often a submission looks for the writer of its bucket again.
-	forwardAttempts = 3
+	// routeAttempts bounds how often a submission looks for the writer of its bucket. Views of the
+	// members may differ for the time of an exchange, which is one second.
+	routeAttempts = 8
 	// settlePoll is the time between two looks at whether results are stored while stopping.
 	settlePoll = 20 * time.Millisecond
 )
@@ -202,8 +203,8 @@
 	return a
 }
 
-// route gives the request to the writer of its bucket. It looks again while the instance found says
-// that it is not the writer, since views of the members differ for a short time.
+// route gives the request to the writer of its bucket. It looks for the writer again while the
+// instance found has done nothing with the request, since views of the members differ for a short time.
 func (s *Service) route(ctx context.Context, r Request) claim.Answer {
 	bucket := r.Key.Bucket()
 	for attempt := 1; ; attempt++ {
@@ -211,21 +212,22 @@
 		var a claim.Answer
 		var done bool
 		if id == s.cfg.Instance {
-			a, done = s.buckets[bucket].execute(ctx, r), true
+			a = s.buckets[bucket].execute(ctx, r)
+			done = a.Reason != claim.ReasonReplaced
 		} else if id != "" {
 			a, done = s.forward(ctx, address, r)
 		}
 		if done {
 			return a
 		}
-		if attempt == forwardAttempts || !sleep(ctx, refreshPeriod) {
+		if attempt == routeAttempts || !sleep(ctx, refreshPeriod) {
 			return unsent(r, claim.ReasonReplaced)
 		}
 		s.refresh()
 	}
 }
 
-// forward returns false if the request certainly did not get to the writer.
+// forward returns false if the instance certainly did not send the request and will not.
 func (s *Service) forward(ctx context.Context, address string, r Request) (claim.Answer, bool) {
 	s.cfg.Counters.Counter("executes_forwarded").Add(1)
 	resp, err := peer.ExecutionClient(address, s.cfg.Peers).ForwardExecute(ctx, &executepb.ForwardExecuteRequest{
@@ -242,7 +244,8 @@
 	case resp.State == executepb.State_STATE_NOT_WRITER:
 		return claim.Answer{}, false
 	}
-	return peer.AnswerFromWire(resp), true
+	a := peer.AnswerFromWire(resp)
+	return a, a.Reason != claim.ReasonReplaced
 }
 
 // ForwardExecute implements the twirp service. It runs the request only if this instance writes the
--- a/instance/entry/execute.go
+++ b/instance/entry/execute.go
@@ -47,17 +47,16 @@
 	return caller.Execution{Key: e.Key, Instance: s.instance, Result: a.Result, Repeated: a.Repeated}, nil
 }
 
+// targetPoll is the time between two looks for a target that is below its concurrency limit.
+const targetPoll = 10 * time.Millisecond
+
 // SendOnce implements claims.Targets. It sends the request to one target.
 func (s *Service) SendOnce(ctx context.Context, r claims.Request) (string, query.Outcome) {
 	ix, known := s.lookup(r.Index)
 	if !known {
 		return "", query.OutcomeNotRun
 	}
-	m, known := ix.chooseSnapshot()
-	if !known {
-		return "", query.OutcomeNotRun
-	}
-	id, ok := ix.peek(m.Shards[0])
+	id, ok := ix.awaitTarget(ctx)
 	if !ok {
 		return "", query.OutcomeNotRun
 	}
@@ -67,3 +66,22 @@
 	})
 	return string(result), outcome
 }
+
+// awaitTarget returns a target for an execute, which takes the first shard. It waits until ctx is
+// done, because a claim that is stored and not sent uses up its key.
+func (ix *index) awaitTarget(ctx context.Context) (query.TargetID, bool) {
+	ticker := time.NewTicker(targetPoll)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if m, known := ix.chooseSnapshot(); known {
+			if id, ok := ix.peek(m.Shards[0]); ok {
+				return id, true
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	return "", false
+}
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -71,7 +71,7 @@
 func (s *Service) Needs() []string { return []string{configsync.Name} }
 
 // Start begins to exchange records.
-func (s *Service) Start(context.Context) error {
+func (s *Service) Start(startCtx context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	err := kernel.Subscribe(ctx, s.bus, func(ev configsync.InForce) {
@@ -82,6 +82,7 @@
 		return err
 	}
 	s.change(func(m *membership.Member) { m.State = membership.Live })
+	s.readList(startCtx) // The first exchange reaches only those that are known.
 	s.done.Go(func() { every(ctx, listPeriod, s.readList) })
 	s.done.Go(func() { every(ctx, exchangePeriod, s.exchangeWithAll) })
 	return nil
