--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -15,6 +15,7 @@
 	"hyssopcroft.example/adapter/caller"
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/control/drain"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/claims"
 	"hyssopcroft.example/instance/configsync"
@@ -34,8 +35,12 @@
 	settings Settings
 	log      *slog.Logger
 	kernel   *kernel.Kernel
-	server   *http.Server
-	listener net.Listener
+	members  *members.Service
+	drain    *drainer
+
+	server      *http.Server
+	connections *connections
+	listener    net.Listener
 }
 
 // New assembles an instance and binds its address. Nothing is served before Start.
@@ -73,15 +78,27 @@
 	rel := relay.New(e, c)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
 	op.RequireReady(li.Ready)
+	// At 20 connections a second, the first queries of an unconnected instance would miss their deadlines.
+	op.RequireReady(e.Connected)
 	for _, service := range []kernel.Service{e, cfg, m, cl, li, op, rel} {
 		if err := k.Register(service); err != nil {
 			return nil, err
 		}
 	}
-	server := newServer(connectedBackend{Service: op, entry: e}, e, c,
+	d := newDrainer(e, s, c, func(p drain.Phase) {
+		ev := DrainPhase{Instance: s.Instance, Phase: p.String()}
+		log.Info("drain phase changed", "phase", ev.Phase)
+		ring.Add(ev.Topic(), ev.Instance, ev.Phase)
+		if err := k.Bus().Publish(ev); err != nil {
+			log.Error("event not published", "topic", ev.Topic(), "error", err)
+		}
+	})
+	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), listener: listener}
+	a.server = newServer(op, d, c,
 		route(peer.MembershipHandler(m)), route(peer.ExecutionHandler(cl)),
 		route(peer.LendingHandler(li)), route(peer.RelayHandler(rel)))
-	return &App{settings: s, log: log, kernel: k, server: server, listener: listener}, nil
+	a.server.ConnState = a.connections.follow
+	return a, nil
 }
 
 // peerRoute is the handler of one twirp service and the prefix of its paths.
@@ -92,9 +109,12 @@
 
 func route(prefix string, handler http.Handler) peerRoute { return peerRoute{prefix, handler} }
 
-func newServer(operators admin.Backend, callers caller.Backend, c *counters.Set, peers ...peerRoute) *http.Server {
+func newServer(operators admin.Backend, callers *drainer, c *counters.Set, peers ...peerRoute) *http.Server {
 	r := chi.NewRouter()
-	caller.Routes(r, callers)
+	r.Group(func(r chi.Router) {
+		r.Use(callers.closeWhileLeaving)
+		caller.Routes(r, callers)
+	})
 	admin.Routes(r, operators, c)
 	for _, p := range peers {
 		r.Handle(p.prefix+"*", p.handler)
@@ -134,14 +154,22 @@
 // Address returns the address on which the instance listens.
 func (a *App) Address() string { return a.listener.Addr().String() }
 
-// Stop finishes the requests in flight and stops the services, within the shutdown timeout.
+// Stop leaves the fleet gracefully: it announces that it is leaving, serves until the balancer has
+// noticed, refuses new work, finishes the work in flight and stops the services. It takes at most
+// the shutdown timeout.
 func (a *App) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(a.settings.ShutdownTimeout))
 	defer cancel()
-	err := a.server.Shutdown(ctx)
+	idle := a.drain.begin()
+	a.members.Leave(ctx)
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+	err := a.connections.close(ctx, a.server)
 	if stopErr := a.kernel.Stop(ctx); err == nil {
 		err = stopErr
 	}
-	a.log.Info("instance stopped")
+	a.log.Info("instance stopped", "requests_cut", a.drain.cut())
 	return errors.Wrap(err, "stop instance")
 }
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -71,7 +71,7 @@
 func (s *Service) Needs() []string { return []string{configsync.Name} }
 
 // Start begins to exchange records.
-func (s *Service) Start(context.Context) error {
+func (s *Service) Start(startCtx context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	err := kernel.Subscribe(ctx, s.bus, func(ev configsync.InForce) {
@@ -82,6 +82,7 @@
 		return err
 	}
 	s.change(func(m *membership.Member) { m.State = membership.Live })
+	s.readList(startCtx) // The first exchange reaches only those that are known.
 	s.done.Go(func() { every(ctx, listPeriod, s.readList) })
 	s.done.Go(func() { every(ctx, exchangePeriod, s.exchangeWithAll) })
 	return nil
@@ -94,6 +95,17 @@
 	return nil
 }
 
+// Leave announces to all peers that the instance is leaving, and returns when each has been told or
+// could not be reached.
+func (s *Service) Leave(ctx context.Context) {
+	s.change(func(m *membership.Member) { m.State = membership.Leaving })
+	s.announce(s.self())
+	s.exchangeWithAll(ctx)
+}
+
+// Leaving reports whether the instance has announced that it is leaving.
+func (s *Service) Leaving() bool { return s.self().State == membership.Leaving }
+
 // Members returns all known members, the instance itself included.
 func (s *Service) Members() []membership.Member {
 	s.mu.Lock()
@@ -138,6 +150,11 @@
 	if !changed {
 		return
 	}
+	s.announce(m)
+}
+
+// announce tells the other services of this instance about a changed record.
+func (s *Service) announce(m membership.Member) {
 	s.ring.Add("member_changed", m.ID, m.State.String())
 	if err := s.bus.Publish(Changed{ID: m.ID, State: m.State.String()}); err != nil {
 		s.log.Error("event not published", "topic", "member_changed", "error", err)
--- a/instance/operator/service.go
+++ b/instance/operator/service.go
@@ -181,7 +181,7 @@
 	return status
 }
 
-// Ready reports whether the instance can take requests.
+// Ready reports whether the instance should be sent requests.
 func (s *Service) Ready() bool {
 	for _, ready := range s.ready {
 		if !ready() {
@@ -189,7 +189,7 @@
 		}
 	}
 	_, known := s.config.InForce()
-	return known
+	return known && !s.members.Leaving()
 }
 
 // Timeline returns the latest events of this instance.
