Send no sub-request twice by itself, and add the operators' pages

Cause: net/http sends a request again by itself after resets with REFUSED_STREAM or PROTOCOL_ERROR if it can get the body again: an execute whose stream a target reset with PROTOCOL_ERROR was sent hundreds of times within its second, against I5, and searches went beyond the retry budget. Change: adapter/target sets no GetBody, so each attempt is sent once. docs/operating.md, errors.md, counters.md and settings.md are new; tests compare them with the code and say what to add. Conclusion: an attempt is now one request on the wire; retries are left to the decisions.

--- a/adapter/target/client.go
+++ b/adapter/target/client.go
@@ -78,7 +78,7 @@
 		TimeLeftUs: timeLeftMicros(s.TimeLeft),
 	}
 	var resp targetpb.SearchResponse
-	if outcome, err := c.post(ctx, s.Address+PathSearch, true, req, &resp); err != nil {
+	if outcome, err := c.post(ctx, s.Address+PathSearch, req, &resp); err != nil {
 		return query.Reply{Attempt: s.Attempt, Request: s.Request, Shard: s.Shard, Snapshot: s.Snapshot, Outcome: outcome}
 	}
 	return ReplyOf(&resp)
@@ -120,7 +120,7 @@
 		TimeLeftUs: timeLeftMicros(e.TimeLeft),
 	}
 	var resp targetpb.ExecuteResponse
-	if outcome, err := c.post(ctx, e.Address+PathExecute, false, req, &resp); err != nil {
+	if outcome, err := c.post(ctx, e.Address+PathExecute, req, &resp); err != nil {
 		return nil, outcome
 	}
 	if resp.Key != e.Key || resp.AttemptId != uint64(e.Attempt) {
@@ -153,21 +153,20 @@
 	return uint32(min(max(d.Microseconds(), 0), math.MaxUint32))
 }
 
-// post returns an error together with what it says about the request having run. The transport
-// may send a repeatable request again if the target has refused its stream.
-func (c *Client) post(ctx context.Context, url string, repeatable bool, in, out proto.Message) (query.Outcome, error) {
+// post returns an error together with what it says about the request having run.
+func (c *Client) post(ctx context.Context, url string, in, out proto.Message) (query.Outcome, error) {
 	body, err := proto.Marshal(in)
 	if err != nil {
 		return query.OutcomeNotRun, errors.Wrap(err, "encode target request")
 	}
-	var t attemptTrace
+	t := &attemptTrace{}
 	req, err := http.NewRequestWithContext(t.trace(ctx), http.MethodPost, "http://"+url, bytes.NewReader(body))
 	if err != nil {
 		return query.OutcomeNotRun, errors.Wrap(err, "build target request")
 	}
-	if !repeatable {
-		req.GetBody = nil // Without it the transport cannot send the body a second time.
-	}
+	// Without GetBody the transport cannot send the body again. By itself it would resend after some
+	// resets, executes (I5) and searches beyond the retry budget (H4).
+	req.GetBody = nil
 	req.Header.Set("Content-Type", ContentType)
 	resp, err := c.http.Do(req)
 	if err != nil {
--- a/adapter/target/failure.go
+++ b/adapter/target/failure.go
@@ -14,18 +14,22 @@
 
 // attemptTrace notes how far one request got. Its connection is nil until one took the request.
 type attemptTrace struct {
-	sent atomic.Bool
-	conn atomic.Pointer[observedConn]
+	hooks httptrace.ClientTrace
+	sent  atomic.Bool
+	conn  atomic.Pointer[observedConn]
 }
 
 // trace returns a context under which the transport reports to the trace.
 func (t *attemptTrace) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		t.sent.Store(true)
-		if c, ok := info.Conn.(*observedConn); ok {
-			t.conn.Store(c)
-		}
-	}})
+	t.hooks.GotConn = t.gotConn
+	return httptrace.WithClientTrace(ctx, &t.hooks)
+}
+
+func (t *attemptTrace) gotConn(info httptrace.GotConnInfo) {
+	t.sent.Store(true)
+	if c, ok := info.Conn.(*observedConn); ok {
+		t.conn.Store(c)
+	}
 }
 
 // outcome says what a transport error tells about the request. Only an error before any
--- /dev/null
+++ b/cmd/hyssopctl/pages_test.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// root is the root of the repository.
+const root = "../.."
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	raw, err := os.ReadFile(filepath.Join(root, path))
+	require.NoError(t, err)
+	return string(raw)
+}
+
+// sources returns the contents of all Go files that are not tests, by path.
+func sources(t *testing.T) map[string]string {
+	t.Helper()
+	files := map[string]string{}
+	for _, module := range []string{"adapter", "control", "emulator", "instance", "kernel", "query"} {
+		err := fs.WalkDir(os.DirFS(root), module, func(path string, _ fs.DirEntry, err error) error {
+			if err == nil && strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
+				files[path] = read(t, path)
+			}
+			return err
+		})
+		require.NoError(t, err)
+	}
+	return files
+}
+
+var (
+	// counterUse finds counters by name; a name that is continued by an expression ends with "*".
+	counterUse = regexp.MustCompile(`(?:Counter|Func)\(\s*"([a-z0-9_]+)"(\s*\+)?|dropped\["([a-z0-9_]+)"(\s*\+)?`)
+	rowName    = regexp.MustCompile("(?m)^\\| `([a-z0-9_]+\\*?)` \\|")
+)
+
+func rowNames(page string) map[string]bool {
+	names := map[string]bool{}
+	for _, row := range rowName.FindAllStringSubmatch(page, -1) {
+		names[row[1]] = true
+	}
+	return names
+}
+
+// Guards against counters that the page lacks, and against rows about counters that are gone.
+func TestCountersPageIsCurrent(t *testing.T) {
+	page := rowNames(read(t, "docs/counters.md"))
+	var all strings.Builder
+	for path, text := range sources(t) {
+		all.WriteString(text)
+		for _, use := range counterUse.FindAllStringSubmatch(text, -1) {
+			name := use[1] + use[3]
+			if use[2]+use[4] != "" {
+				name += "*"
+			}
+			require.True(t, page[name], "%s counts %q: add to docs/counters.md the row\n| `%s` | what it counts |", path, name, name)
+		}
+	}
+	for name := range page {
+		literal := `"` + strings.TrimSuffix(name, "*") + `"`
+		require.Contains(t, all.String(), literal, "no code counts %q: remove its row from docs/counters.md", name)
+	}
+}
+
+// Guards against error codes that the page or the exit codes lack.
+func TestErrorsPageIsCurrent(t *testing.T) {
+	page := rowNames(read(t, "docs/errors.md"))
+	codes := regexp.MustCompile(`Code = "([a-z_]+)"`).FindAllStringSubmatch(read(t, "adapter/problem/problem.go"), -1)
+	require.NotEmpty(t, codes)
+	mapped := map[string]bool{}
+	for code := range exitCodes {
+		mapped[string(code)] = true
+	}
+	for _, c := range codes {
+		require.True(t, page[c[1]], "add a row for the code %q to docs/errors.md", c[1])
+		require.True(t, mapped[c[1]], "add the code %q to exitCodes in exit.go", c[1])
+	}
+}
+
+// Guards against a page that lacks a setting or describes it as it was.
+func TestSettingsPageIsCurrent(t *testing.T) {
+	want, err := settingsReference()
+	require.NoError(t, err)
+	require.Equal(t, want, read(t, "docs/settings.md"), "run: go run ./cmd/hyssopctl settings-reference > docs/settings.md")
+}
+
+// Guards against fields of the two lists that the operators' page lacks.
+func TestOperatingPageHasEveryField(t *testing.T) {
+	page := rowNames(read(t, "docs/operating.md"))
+	for _, field := range regexp.MustCompile(`json:"([a-z_]+)[,"]`).FindAllStringSubmatch(listFields(t), -1) {
+		require.True(t, page[field[1]], "add a row for the field %q to docs/operating.md", field[1])
+	}
+}
+
+// listFields returns the source of the types Plan and Limit.
+func listFields(t *testing.T) string {
+	t.Helper()
+	types := regexp.MustCompile(`(?s)type (?:Plan|Limit) struct \{.*?\n\}`).FindAllString(read(t, "control/config/config.go"), -1)
+	require.Len(t, types, 2)
+	return strings.Join(types, "\n")
+}
--- a/emulator/target/contract_test.go
+++ b/emulator/target/contract_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	api "hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/adapter/wire/targetpb"
@@ -240,19 +242,37 @@
 	}
 }
 
+// answer returns the body of a whole answer to the search and to the execute below.
+func answer(t *testing.T, text string) []byte {
+	t.Helper()
+	raw, err := proto.Marshal(&targetpb.SearchResponse{
+		RequestId: 7, AttemptId: 9, Snapshot: 1, Outcome: targetpb.Outcome_OUTCOME_ANSWERED,
+		Hits: []*targetpb.Hit{{Text: text}},
+	})
+	require.NoError(t, err)
+	return raw
+}
+
 // Guards against a response that cannot be understood and yet counts as an answer (I2, I3).
 func TestBadResponsesAreUnknown(t *testing.T) {
+	const limit = 4 << 20
+	body := func(raw []byte) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(raw) }
+	}
+	large := answer(t, strings.Repeat("x", limit))
 	cases := map[string]http.HandlerFunc{
-		"not protobuf": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte{0xff}) },
-		"error status": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
-		"too large":    func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 4<<20+1)) },
-		"reset stream": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
-		"empty body":   func(http.ResponseWriter, *http.Request) {},
+		"not protobuf":            body([]byte{0xff}),
+		"answer and more":         body(append(answer(t, ""), 0xff)),
+		"one byte over the limit": body(answer(t, strings.Repeat("x", 2*limit-len(large)+1))),
+		"empty body":              body(nil),
+		"error status":            func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"reset stream":            func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
 		"body cut off": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
 			_, _ = w.Write(make([]byte, 10))
 		},
 	}
+	require.Len(t, answer(t, strings.Repeat("x", 2*limit-len(large)+1)), limit+1)
 	for name, handler := range cases {
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, config(), target.HostConfig{}, func(t *testing.T, w *world) {
--- /dev/null
+++ b/emulator/target/resend_test.go
@@ -0,0 +1,87 @@
+package target_test
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/emulator/target"
+	"hyssopcroft.example/query"
+)
+
+// Frame types, flags and error codes of RFC 9113.
+const (
+	preface         = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+	frameHeaderSize = 9
+	frameHeaders    = 1
+	frameReset      = 3
+	frameSettings   = 4
+	flagEndStream   = 1
+	errProtocol     = 1
+	errRefused      = 7
+)
+
+// resetEveryStream speaks HTTP/2 to one client. It answers each complete request with a reset and
+// counts the requests.
+func resetEveryStream(c net.Conn, code uint32, requests *atomic.Int64) {
+	_, _ = io.ReadFull(c, make([]byte, len(preface)))
+	go func() { _, _ = c.Write(frame(frameSettings, 0, nil)) }()
+	header := make([]byte, frameHeaderSize)
+	for {
+		if _, err := io.ReadFull(c, header); err != nil {
+			return
+		}
+		length := int64(header[0])<<16 | int64(header[1])<<8 | int64(header[2])
+		if _, err := io.CopyN(io.Discard, c, length); err != nil {
+			return
+		}
+		stream := binary.BigEndian.Uint32(header[5:])
+		if header[3] == frameHeaders {
+			requests.Add(1)
+		}
+		if stream > 0 && header[4]&flagEndStream != 0 {
+			reset := frame(frameReset, stream, binary.BigEndian.AppendUint32(nil, code))
+			go func() { _, _ = c.Write(reset) }()
+		}
+	}
+}
+
+func frame(kind byte, stream uint32, payload []byte) []byte {
+	header := []byte{0, 0, byte(len(payload)), kind, 0}
+	return append(binary.BigEndian.AppendUint32(header, stream), payload...)
+}
+
+// Guards against a transport that by itself sends an execute a second time (I5), or a search beyond
+// the retry budget (H4).
+func TestTransportNeverResends(t *testing.T) {
+	for _, code := range []uint32{errProtocol, errRefused} {
+		inWorld(t, config(), target.HostConfig{}, func(t *testing.T, w *world) {
+			w.host.Stop()
+			l, err := w.network.Listen(address)
+			require.NoError(t, err)
+			defer l.Close()
+			var requests atomic.Int64
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go resetEveryStream(c, code, &requests)
+				}
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), timeLeft)
+			defer cancel()
+			_, outcome := w.client.Execute(ctx, execution("k", "credit"))
+			require.Equal(t, query.OutcomeUnknown, outcome)
+			require.EqualValues(t, 1, requests.Load())
+			require.Equal(t, query.OutcomeUnknown, w.client.Search(ctx, search(0, 1, "jars")).Outcome)
+			require.EqualValues(t, 2, requests.Load())
+		})
+	}
+}
