--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -52,7 +52,7 @@
 }
 
 func (s *Service) newRun(ix *index, req query.Request, shardMap query.Map, restart *snapshot.Restart) *run {
-	cfg := scatter.Config{Request: req, Map: shardMap, Chooser: ix.at(shardMap.Version), NextAttempt: s.nextAttempt}
+	cfg := scatter.Config{Request: req, Map: shardMap, Policy: ix.at(shardMap.Version), NextAttempt: s.nextAttempt}
 	return &run{
 		service: s, index: ix, request: req, version: shardMap.Version, restart: restart,
 		machine: scatter.New(cfg),
@@ -62,10 +62,11 @@
 }
 
 // loop returns the answer, or true with the map that the query has to be asked at again.
-func (r *run) loop(ctx context.Context) (query.Answer, query.Map, bool) {
-	ctx, cancel := context.WithCancel(ctx)
+func (r *run) loop(caller context.Context) (query.Answer, query.Map, bool) {
+	ctx, cancel := context.WithCancel(caller)
 	defer cancel() // ends all attempts that are still in flight
 	defer r.countDropped()
+	defer r.abandon()
 	finished := r.perform(ctx, r.machine.Start(time.Now()))
 	timer := time.NewTimer(time.Until(r.machine.NextWake()))
 	defer timer.Stop()
@@ -78,14 +79,19 @@
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), s.attempt, s.reply))
 		case <-timer.C:
 			finished = r.perform(ctx, r.machine.OnWake(time.Now()))
-			timer.Reset(time.Until(r.machine.NextWake()))
+		case <-caller.Done():
+			finished = true
 		}
+		timer.Reset(time.Until(r.machine.NextWake()))
 	}
 	answer := r.machine.Answer()
 	other, again := r.index.restartOnFinish(r.restart, answer.Coverage)
 	return answer, other, again
 }
 
+// abandon reports the attempts of an unfinished query as ended.
+func (r *run) abandon() { r.machine.Abandon(time.Now()) }
+
 func (r *run) countDropped() {
 	for reason, n := range r.machine.Dropped() {
 		r.service.counters.Counter(reason).Add(n)
@@ -114,7 +120,7 @@
 	call := target.Search{
 		Address: r.index.address(a.Target), Request: r.request.ID, Attempt: a.Attempt, Index: r.request.Index,
 		Shard: a.Shard, Snapshot: r.version, Query: r.request.Query, Limit: r.request.Limit,
-		TimeLeft: time.Until(r.request.Deadline),
+		TimeLeft: a.TimeLeft,
 	}
 	r.service.counters.Counter("attempts_sent").Add(1)
 	go func() {
