--- /dev/null
+++ b/emulator/target/change.go
@@ -0,0 +1,81 @@
+package target
+
+import (
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/emulator/fault"
+	"hyssopcroft.example/query"
+)
+
+// Paths of changes that are no faults in force but happen once. All take a POST with a JSON body
+// and return that body.
+const (
+	// PathCrash crashes the searcher. It takes no body and returns none.
+	PathCrash = fault.Path + "/crash"
+	// PathSilence silences connections, see Silence.
+	PathSilence = fault.Path + "/silence"
+	// PathDrain starts or ends draining, see Drain.
+	PathDrain = fault.Path + "/drain"
+	// PathSnapshots replaces the versions held, see Snapshots.
+	PathSnapshots = fault.Path + "/snapshots"
+	// PathHold adds a version that is partitioned anew, see Holding.
+	PathHold = fault.Path + "/hold"
+)
+
+// Silence is the number of connections to silence; the response holds how many were.
+type Silence struct {
+	Connections int `json:"connections"`
+}
+
+// Drain says whether the searcher drains.
+type Drain struct {
+	Draining bool `json:"draining"`
+}
+
+// Snapshots lists the versions that the searcher holds from now on, in ascending order.
+type Snapshots struct {
+	Held []query.Version `json:"held"`
+}
+
+// Holding is a version that the searcher holds from now on, with its shards at that version.
+type Holding struct {
+	Version query.Version `json:"version"`
+	Shards  []query.Shard `json:"shards"`
+	Rows    []Row         `json:"rows"`
+}
+
+func changeRoutes(r chi.Router, s *Searcher) {
+	r.Post(PathDrain, change(func(d Drain) Drain {
+		s.SetDraining(d.Draining)
+		return d
+	}))
+	r.Post(PathSnapshots, change(func(v Snapshots) Snapshots {
+		s.SetSnapshots(v.Held)
+		return v
+	}))
+	r.Post(PathHold, change(func(h Holding) Holding {
+		s.Hold(h.Version, h.Shards, h.Rows)
+		return h
+	}))
+}
+
+func hostRoutes(r chi.Router, h *Host) {
+	r.Post(PathCrash, func(http.ResponseWriter, *http.Request) { h.Crash() })
+	r.Post(PathSilence, change(func(s Silence) Silence {
+		return Silence{Connections: h.Silence(s.Connections)}
+	}))
+}
+
+func change[T any](apply func(T) T) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in T
+		if p := problem.DecodeBody(w, r, maxRequestBytes, &in); p != nil {
+			problem.Write(w, p)
+			return
+		}
+		problem.WriteJSON(w, http.StatusOK, apply(in))
+	}
+}
--- /dev/null
+++ b/emulator/target/control_test.go
@@ -0,0 +1,95 @@
+package target_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	api "hyssopcroft.example/adapter/target"
+	"hyssopcroft.example/emulator/fault"
+	"hyssopcroft.example/emulator/target"
+	"hyssopcroft.example/query"
+)
+
+// control sends one JSON body over HTTP/1.1, as curl does, and returns the status.
+func control(t *testing.T, w *world, method, path string, in any) int {
+	t.Helper()
+	raw, err := json.Marshal(in)
+	require.NoError(t, err)
+	req, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(raw))
+	require.NoError(t, err)
+	transport := &http.Transport{DialContext: w.network.DialContext, DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Guards against faults that can be switched in Go but not in a separate process, and against
+// impossible ones that are switched on without a word.
+func TestFaultsOverHTTP(t *testing.T) {
+	ok, put, post := http.StatusOK, http.MethodPut, http.MethodPost
+	shards := []query.Shard{4}
+	cases := []struct {
+		name, method, path string
+		body               any
+		status             int
+		send               api.Search
+		outcome            query.Outcome
+	}{
+		{"shed", put, fault.Path, target.Faults{ShedShare: 1}, ok, search(0, 1, "jars"), query.OutcomeShed},
+		{"impossible share", put, fault.Path, target.Faults{ShedShare: 2}, 422, search(0, 1, "jars"), query.OutcomeAnswered},
+		{"impossible factor", put, fault.Path, target.Faults{SlowShare: 1}, 422, search(0, 1, "jars"), query.OutcomeAnswered},
+		{"unknown fault", put, fault.Path, map[string]int{"colour": 1}, 400, search(0, 1, "jars"), query.OutcomeAnswered},
+		{"all off", http.MethodDelete, fault.Path, nil, ok, search(0, 1, "jars"), query.OutcomeAnswered},
+		{"drain", post, target.PathDrain, target.Drain{Draining: true}, ok, search(0, 1, "jars"), query.OutcomeDraining},
+		{"drop a version", post, target.PathSnapshots, target.Snapshots{Held: []query.Version{2}}, ok, search(0, 1, "jars"), query.OutcomeSnapshotGone},
+		{"split", post, target.PathHold, target.Holding{Version: 3, Shards: shards}, ok, search(4, 3, "jars"), query.OutcomeAnswered},
+		{"silence", post, target.PathSilence, target.Silence{Connections: 1}, ok, search(0, 1, "jars"), query.OutcomeUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inWorld(t, config(), target.HostConfig{}, func(t *testing.T, w *world) {
+				require.Equal(t, query.OutcomeAnswered, w.client.Search(t.Context(), search(0, 2, "jars")).Outcome)
+				require.Equal(t, c.status, control(t, w, c.method, c.path, c.body))
+				require.Equal(t, c.outcome, w.client.Search(t.Context(), c.send).Outcome)
+			})
+		})
+	}
+}
+
+// Guards against a difference between pipes and TCP in what a crash and a connection refused at
+// the limit look like.
+func TestCrashAndLimitOverTCP(t *testing.T) {
+	const rounds = 20 // the order in which the ends see the close differs from run to run
+	for range rounds {
+		s := target.NewSearcher(config())
+		require.NoError(t, s.SetFaults(target.Faults{CrashOn: "poison"}))
+		h := target.NewHost(s, target.HostConfig{Connections: 1})
+		at, err := h.Start("127.0.0.1:0")
+		require.NoError(t, err)
+		occupied, err := net.Dial("tcp", at)
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return h.Connections() == 1 }, time.Second, time.Millisecond)
+		transport := api.NewTransport(time.Second, time.Second)
+		ask := func(text string) query.Outcome {
+			send := search(0, 1, text)
+			send.Address = at
+			return api.NewClient(transport).Search(context.Background(), send).Outcome
+		}
+		require.Contains(t, []query.Outcome{query.OutcomeNotRun, query.OutcomeUnknown}, ask("jars"))
+		require.NoError(t, occupied.Close())
+		require.Eventually(t, func() bool { return h.Connections() == 0 }, time.Second, time.Millisecond)
+		require.Equal(t, query.OutcomeAnswered, ask("jars"))
+		require.Equal(t, query.OutcomeCrashed, ask("poison"))
+		require.Equal(t, query.OutcomeNotRun, ask("jars"))
+		transport.CloseIdleConnections()
+		h.Stop()
+	}
+}
--- a/emulator/target/searcher.go
+++ b/emulator/target/searcher.go
@@ -19,9 +19,9 @@
 
 // Row is one record of an index.
 type Row struct {
-	Shard query.Shard
-	ID    string
-	Text  string
+	Shard query.Shard `json:"shard"`
+	ID    string      `json:"id"`
+	Text  string      `json:"text"`
 }
 
 // Config describes one searcher.
--- a/emulator/target/server.go
+++ b/emulator/target/server.go
@@ -15,17 +15,8 @@
 
 const (
 	maxRequestBytes = 1 << 20
-	// PathCrash crashes the searcher and PathSilence silences connections; both take a POST.
-	PathCrash   = fault.Path + "/crash"
-	PathSilence = fault.Path + "/silence"
 )
 
-// Silence is the body of a POST to PathSilence and, with the number that was silenced, of its
-// response.
-type Silence struct {
-	Connections int `json:"connections"`
-}
-
 // Handler returns the HTTP interface of a searcher that cannot crash, because no Host runs it.
 func Handler(s *Searcher) http.Handler { return handler(s, nil) }
 
@@ -48,24 +39,13 @@
 	})
 	r.Handle("/debug/vars", s.vars)
 	fault.Routes(r, s.faults, s.cfg.Ring, string(s.cfg.Target.ID))
+	changeRoutes(r, s)
 	if h != nil {
 		hostRoutes(r, h)
 	}
 	return r
 }
 
-func hostRoutes(r chi.Router, h *Host) {
-	r.Post(PathCrash, func(http.ResponseWriter, *http.Request) { h.Crash() })
-	r.Post(PathSilence, func(w http.ResponseWriter, req *http.Request) {
-		var in Silence
-		if p := problem.DecodeBody(w, req, maxRequestBytes, &in); p != nil {
-			problem.Write(w, p)
-			return
-		}
-		problem.WriteJSON(w, http.StatusOK, Silence{Connections: h.Silence(in.Connections)})
-	})
-}
-
 // NewHTTPServer returns a server that speaks unencrypted HTTP/2 as targets do, and HTTP/1.1 so
 // that faults can be switched with any client.
 func NewHTTPServer(h http.Handler) *http.Server {
