--- a/adapter/peer/peer.go
+++ b/adapter/peer/peer.go
@@ -1,28 +1,34 @@
-// Package peer connects instances with each other: twirp over unencrypted HTTP/2.
+// Package peer connects instances with each other: twirp over unencrypted HTTP/2. It converts
+// between wire messages and the values of package membership, and counts traffic.
 package peer
 
 import (
 	"net/http"
 
-	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/adapter/wire/memberpb"
 	"hyssopcroft.example/control/membership"
 )
 
-// NewTransport returns a transport that keeps one HTTP/2 connection to each peer.
-func NewTransport() *http.Transport {
-	return target.NewTransport(pingAfter, pingTimeout)
-}
-
 // MembershipClient returns a client of the membership service of the peer at an address.
 func MembershipClient(address string, transport http.RoundTripper) memberpb.Membership {
 	return memberpb.NewMembershipProtobufClient("http://"+address, &http.Client{Transport: transport})
 }
 
+// DistributionClient returns a client of the distribution service of the peer at an address.
+func DistributionClient(address string, transport http.RoundTripper) memberpb.Distribution {
+	return memberpb.NewDistributionProtobufClient("http://"+address, &http.Client{Transport: transport})
+}
+
 // MembershipHandler returns the path prefix and the handler that serve the membership service.
 func MembershipHandler(s memberpb.Membership) (string, http.Handler) {
 	h := memberpb.NewMembershipServer(s)
-	return h.PathPrefix(), h
+	return h.PathPrefix(), counted(h)
+}
+
+// DistributionHandler returns the path prefix and the handler that serve the distribution service.
+func DistributionHandler(s memberpb.Distribution) (string, http.Handler) {
+	h := memberpb.NewDistributionServer(s)
+	return h.PathPrefix(), counted(h)
 }
 
 // ToWire converts a member record.
@@ -35,12 +41,60 @@
 
 // FromWire converts a member record. A record without a known state counts as suspect.
 func FromWire(m *memberpb.Member) membership.Member {
-	state := membership.State(m.GetState())
-	if state < membership.Starting || state > membership.Dead {
-		state = membership.Suspect
-	}
 	return membership.Member{
 		ID: m.GetId(), Address: m.GetAddress(), FailureDomain: m.GetFailureDomain(),
-		Incarnation: m.GetIncarnation(), State: state, ConfigSequence: m.GetConfigSequence(),
+		Incarnation: m.GetIncarnation(), State: stateOf(m.GetState()), ConfigSequence: m.GetConfigSequence(),
+	}
+}
+
+func stateOf(s memberpb.State) membership.State {
+	state := membership.State(s)
+	if state < membership.Starting || state > membership.Dead {
+		return membership.Suspect
+	}
+	return state
+}
+
+// MembersToWire converts member records.
+func MembersToWire(list []membership.Member) []*memberpb.Member {
+	out := make([]*memberpb.Member, 0, len(list))
+	for _, m := range list {
+		out = append(out, ToWire(m))
+	}
+	return out
+}
+
+// MembersFromWire converts member records. Records without an id are left out.
+func MembersFromWire(list []*memberpb.Member) []membership.Member {
+	out := make([]membership.Member, 0, len(list))
+	for _, m := range list {
+		if m.GetId() != "" {
+			out = append(out, FromWire(m))
+		}
+	}
+	return out
+}
+
+// MessageToWire converts one direction of an exchange. Digest and stamp are left to the caller.
+func MessageToWire(m membership.Message) *memberpb.ExchangeMessage {
+	out := &memberpb.ExchangeMessage{
+		Id: m.ID, Incarnation: m.Incarnation, State: memberpb.State(m.State), Hash: m.Hash, Version: m.Version,
+		Have: m.Have, Unknown: m.Unknown, Changed: MembersToWire(m.Changed),
+	}
+	for _, c := range m.Confirmed {
+		out.Confirmed = append(out.Confirmed, &memberpb.Confirmation{Sequence: c.Sequence, Members: c.Members})
+	}
+	return out
+}
+
+// MessageFromWire converts one direction of an exchange.
+func MessageFromWire(m *memberpb.ExchangeMessage) membership.Message {
+	out := membership.Message{
+		ID: m.GetId(), Incarnation: m.GetIncarnation(), State: stateOf(m.GetState()), Hash: m.GetHash(),
+		Version: m.GetVersion(), Have: m.GetHave(), Unknown: m.GetUnknown(), Changed: MembersFromWire(m.GetChanged()),
+	}
+	for _, c := range m.GetConfirmed() {
+		out.Confirmed = append(out.Confirmed, membership.Confirmation{Sequence: c.GetSequence(), Members: c.GetMembers()})
 	}
+	return out
 }
--- /dev/null
+++ b/adapter/peer/traffic.go
@@ -0,0 +1,122 @@
+package peer
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"sync/atomic"
+)
+
+// Traffic counts the bytes, HTTP/2 framing included, and the messages that an instance sends and
+// receives for control. TCP and IP headers are not included.
+type Traffic struct {
+	BytesSent, BytesReceived       *expvar.Int
+	MessagesSent, MessagesReceived *expvar.Int
+}
+
+// Conn counts the bytes of one connection. Bytes that pass before it is known that the connection
+// carries control traffic are counted as soon as it is.
+type Conn struct {
+	net.Conn
+	traffic        atomic.Pointer[Traffic]
+	sent, received atomic.Int64 // bytes not yet added to traffic
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.received.Add(int64(n))
+	c.flush()
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.sent.Add(int64(n))
+	c.flush()
+	return n, err
+}
+
+func (c *Conn) assign(t *Traffic) {
+	c.traffic.Store(t)
+	c.flush()
+}
+
+func (c *Conn) flush() {
+	t := c.traffic.Load()
+	if t == nil {
+		return
+	}
+	t.BytesSent.Add(c.sent.Swap(0))
+	t.BytesReceived.Add(c.received.Swap(0))
+}
+
+// Listener accepts connections whose bytes can be counted.
+type Listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l Listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: conn}, nil
+}
+
+type connKey struct{}
+
+type servedConn struct {
+	conn    *Conn
+	traffic *Traffic
+}
+
+// ConnContext returns a function for http.Server.ConnContext. Connections of a Listener on which a
+// handler of this package serves a request are counted as control traffic.
+func ConnContext(traffic *Traffic) func(context.Context, net.Conn) context.Context {
+	return func(ctx context.Context, conn net.Conn) context.Context {
+		if c, ok := conn.(*Conn); ok {
+			return context.WithValue(ctx, connKey{}, servedConn{conn: c, traffic: traffic})
+		}
+		return ctx
+	}
+}
+
+// counted marks the connection of each request as one that carries control traffic.
+func counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s, ok := r.Context().Value(connKey{}).(servedConn); ok {
+			if s.conn.traffic.Load() == nil {
+				s.conn.assign(s.traffic)
+			}
+			s.traffic.MessagesReceived.Add(1)
+			s.traffic.MessagesSent.Add(1)
+		}
+		// The time is in the message's stamp; the header would cost some 25 bytes an answer.
+		w.Header()["Date"] = nil
+		next.ServeHTTP(w, r)
+	})
+}
+
+// counting counts the messages that a client sends and receives.
+type counting struct {
+	next    http.RoundTripper
+	traffic *Traffic
+}
+
+// CountMessages returns a round tripper that counts requests as messages sent and responses as
+// messages received.
+func CountMessages(next http.RoundTripper, t *Traffic) http.RoundTripper {
+	return counting{next: next, traffic: t}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c counting) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.traffic.MessagesSent.Add(1)
+	resp, err := c.next.RoundTrip(r)
+	if err == nil {
+		c.traffic.MessagesReceived.Add(1)
+	}
+	return resp, err
+}
--- a/adapter/peer/transport.go
+++ b/adapter/peer/transport.go
@@ -1,10 +1,40 @@
 package peer
 
-import "time"
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"hyssopcroft.example/adapter/target"
+)
 
 const (
 	// pingAfter is the silence after which a connection to a peer is probed.
 	pingAfter = time.Second
 	// pingTimeout is the time for the answer to a probe before the connection is closed.
 	pingTimeout = time.Second
+	// dialTimeout bounds the set-up of a connection. A peer that is gone without a reset would
+	// otherwise hold the dial for minutes.
+	dialTimeout = time.Second
+	// idleTimeout closes connections to instances that are no longer among the peers.
+	idleTimeout = 30 * time.Second
 )
+
+// NewTransport returns a transport that keeps one HTTP/2 connection to each peer. The bytes of its
+// connections are added to traffic, which may be nil.
+func NewTransport(traffic *Traffic) *http.Transport {
+	t := target.NewTransport(pingAfter, pingTimeout)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	t.IdleConnTimeout = idleTimeout
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil || traffic == nil {
+			return conn, err
+		}
+		counting := &Conn{Conn: conn}
+		counting.assign(traffic)
+		return counting, nil
+	}
+	return t
+}
--- /dev/null
+++ b/control/membership/fleet_test.go
@@ -0,0 +1,196 @@
+package membership_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"hyssopcroft.example/control/membership"
+)
+
+// fleet runs nodes over a simulated network with 12 ms of delay each way.
+type fleet struct {
+	now    time.Time
+	random *rand.Rand
+	nodes  map[string]*node
+	queue  events
+	order  int
+	// cut says which messages are lost.
+	cut        func(from, to *node) bool
+	fullStates map[string][]time.Time // by asking and asked instance
+	exchanges  int
+}
+
+type node struct {
+	*membership.Node
+	id, domain string
+	down       bool
+	wake       time.Time
+}
+
+type event struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(v any)   { *e = append(*e, v.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+const oneWay = 12 * time.Millisecond
+
+var start = time.Unix(1_800_000_000, 0)
+
+// newFleet starts size instances in the given number of failure domains, all in the platform's list.
+func newFleet(size, domains int, seed uint64) *fleet {
+	f := &fleet{
+		now: start, random: rand.New(rand.NewPCG(seed, 0)), nodes: map[string]*node{},
+		fullStates: map[string][]time.Time{}, cut: func(*node, *node) bool { return false },
+	}
+	var list []membership.Member
+	for i := range size {
+		list = append(list, member(fmt.Sprintf("i%03d", i), fmt.Sprintf("d%d", i%domains)))
+	}
+	for _, m := range list {
+		f.start(m, list)
+	}
+	return f
+}
+
+func member(id, domain string) membership.Member {
+	return membership.Member{ID: id, Address: id, FailureDomain: domain, State: membership.Starting}
+}
+
+func (f *fleet) start(m membership.Member, list []membership.Member) *node {
+	m.Incarnation = uint64(f.now.UnixNano())
+	random := rand.New(rand.NewPCG(f.random.Uint64(), 0))
+	n := &node{Node: membership.NewNode(m, f.now, random), id: m.ID, domain: m.FailureDomain}
+	f.nodes[m.ID] = n
+	n.OnList(list, f.now)
+	n.SetSelf(f.now, membership.Live)
+	f.schedule(n)
+	return n
+}
+
+func (f *fleet) at(at time.Time, run func()) {
+	f.order++
+	heap.Push(&f.queue, event{at: at, order: f.order, run: run})
+}
+
+func (f *fleet) schedule(n *node) {
+	at := n.NextWake()
+	if at.Before(f.now) {
+		at = f.now
+	}
+	n.wake = at
+	f.at(at, func() {
+		if n.down || !n.wake.Equal(at) {
+			return
+		}
+		f.do(n, n.OnWake(f.now))
+	})
+}
+
+func (f *fleet) do(n *node, actions []membership.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case membership.SendExchange:
+			f.exchange(n, a)
+		case membership.AskThrough:
+			f.ask(n, a)
+		case membership.RequestFullState:
+			key := n.id + ">" + a.From.ID
+			f.fullStates[key] = append(f.fullStates[key], f.now)
+			f.call(n, a.From, func(o *node) any {
+				records, ok := o.FullState(n.id, f.now)
+				return map[bool][]membership.Member{ok: records}
+			}, func(answer any) {
+				if records, ok := answer.(map[bool][]membership.Member)[true]; ok {
+					n.OnFullState(a.From.ID, records, f.now)
+				}
+			}, func() {})
+		}
+	}
+	f.schedule(n)
+}
+
+func (f *fleet) exchange(n *node, a membership.SendExchange) {
+	f.exchanges++
+	f.call(n, a.To, func(o *node) any { return o.OnRequest(a.Message, f.now) }, func(answer any) {
+		f.do(n, n.OnAnswer(a.To, a.Message, answer.(membership.Message), f.now))
+	}, func() { f.do(n, n.OnMiss(a.To, f.now)) })
+}
+
+func (f *fleet) ask(n *node, a membership.AskThrough) {
+	reached := false
+	var record membership.Member
+	f.call(n, a.Through, func(o *node) any {
+		o.Merge(a.Silent, n.id, f.now)
+		f.call(o, a.Silent, func(target *node) any {
+			target.Merge(a.Silent, o.id, f.now)
+			return target.Self()
+		}, func(answer any) { reached, record = true, answer.(membership.Member) }, func() {})
+		return nil
+	}, func(any) {}, func() {})
+	f.at(f.now.Add(membership.ExchangeTimeout), func() {
+		n.OnAsked(a.Silent, reached, record, f.now)
+		f.schedule(n)
+	})
+}
+
+// call runs at on the other node and answered or missed on this one.
+func (f *fleet) call(n *node, to membership.Member, at func(*node) any, answered func(any), missed func()) {
+	sent := f.now
+	f.at(sent.Add(oneWay), func() {
+		o := f.nodes[to.ID]
+		if o == nil || o.down || f.cut(n, o) {
+			f.at(sent.Add(membership.ExchangeTimeout), missed)
+			return
+		}
+		answer := at(o)
+		f.schedule(o)
+		f.at(f.now.Add(oneWay), func() { answered(answer) })
+	})
+}
+
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for f.queue.Len() > 0 && !f.queue[0].at.After(end) {
+		e := heap.Pop(&f.queue).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = end
+}
+
+// disagreements counts the pairs of running instances of which one holds the other not live, and of
+// running instances that hold a stopped one live or suspect.
+func (f *fleet) disagreements() int {
+	count := 0
+	for _, n := range f.nodes {
+		if n.down {
+			continue
+		}
+		for _, o := range f.nodes {
+			m, known := n.Get(o.id)
+			live := known && m.State == membership.Live
+			gone := !known || m.State == membership.Dead
+			if !o.down && !live || o.down && !gone {
+				count++
+			}
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/control/membership/member.go
@@ -0,0 +1,75 @@
+// Package membership decides which instances are members of the fleet and in which state: whom an
+// instance exchanges records with, when a silent peer is suspected and declared dead, and which
+// record replaces another. Suspicion, refutation and incarnations follow Das et al., "SWIM:
+// Scalable Weakly-consistent Infection-style Process Group Membership Protocol", 2002.
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is the state of a member as known here. Within one incarnation a later state replaces an
+// earlier one.
+type State uint8
+
+const (
+	// Starting members take no requests yet. Members known only from the platform's list are
+	// starting, with incarnation 0.
+	Starting State = iota + 1
+	// Live members take requests.
+	Live
+	// Suspect members have missed exchanges.
+	Suspect
+	// Leaving members finish what they have and take nothing new.
+	Leaving
+	// Dead members are gone until they come back with a higher incarnation.
+	Dead
+)
+
+var stateNames = [...]string{"", "starting", "live", "suspect", "leaving", "dead"}
+
+// String returns the name used in status output and events.
+func (s State) String() string { return stateNames[s] }
+
+// Member is one instance.
+type Member struct {
+	ID            string
+	Address       string
+	FailureDomain string
+	// Incarnation is raised by the member alone.
+	Incarnation uint64
+	State       State
+	// ConfigSequence is the sequence number of the configuration in force at the member.
+	ConfigSequence uint64
+}
+
+// supersedes reports whether m replaces old: a higher incarnation wins, then the later state.
+func (m Member) supersedes(old Member) bool {
+	return cmp.Or(cmp.Compare(m.Incarnation, old.Incarnation), cmp.Compare(m.State, old.State)) > 0
+}
+
+// key identifies one incarnation of a member in a Confirmation, so that a late confirmation of an
+// earlier incarnation is not taken for the present one.
+func (m Member) key() uint64 {
+	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(m.ID), m.Incarnation))
+}
+
+// digest returns the member's part of the membership hash. Dead members have none, so that
+// instances which forget a dead member at different times still agree.
+func (m Member) digest() uint64 {
+	if m.State == Dead {
+		return 0
+	}
+	raw := binary.BigEndian.AppendUint64([]byte(m.ID), m.Incarnation)
+	return xxhash.Sum64(append(raw, byte(m.State)))
+}
+
+// Confirmation says that members have put a configuration in force.
+type Confirmation struct {
+	Sequence uint64
+	// Members holds a hash of id and incarnation for each member.
+	Members []uint64
+}
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -54,7 +54,7 @@
 		Incarnation: uint64(time.Now().UnixNano()), State: membership.Starting,
 	}
 	cfg := configsync.New(client, k.Bus(), ring, log, c)
-	m := members.New(self, client, k.Bus(), ring, log, c)
+	m := members.New(self, client, cfg, k.Bus(), ring, log, c)
 	e := entry.New(s.Instance, cfg, client, k.Bus(), log, c)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
 	for _, service := range []kernel.Service{e, cfg, m, op} {
@@ -62,19 +62,23 @@
 			return nil, err
 		}
 	}
-	return &App{settings: s, log: log, kernel: k, server: newServer(e, op, m, c), listener: listener}, nil
+	return &App{settings: s, log: log, kernel: k, server: newServer(e, op, m, cfg, c), listener: listener}, nil
 }
 
-func newServer(e *entry.Service, op *operator.Service, m *members.Service, c *counters.Set) *http.Server {
+func newServer(e *entry.Service, op *operator.Service, m *members.Service, cfg *configsync.Service, c *counters.Set) *http.Server {
 	r := chi.NewRouter()
 	caller.Routes(r, e)
 	admin.Routes(r, op, c)
 	prefix, handler := peer.MembershipHandler(m)
 	r.Handle(prefix+"*", handler)
+	prefix, handler = peer.DistributionHandler(cfg)
+	r.Handle(prefix+"*", handler)
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: r, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{
+		Handler: r, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout, ConnContext: peer.ConnContext(m.Traffic()),
+	}
 }
 
 // readHeaderTimeout ends connections whose peer sends no complete request header.
@@ -86,7 +90,7 @@
 		return errors.Wrap(err, "start services")
 	}
 	go func() {
-		if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := a.server.Serve(peer.Listener{Listener: a.listener}); !errors.Is(err, http.ErrServerClosed) {
 			a.log.Error("server ended", "error", err)
 		}
 	}()
--- /dev/null
+++ b/instance/configsync/distribute.go
@@ -0,0 +1,133 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/adapter/wire/memberpb"
+	"hyssopcroft.example/control/config"
+	"hyssopcroft.example/kernel/hlc"
+)
+
+// transferTimeout bounds one push or fetch, which may carry an object of 1 MB.
+const transferTimeout = 2 * time.Second
+
+// push hands an object to all receivers along a tree in which each instance sends to at most
+// config.FanOut others. It returns at once.
+func (s *Service) push(o config.Object, receivers []string) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	for _, group := range config.Split(receivers) {
+		s.done.Go(func() { s.pushGroup(o, group) })
+	}
+}
+
+// pushGroup sends to the first of the receivers that answers, which hands the object on to those
+// after it. Receivers that do not answer are left to the exchange.
+func (s *Service) pushGroup(o config.Object, group []string) {
+	for i, address := range group {
+		ctx, cancel := context.WithTimeout(s.ctx, transferTimeout)
+		s.counters.Counter("pushes_sent").Add(1)
+		req := &memberpb.PushRequest{Object: objectToWire(o), Onward: group[i+1:], Stamp: s.stamp()}
+		_, err := peer.DistributionClient(address, s.fleet.Transport()).Push(ctx, req)
+		cancel()
+		if err == nil || s.ctx.Err() != nil {
+			return
+		}
+		s.counters.Counter("push_failures").Add(1)
+	}
+}
+
+// Push implements the twirp service.
+func (s *Service) Push(_ context.Context, req *memberpb.PushRequest) (*memberpb.PushResponse, error) {
+	if req.Object == nil {
+		return nil, twirp.RequiredArgumentError("object")
+	}
+	s.observe(req.Stamp)
+	s.counters.Counter("pushes_received").Add(1)
+	o := objectFromWire(req.Object)
+	s.push(o, req.Onward)
+	s.offer(o)
+	return &memberpb.PushResponse{Revision: s.revision(o.Key), Stamp: s.stamp()}, nil
+}
+
+// Fetch implements the twirp service.
+func (s *Service) Fetch(_ context.Context, req *memberpb.FetchRequest) (*memberpb.FetchResponse, error) {
+	s.observe(req.Stamp)
+	s.counters.Counter("fetches_received").Add(1)
+	ready := s.Ready()
+	s.mu.Lock()
+	newer, older := s.holdings.Compare(heldFromWire(req.Held))
+	s.mu.Unlock()
+	resp := &memberpb.FetchResponse{Ready: ready, Older: heldToWire(older), Stamp: s.stamp()}
+	for _, o := range newer {
+		resp.Newer = append(resp.Newer, objectToWire(o))
+	}
+	return resp, nil
+}
+
+func (s *Service) held() []config.Held {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holdings.Held()
+}
+
+func (s *Service) revision(k config.Key) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, _ := s.holdings.Get(k)
+	return o.Revision
+}
+
+// newerThan returns the objects held here that are newer than those that a peer has named.
+func (s *Service) newerThan(named []config.Held) []config.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []config.Object
+	for _, n := range named {
+		if o, ok := s.holdings.Get(n.Key); ok && o.Revision > n.Revision {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func objectToWire(o config.Object) *memberpb.Object {
+	return &memberpb.Object{Kind: o.Kind, Name: o.Name, Revision: o.Revision, Data: o.Data}
+}
+
+func objectFromWire(o *memberpb.Object) config.Object {
+	key := config.Key{Kind: o.GetKind(), Name: o.GetName()}
+	return config.Object{Key: key, Revision: o.GetRevision(), Data: o.GetData()}
+}
+
+func heldToWire(list []config.Held) []*memberpb.Held {
+	out := make([]*memberpb.Held, 0, len(list))
+	for _, h := range list {
+		out = append(out, &memberpb.Held{Kind: h.Kind, Name: h.Name, Revision: h.Revision})
+	}
+	return out
+}
+
+func heldFromWire(list []*memberpb.Held) []config.Held {
+	out := make([]config.Held, 0, len(list))
+	for _, h := range list {
+		out = append(out, config.Held{Key: config.Key{Kind: h.GetKind(), Name: h.GetName()}, Revision: h.GetRevision()})
+	}
+	return out
+}
+
+func (s *Service) stamp() *memberpb.Stamp {
+	at := s.ring.Clock().Now()
+	return &memberpb.Stamp{Wall: uint64(at.Wall), Logical: at.Logical}
+}
+
+func (s *Service) observe(at *memberpb.Stamp) {
+	if at != nil {
+		s.ring.Clock().Observe(hlc.Timestamp{Wall: int64(at.Wall), Logical: at.Logical})
+	}
+}
--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -1,18 +1,23 @@
 // Package configsync keeps an instance's copy of what the platform holds: the two lists, the
-// partition maps and the target lists.
+// partition maps and the target lists. Two instances of each failure domain watch the store; all
+// others get new objects from them and from their peers.
 package configsync
 
 import (
 	"context"
 	"encoding/json"
 	"log/slog"
+	"net/http"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/control/config"
+	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
 	"hyssopcroft.example/kernel/timeline"
@@ -30,12 +35,8 @@
 	KindTargets   = "targets"
 )
 
-const (
-	// watchWait is how long one watch call waits for a change.
-	watchWait = 30 * time.Second
-	// retryDelay is the pause after a failed watch call.
-	retryDelay = 250 * time.Millisecond
-)
+// kinds lists the kinds of objects that every instance holds.
+var kinds = []string{KindConfig, KindSnapshots, KindTargets}
 
 // InForce is published when a newer configuration is in force.
 type InForce struct {
@@ -63,43 +64,63 @@
 // Topic implements kernel.Event.
 func (TargetsChanged) Topic() string { return "targets_changed" }
 
-// Service watches the platform. It is safe for concurrent use.
+// Fleet is what the service needs to know of the other instances. It is implemented by the members
+// service.
+type Fleet interface {
+	Members() []membership.Member
+	Self() membership.Member
+	Transport() http.RoundTripper
+	// ConfigChanged is called when another configuration is in force or the service became ready.
+	ConfigChanged()
+}
+
+// Service holds the objects. It is safe for concurrent use.
 type Service struct {
 	client   *platform.Client
+	fleet    Fleet
 	bus      *kernel.Bus
 	ring     *timeline.Ring
 	log      *slog.Logger
 	counters *counters.Set
 
+	ctx    context.Context // done once Stop is called
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
-	mu    sync.Mutex // guards state
-	state config.State
+	announcing sync.Mutex // keeps events in the order of the revisions; taken before mu
+
+	mu          sync.Mutex // guards the fields below
+	state       config.State
+	holdings    config.Holdings
+	ready       bool
+	watching    context.CancelFunc // ends the watches; nil if the instance does not watch
+	confirmedAt time.Time          // when the objects were last known to be the store's newest
+	unreachable bool               // the last watch call failed
+	fetching    bool
 }
 
 // New returns a service that reads through client.
 func New(client *platform.Client, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
-	return &Service{client: client, bus: bus, ring: ring, log: log, counters: c}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Service{client: client, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel}
 }
 
+// Bind sets the membership. It must be called before Start.
+func (s *Service) Bind(f Fleet) { s.fleet = f }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
 // Needs implements kernel.Service.
 func (s *Service) Needs() []string { return nil }
 
-// Start begins to watch.
+// Start begins to read and to watch.
 func (s *Service) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
-	for _, kind := range []string{KindConfig, KindSnapshots, KindTargets} {
-		s.done.Go(func() { s.watch(ctx, kind) })
-	}
+	s.done.Go(s.run)
 	return nil
 }
 
-// Stop ends watching.
+// Stop ends all reading.
 func (s *Service) Stop(context.Context) error {
 	s.cancel()
 	s.done.Wait()
@@ -113,83 +134,110 @@
 	return s.state.InForce()
 }
 
-// Offer puts lists in force if they are newer than those known here.
-func (s *Service) Offer(lists config.Lists) {
+// Ready reports whether the instance has read the store, or peers while the store was away, since
+// it started.
+func (s *Service) Ready() bool {
 	s.mu.Lock()
-	taken := s.state.Offer(lists)
-	s.mu.Unlock()
-	if !taken {
-		s.counters.Counter("config_offers_not_newer").Add(1)
-		return
+	defer s.mu.Unlock()
+	_, known := s.state.InForce()
+	return s.ready && known
+}
+
+// Accept puts lists in force that this instance has just written to the store, and hands them to
+// all instances that watch the store.
+func (s *Service) Accept(lists config.Lists) {
+	data, err := json.Marshal(lists)
+	if err != nil {
+		panic(errors.Wrap(err, "encode configuration"))
 	}
-	s.counters.Counter("config_versions_taken").Add(1)
-	s.announce("config_in_force", strconv.FormatUint(uint64(lists.Sequence), 10), InForce{Sequence: lists.Sequence})
-}
-
-func (s *Service) watch(ctx context.Context, kind string) {
-	var revision platform.Version
-	available := true
-	for ctx.Err() == nil {
-		changes, err := s.client.Watch(ctx, platform.Purpose("watch_"+kind), kind, revision, watchWait)
-		if err != nil {
-			available = s.noteAvailability(ctx, kind, available, false)
-			pause(ctx, retryDelay)
-			continue
-		}
-		available = s.noteAvailability(ctx, kind, available, true)
-		revision = max(revision, changes.Revision)
-		for _, obj := range changes.Objects {
-			s.take(obj)
-		}
+	o := config.Object{Key: config.Key{Kind: KindConfig, Name: NameCurrent}, Revision: uint64(lists.Sequence), Data: data}
+	if s.offer(o) {
+		s.push(o, s.otherWatchers())
 	}
 }
 
-// noteAvailability logs a change of the platform's availability and returns the new state.
-func (s *Service) noteAvailability(ctx context.Context, kind string, was, is bool) bool {
-	if was != is && ctx.Err() == nil {
-		s.log.Info("platform availability changed", "kind", kind, "available", is)
-		s.ring.Add("platform_available", kind, strconv.FormatBool(is))
+// offer takes an object if it is newer than the one held. If this instance watches the store, it
+// hands the object on to its share of the failure domain.
+func (s *Service) offer(o config.Object) bool {
+	s.announcing.Lock()
+	defer s.announcing.Unlock()
+	ev, subject, err := s.decode(o)
+	if err != nil {
+		s.counters.Counter("platform_objects_malformed").Add(1)
+		s.log.Error("platform object does not decode", "kind", o.Kind, "name", o.Name, "error", err)
+		return false
+	}
+	if !s.store(o, ev) {
+		s.counters.Counter("objects_not_newer").Add(1)
+		return false
+	}
+	s.counters.Counter("objects_taken").Add(1)
+	s.ring.Add(ev.Topic(), subject, "")
+	if err := s.bus.Publish(ev); err != nil {
+		s.log.Error("event not published", "topic", ev.Topic(), "error", err)
+	}
+	if o.Kind == KindConfig {
+		s.counters.Counter("config_versions_taken").Add(1)
+		s.fleet.ConfigChanged()
 	}
-	if !is {
-		s.counters.Counter("platform_watch_failures").Add(1)
+	if s.Watching() {
+		s.push(o, s.share())
 	}
-	return is
+	return true
 }
 
-func (s *Service) take(obj platform.Object) {
-	if obj.Deleted {
-		return
-	}
-	var err error
-	switch obj.Kind {
+// decoded is the event of a configuration together with its lists.
+type decoded struct {
+	InForce
+	lists config.Lists
+}
+
+// decode returns the event that announces an object, and the subject of its timeline entry.
+func (s *Service) decode(o config.Object) (kernel.Event, string, error) {
+	switch o.Kind {
 	case KindConfig:
 		var lists config.Lists
-		if err = json.Unmarshal(obj.Data, &lists); err == nil {
-			s.Offer(lists)
-		}
+		err := json.Unmarshal(o.Data, &lists)
+		ev := decoded{InForce: InForce{Sequence: lists.Sequence}, lists: lists}
+		return ev, strconv.FormatUint(uint64(lists.Sequence), 10), err
 	case KindSnapshots:
-		ev := SnapshotsPublished{Index: obj.Name}
-		if err = json.Unmarshal(obj.Data, &ev.Maps); err == nil {
-			s.announce(ev.Topic(), obj.Name, ev)
-		}
+		ev := SnapshotsPublished{Index: o.Name}
+		err := json.Unmarshal(o.Data, &ev.Maps)
+		return ev, o.Name, err
 	case KindTargets:
-		ev := TargetsChanged{Index: obj.Name}
-		if err = json.Unmarshal(obj.Data, &ev.Targets); err == nil {
-			ev.Targets = slices.Clip(ev.Targets)
-			s.announce(ev.Topic(), obj.Name, ev)
-		}
+		ev := TargetsChanged{Index: o.Name}
+		err := json.Unmarshal(o.Data, &ev.Targets)
+		ev.Targets = slices.Clip(ev.Targets)
+		return ev, o.Name, err
 	}
-	if err != nil {
-		s.counters.Counter("platform_objects_malformed").Add(1)
-		s.log.Error("platform object does not decode", "kind", obj.Kind, "name", obj.Name, "error", err)
+	return nil, "", errors.Errorf("kind %q is not held by instances", o.Kind)
+}
+
+func (s *Service) store(o config.Object, ev kernel.Event) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.holdings.Offer(o) {
+		return false
 	}
+	if c, ok := ev.(decoded); ok {
+		s.state.Offer(c.lists)
+	}
+	return true
 }
 
-func (s *Service) announce(kind, subject string, ev kernel.Event) {
-	s.ring.Add(kind, subject, "")
-	if err := s.bus.Publish(ev); err != nil {
-		s.log.Error("event not published", "topic", ev.Topic(), "error", err)
+// objectOf converts an object of the platform. It returns false for a deleted one: instances keep
+// the last value, since a list that is gone is no order to forget it.
+func objectOf(obj platform.Object) (config.Object, bool) {
+	o := config.Object{Key: config.Key{Kind: obj.Kind, Name: obj.Name}, Revision: uint64(obj.Version), Data: obj.Data}
+	if obj.Kind == KindConfig {
+		var head struct {
+			Sequence uint64 `json:"sequence"`
+		}
+		if json.Unmarshal(obj.Data, &head) == nil {
+			o.Revision = head.Sequence
+		}
 	}
+	return o, !obj.Deleted
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/instance/configsync/watch.go
@@ -0,0 +1,174 @@
+package configsync
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/control/config"
+	"hyssopcroft.example/control/membership"
+)
+
+const (
+	// watchWait is how long one watch call waits for a change. It bounds the time after which a
+	// silent store is noticed.
+	watchWait = 10 * time.Second
+	// retryDelay is the pause after a failed call.
+	retryDelay = 250 * time.Millisecond
+	// rolePeriod is the time between two looks at whether the instance has to watch.
+	rolePeriod = time.Second
+)
+
+// run reads everything once and then watches while the instance is one of the watchers.
+func (s *Service) run() {
+	s.start()
+	ticker := time.NewTicker(rolePeriod)
+	defer ticker.Stop()
+	var watches sync.WaitGroup
+	defer watches.Wait()
+	for {
+		s.updateRole(&watches)
+		select {
+		case <-ticker.C:
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Service) updateRole(watches *sync.WaitGroup) {
+	self := s.fleet.Self()
+	wanted := slices.Contains(s.watchersOf(self.FailureDomain), self.ID)
+	if wanted == s.Watching() || s.ctx.Err() != nil {
+		return
+	}
+	s.ring.Add("store_watch", self.ID, strconv.FormatBool(wanted))
+	if !wanted {
+		s.mu.Lock()
+		s.watching()
+		s.watching = nil
+		s.unreachable = false
+		s.mu.Unlock()
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	s.mu.Lock()
+	s.watching = cancel
+	s.mu.Unlock()
+	for _, kind := range kinds {
+		watches.Go(func() { s.watch(ctx, kind) })
+	}
+}
+
+// Watching reports whether the instance watches the store.
+func (s *Service) Watching() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watching != nil
+}
+
+func (s *Service) watch(ctx context.Context, kind string) {
+	var revision platform.Version
+	available := true
+	for ctx.Err() == nil {
+		changes, err := s.client.Watch(ctx, platform.Purpose("watch_"+kind), kind, revision, watchWait)
+		if ctx.Err() != nil {
+			return
+		}
+		if available != (err == nil) {
+			available = err == nil
+			s.log.Info("platform availability changed", "kind", kind, "available", available)
+			s.ring.Add("platform_available", kind, strconv.FormatBool(available))
+		}
+		if err != nil {
+			s.counters.Counter("platform_watch_failures").Add(1)
+			s.noteStore(kind, false)
+			pause(ctx, retryDelay)
+			continue
+		}
+		revision = max(revision, changes.Revision)
+		s.takeAll(changes)
+		s.noteStore(kind, true)
+	}
+}
+
+func (s *Service) takeAll(changes platform.Changes) {
+	for _, obj := range changes.Objects {
+		if o, ok := objectOf(obj); ok {
+			s.offer(o)
+		}
+	}
+}
+
+// noteStore records whether the store answered the watch of the configuration.
+func (s *Service) noteStore(kind string, answered bool) {
+	if kind != KindConfig {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreachable = !answered
+	if answered {
+		s.confirmedAt = time.Now()
+	}
+}
+
+// candidates returns the members that may watch the store, by failure domain. Starting members
+// count, so that a fleet that starts at once does not watch with every instance.
+func (s *Service) candidates() map[string][]membership.Member {
+	out := map[string][]membership.Member{}
+	for _, m := range s.fleet.Members() {
+		if m.State == membership.Live || m.State == membership.Starting {
+			out[m.FailureDomain] = append(out[m.FailureDomain], m)
+		}
+	}
+	return out
+}
+
+func ids(members []membership.Member) []string {
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.ID)
+	}
+	return out
+}
+
+func (s *Service) watchersOf(domain string) []string {
+	return config.Watchers(domain, ids(s.candidates()[domain]))
+}
+
+// otherWatchers returns the addresses of all watchers but this instance.
+func (s *Service) otherWatchers() []string {
+	self := s.fleet.Self().ID
+	var out []string
+	for domain, members := range s.candidates() {
+		watchers := config.Watchers(domain, ids(members))
+		for _, m := range members {
+			if m.ID != self && slices.Contains(watchers, m.ID) {
+				out = append(out, m.Address)
+			}
+		}
+	}
+	return out
+}
+
+// share returns the addresses of the members that this instance hands new objects to as a watcher.
+func (s *Service) share() []string {
+	self := s.fleet.Self()
+	members := s.candidates()[self.FailureDomain]
+	watchers := config.Watchers(self.FailureDomain, ids(members))
+	if !slices.Contains(watchers, self.ID) {
+		return nil
+	}
+	share := config.Share(watchers, self.ID, ids(members))
+	var out []string
+	for _, m := range members {
+		if slices.Contains(share, m.ID) {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/instance/members/exchange.go
@@ -0,0 +1,204 @@
+package members
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/adapter/wire/memberpb"
+	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/kernel/hlc"
+)
+
+// fullStateTimeout bounds the transfer of a full state.
+const fullStateTimeout = 2 * time.Second
+
+// exchange runs the node until ctx is done.
+func (s *Service) exchange(ctx context.Context) {
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-s.kick:
+		case <-ctx.Done():
+			return
+		}
+		s.mu.Lock()
+		now := time.Now()
+		actions := s.node.OnWake(now)
+		next := s.node.NextWake()
+		s.mu.Unlock()
+		timer.Reset(time.Until(next))
+		for _, a := range actions {
+			calls.Go(func() { s.do(ctx, a) })
+		}
+	}
+}
+
+func (s *Service) do(ctx context.Context, a membership.Action) {
+	switch a := a.(type) {
+	case membership.SendExchange:
+		s.sendExchange(ctx, a)
+	case membership.AskThrough:
+		s.askThrough(ctx, a)
+	case membership.RequestFullState:
+		s.requestFullState(ctx, a)
+	}
+}
+
+func (s *Service) sendExchange(ctx context.Context, a membership.SendExchange) {
+	call, cancel := context.WithTimeout(ctx, membership.ExchangeTimeout)
+	defer cancel()
+	s.counters.Counter("exchanges_sent").Add(1)
+	sent := time.Now()
+	answer, err := peer.MembershipClient(a.To.Address, s.transport).Exchange(call, s.wire(a.Message))
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		s.counters.Counter("exchange_failures").Add(1)
+	}
+	var actions []membership.Action
+	s.update(func(now time.Time) {
+		if err != nil {
+			actions = s.node.OnMiss(a.To, now)
+		} else {
+			actions = s.node.OnAnswer(a.To, a.Message, peer.MessageFromWire(answer), now)
+		}
+	})
+	if err == nil {
+		s.observe(answer.Stamp)
+		s.config.OnDigest(ctx, a.To.Address, digestOf(answer.Digest), sent)
+	}
+	for _, next := range actions {
+		s.do(ctx, next)
+	}
+}
+
+func (s *Service) askThrough(ctx context.Context, a membership.AskThrough) {
+	call, cancel := context.WithTimeout(ctx, 2*membership.ExchangeTimeout)
+	defer cancel()
+	s.counters.Counter("members_asked_through_another").Add(1)
+	req := &memberpb.AskRequest{Silent: peer.ToWire(a.Silent), Stamp: s.stamp()}
+	resp, err := peer.MembershipClient(a.Through.Address, s.transport).Ask(call, req)
+	if ctx.Err() != nil {
+		return
+	}
+	reached := err == nil && resp.Reached
+	s.update(func(now time.Time) { s.node.OnAsked(a.Silent, reached, peer.FromWire(resp.GetRecord()), now) })
+}
+
+func (s *Service) requestFullState(ctx context.Context, a membership.RequestFullState) {
+	call, cancel := context.WithTimeout(ctx, fullStateTimeout)
+	defer cancel()
+	s.counters.Counter("full_states_requested").Add(1)
+	req := &memberpb.FullStateRequest{Id: s.Self().ID, Stamp: s.stamp()}
+	resp, err := peer.MembershipClient(a.From.Address, s.transport).FullState(call, req)
+	if err != nil {
+		s.counters.Counter("full_state_failures").Add(1)
+		return
+	}
+	s.observe(resp.Stamp)
+	s.update(func(now time.Time) { s.node.OnFullState(resp.Id, peer.MembersFromWire(resp.Members), now) })
+}
+
+// leave tells the peers that the instance ends.
+func (s *Service) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	s.mu.Lock()
+	actions := s.node.Leave(time.Now())
+	s.mu.Unlock()
+	var calls sync.WaitGroup
+	for _, a := range actions {
+		if send, ok := a.(membership.SendExchange); ok {
+			calls.Go(func() {
+				// A peer that is not reached finds the instance dead by missed exchanges.
+				_, _ = peer.MembershipClient(send.To.Address, s.transport).Exchange(ctx, s.wire(send.Message))
+			})
+		}
+	}
+	calls.Wait()
+}
+
+// Exchange implements the twirp service.
+func (s *Service) Exchange(_ context.Context, req *memberpb.ExchangeMessage) (*memberpb.ExchangeMessage, error) {
+	if req.Id == "" {
+		return nil, twirp.RequiredArgumentError("id")
+	}
+	s.counters.Counter("exchanges_received").Add(1)
+	s.observe(req.Stamp)
+	var answer membership.Message
+	s.update(func(now time.Time) { answer = s.node.OnRequest(peer.MessageFromWire(req), now) })
+	return s.wire(answer), nil
+}
+
+// FullState implements the twirp service.
+func (s *Service) FullState(_ context.Context, req *memberpb.FullStateRequest) (*memberpb.FullStateResponse, error) {
+	s.observe(req.Stamp)
+	s.mu.Lock()
+	self := s.node.Self()
+	records, ok := s.node.FullState(req.Id, time.Now())
+	s.mu.Unlock()
+	if !ok {
+		s.counters.Counter("full_states_refused").Add(1)
+		return nil, twirp.NewError(twirp.ResourceExhausted, "one full state a second for each peer")
+	}
+	s.counters.Counter("full_states_given").Add(1)
+	return &memberpb.FullStateResponse{Id: self.ID, Members: peer.MembersToWire(records), Stamp: s.stamp()}, nil
+}
+
+// Ask implements the twirp service.
+func (s *Service) Ask(ctx context.Context, req *memberpb.AskRequest) (*memberpb.AskResponse, error) {
+	s.observe(req.Stamp)
+	silent := peer.FromWire(req.Silent)
+	var message membership.Message
+	s.update(func(now time.Time) { message = s.node.AskedFor(silent, now) })
+	call, cancel := context.WithTimeout(ctx, membership.ExchangeTimeout)
+	defer cancel()
+	answer, err := peer.MembershipClient(silent.Address, s.transport).Exchange(call, s.wire(message))
+	if err != nil || answer.Id != silent.ID {
+		return &memberpb.AskResponse{Stamp: s.stamp()}, nil
+	}
+	record := silent
+	s.update(func(now time.Time) { record = s.node.Reached(silent, peer.MessageFromWire(answer), now) })
+	return &memberpb.AskResponse{Reached: true, Record: peer.ToWire(record), Stamp: s.stamp()}, nil
+}
+
+func (s *Service) wire(m membership.Message) *memberpb.ExchangeMessage {
+	out := peer.MessageToWire(m)
+	d := s.config.Digest()
+	out.Digest = &memberpb.Digest{ConfigSequence: d.ConfigSequence, ObjectsHash: d.ObjectsHash}
+	if d.Confirmed {
+		out.Digest.ConfirmedAgeMs = uint64(d.ConfirmedAge.Milliseconds()) + 1
+	}
+	out.Stamp = s.stamp()
+	return out
+}
+
+func digestOf(d *memberpb.Digest) configsync.Digest {
+	out := configsync.Digest{ConfigSequence: d.GetConfigSequence(), ObjectsHash: d.GetObjectsHash()}
+	if d.GetConfirmedAgeMs() > 0 {
+		out.Confirmed = true
+		out.ConfirmedAge = time.Duration(d.GetConfirmedAgeMs()) * time.Millisecond
+	}
+	return out
+}
+
+func (s *Service) stamp() *memberpb.Stamp {
+	at := s.ring.Clock().Now()
+	return &memberpb.Stamp{Wall: uint64(at.Wall), Logical: at.Logical}
+}
+
+func (s *Service) observe(at *memberpb.Stamp) {
+	if at != nil {
+		s.ring.Clock().Observe(hlc.Timestamp{Wall: int64(at.Wall), Logical: at.Logical})
+	}
+}
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -1,17 +1,17 @@
 // Package members keeps an instance's view of the other instances: from the platform's list at
-// first, then from direct exchanges.
+// first, then from exchanges with a few peers.
 package members
 
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
-	"hyssopcroft.example/adapter/wire/memberpb"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/kernel"
@@ -23,12 +23,11 @@
 const Name = "members"
 
 const (
-	// exchangePeriod is the time between two exchanges with the peers.
-	exchangePeriod = time.Second
-	// exchangeTimeout bounds one exchange.
-	exchangeTimeout = 500 * time.Millisecond
-	// listPeriod is the time between two reads of the platform's list.
+	// listPeriod is the time between two reads of the platform's list by an instance that watches
+	// the store or knows no other instance.
 	listPeriod = 10 * time.Second
+	// leaveTimeout bounds the exchanges that announce the end of the instance.
+	leaveTimeout = membership.ExchangeTimeout
 )
 
 // Changed is published when the record of a member changed.
@@ -43,7 +42,10 @@
 // Service exchanges member records with peers. It is safe for concurrent use.
 type Service struct {
 	client    *platform.Client
+	config    *configsync.Service
 	transport http.RoundTripper
+	idle      func() // closes idle connections
+	traffic   *peer.Traffic
 	bus       *kernel.Bus
 	ring      *timeline.Ring
 	log       *slog.Logger
@@ -51,17 +53,31 @@
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	kick   chan struct{} // wakes the loop after a change
 
-	mu    sync.Mutex // guards table
-	table *membership.Table
+	mu   sync.Mutex // guards node
+	node *membership.Node
 }
 
-// New returns a service for the instance that self describes.
-func New(self membership.Member, client *platform.Client, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
-	return &Service{
-		client: client, transport: peer.NewTransport(), bus: bus, ring: ring, log: log, counters: c,
-		table: membership.NewTable(self),
+// New returns a service for the instance that self describes. The service lets cfg reach the peers.
+func New(self membership.Member, client *platform.Client, cfg *configsync.Service, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
+	traffic := &peer.Traffic{
+		BytesSent: c.Counter("control_bytes_sent"), BytesReceived: c.Counter("control_bytes_received"),
+		MessagesSent: c.Counter("control_messages_sent"), MessagesReceived: c.Counter("control_messages_received"),
 	}
+	transport := peer.NewTransport(traffic)
+	s := &Service{
+		client: client, config: cfg, transport: peer.CountMessages(transport, traffic), idle: transport.CloseIdleConnections,
+		traffic: traffic, bus: bus, ring: ring, log: log, counters: c, kick: make(chan struct{}, 1),
+		node: membership.NewNode(self, time.Now(), rand.New(rand.NewPCG(self.Incarnation, rand.Uint64()))),
+	}
+	cfg.Bind(s)
+	return s
+}
+
+// WrapTransport replaces the transport to peers by one built on it. It must be called before Start.
+func (s *Service) WrapTransport(wrap func(http.RoundTripper) http.RoundTripper) {
+	s.transport = wrap(s.transport)
 }
 
 // Name implements kernel.Service.
@@ -74,33 +90,58 @@
 func (s *Service) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
-	err := kernel.Subscribe(ctx, s.bus, func(ev configsync.InForce) {
-		s.change(func(m *membership.Member) { m.ConfigSequence = uint64(ev.Sequence) })
-	})
-	if err != nil {
-		cancel()
-		return err
-	}
-	s.change(func(m *membership.Member) { m.State = membership.Live })
-	s.done.Go(func() { every(ctx, listPeriod, s.readList) })
-	s.done.Go(func() { every(ctx, exchangePeriod, s.exchangeWithAll) })
+	s.done.Go(func() { s.readLists(ctx) })
+	s.done.Go(func() { s.exchange(ctx) })
 	return nil
 }
 
-// Stop ends the exchanges.
-func (s *Service) Stop(context.Context) error {
+// Stop tells the peers that the instance ends, and ends the exchanges.
+func (s *Service) Stop(ctx context.Context) error {
 	s.cancel()
 	s.done.Wait()
+	s.leave(ctx)
+	s.idle()
 	return nil
 }
 
-// Members returns all known members, the instance itself included.
+// Announce changes the state of the instance itself, for example to membership.Leaving, and tells
+// the peers at once.
+func (s *Service) Announce(state membership.State) {
+	s.update(func(now time.Time) { s.node.SetSelf(now, state) })
+}
+
+// ConfigChanged implements configsync.Fleet: it tells the peers what is in force here, and that the
+// instance takes requests once it is ready.
+func (s *Service) ConfigChanged() {
+	sequence, ready := s.config.Digest().ConfigSequence, s.config.Ready()
+	s.update(func(now time.Time) {
+		s.node.SetConfig(sequence, now)
+		if ready && s.node.Self().State == membership.Starting {
+			s.node.SetSelf(now, membership.Live)
+		}
+	})
+}
+
+// Members returns all known members, the instance itself included, sorted by id.
 func (s *Service) Members() []membership.Member {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Members()
+	return s.node.Members()
+}
+
+// Self returns the record of the instance itself.
+func (s *Service) Self() membership.Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.Self()
 }
 
+// Transport returns the transport to peers.
+func (s *Service) Transport() http.RoundTripper { return s.transport }
+
+// Traffic returns the counters of control traffic, for the server that peers connect to.
+func (s *Service) Traffic() *peer.Traffic { return s.traffic }
+
 // LiveCount returns the number of members that take requests, at least 1.
 func (s *Service) LiveCount() int {
 	live := 0
@@ -112,35 +153,39 @@
 	return max(1, live)
 }
 
-// Exchange implements the twirp service.
-func (s *Service) Exchange(_ context.Context, req *memberpb.ExchangeRequest) (*memberpb.ExchangeResponse, error) {
-	s.counters.Counter("exchanges_received").Add(1)
-	s.merge(peer.FromWire(req.Sender))
-	return &memberpb.ExchangeResponse{Responder: peer.ToWire(s.self())}, nil
-}
-
-func (s *Service) self() membership.Member {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.table.Self()
-}
-
-func (s *Service) change(f func(*membership.Member)) {
+// update runs f with the lock held, publishes the changes and wakes the loop.
+func (s *Service) update(f func(now time.Time)) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.SetSelf(f)
-}
-
-func (s *Service) merge(m membership.Member) {
-	s.mu.Lock()
-	changed := s.table.Merge(m)
+	f(time.Now())
+	changed := s.node.TakeChanges()
 	s.mu.Unlock()
-	if !changed {
-		return
+	for _, m := range changed {
+		s.ring.Add("member_changed", m.ID, m.State.String())
+		if err := s.bus.Publish(Changed{ID: m.ID, State: m.State.String()}); err != nil {
+			s.log.Error("event not published", "topic", "member_changed", "error", err)
+		}
 	}
-	s.ring.Add("member_changed", m.ID, m.State.String())
-	if err := s.bus.Publish(Changed{ID: m.ID, State: m.State.String()}); err != nil {
-		s.log.Error("event not published", "topic", "member_changed", "error", err)
+	select {
+	case s.kick <- struct{}{}:
+	default: // The loop is about to wake already.
+	}
+}
+
+// readLists reads the platform's list on joining, and again while the instance watches the store or
+// knows no other one.
+func (s *Service) readLists(ctx context.Context) {
+	s.readList(ctx)
+	ticker := time.NewTicker(listPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if s.config.Watching() || len(s.Members()) == 1 {
+			s.readList(ctx)
+		}
 	}
 }
 
@@ -150,50 +195,13 @@
 		s.counters.Counter("instance_list_failures").Add(1)
 		return
 	}
+	var records []membership.Member
 	for _, i := range list {
 		state := membership.Starting
 		if i.State == platform.InstanceLeaving {
 			state = membership.Leaving
 		}
-		s.merge(membership.Member{ID: i.ID, Address: i.Address, FailureDomain: i.FailureDomain, State: state})
-	}
-}
-
-func (s *Service) exchangeWithAll(ctx context.Context) {
-	self := s.self()
-	var wait sync.WaitGroup
-	for _, m := range s.Members() {
-		if m.ID == self.ID || m.State == membership.Dead {
-			continue
-		}
-		wait.Go(func() { s.exchangeWith(ctx, self, m) })
-	}
-	wait.Wait()
-}
-
-func (s *Service) exchangeWith(ctx context.Context, self, other membership.Member) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	s.counters.Counter("exchanges_sent").Add(1)
-	client := peer.MembershipClient(other.Address, s.transport)
-	resp, err := client.Exchange(ctx, &memberpb.ExchangeRequest{Sender: peer.ToWire(self)})
-	if err != nil {
-		s.counters.Counter("exchange_failures").Add(1)
-		return
-	}
-	s.merge(peer.FromWire(resp.Responder))
-}
-
-// every calls f at once and then once in each period until ctx is done.
-func every(ctx context.Context, period time.Duration, f func(context.Context)) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+		records = append(records, membership.Member{ID: i.ID, Address: i.Address, FailureDomain: i.FailureDomain, State: state})
 	}
+	s.update(func(now time.Time) { s.node.OnList(records, now) })
 }
--- a/instance/operator/service.go
+++ b/instance/operator/service.go
@@ -115,7 +115,7 @@
 
 func (s *Service) accept(lists config.Lists, e admin.Edit) admin.Accepted {
 	s.counters.Counter("edits_accepted").Add(1)
-	s.config.Offer(lists)
+	s.config.Accept(lists)
 	return admin.Accepted{Revision: lists.Sequence, Edit: e.ID}
 }
 
@@ -178,8 +178,7 @@
 
 // Ready reports whether the instance can take requests.
 func (s *Service) Ready() bool {
-	_, known := s.config.InForce()
-	return known
+	return s.config.Ready()
 }
 
 // Timeline returns the latest events of this instance.
