Add measures of control's cost and of configuration propagation

Cause: nothing showed what control costs an instance, or how fast an edit is in force everywhere under faults.

Change: emulator/controlplane runs the services for control of many instances in one process and registers the measures control-cost and config-propagation.

The measures have not been run to the end yet.

--- a/adapter/peer/transport.go
+++ b/adapter/peer/transport.go
@@ -25,9 +25,16 @@
 // connections are added to traffic, which may be nil.
 func NewTransport(traffic *Traffic) *http.Transport {
 	t := target.NewTransport(pingAfter, pingTimeout)
-	dialer := net.Dialer{Timeout: dialTimeout}
 	t.IdleConnTimeout = idleTimeout
-	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+	t.DialContext = DialContext(traffic)
+	return t
+}
+
+// DialContext returns a function for http.Transport.DialContext that adds the bytes of its
+// connections to traffic, which may be nil.
+func DialContext(traffic *Traffic) func(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil || traffic == nil {
 			return conn, err
@@ -36,5 +43,4 @@
 		counting.assign(traffic)
 		return counting, nil
 	}
-	return t
 }
--- a/cmd/hyssopctl/measure.go
+++ b/cmd/hyssopctl/measure.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"hyssopcroft.example/adapter/problem"
+	_ "hyssopcroft.example/emulator/controlplane" // registers its measures
 	"hyssopcroft.example/emulator/measure"
 )
 
--- /dev/null
+++ b/emulator/controlplane/cost.go
@@ -0,0 +1,214 @@
+package controlplane
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/admin"
+)
+
+const (
+	// quietTime is the time for which a fleet without changes is measured.
+	quietTime = 20 * time.Second
+	// costEdits and costRestarts are the changes whose cost is measured, one after the other, and
+	// costPause is the time given to each to spread. A crash is found and spread within 5 s.
+	costEdits    = 4
+	costRestarts = 2
+	costPause    = 3 * time.Second
+	crashPause   = 6 * time.Second
+
+	// An ordinary day at the target size.
+	editsPerDay    = 440
+	restartsPerDay = 880
+	crashesPerDay  = 28
+	secondsPerDay  = 86_400
+)
+
+// Cost is what control costs one instance of a fleet.
+type Cost struct {
+	Instances int `json:"instances"`
+	// BytesPerSecond and MessagesPerSecond count both directions, requests and answers, over an
+	// ordinary day: the quiet fleet and its share of edits, restarts and crashes.
+	BytesPerSecond    float64 `json:"bytes_per_s"`
+	MessagesPerSecond float64 `json:"messages_per_s"`
+	// QuietBytesPerSecond is the part of the quiet fleet.
+	QuietBytesPerSecond float64 `json:"quiet_bytes_per_s"`
+	// BytesPerEdit and BytesPerRestart are the bytes of one change beyond those of a quiet fleet. A
+	// restart is a crash followed by a new start.
+	BytesPerEdit    float64 `json:"bytes_per_edit"`
+	BytesPerRestart float64 `json:"bytes_per_restart"`
+	// CPUPercent is the share of a core in a quiet fleet, its share of the stand-in's included.
+	CPUPercent float64 `json:"cpu_percent"`
+	// CPUMillisPerEdit and CPUMillisPerRestart are the processor time of one change.
+	CPUMillisPerEdit    float64 `json:"cpu_ms_per_edit"`
+	CPUMillisPerRestart float64 `json:"cpu_ms_per_restart"`
+	// MemoryKB is heap and stacks after a collection, in 1000 bytes.
+	MemoryKB float64 `json:"memory_kb"`
+	// StoreCalls counts the calls a second of the quiet fleet as a whole, by purpose.
+	StoreCalls map[string]float64 `json:"store_calls_per_s"`
+	// StoreBytesPerSecond counts the bytes of those calls for each instance.
+	StoreBytesPerSecond float64 `json:"store_bytes_per_s"`
+}
+
+// sample is the state of all counters at one time.
+type sample struct {
+	at                     time.Time
+	bytes, messages, store int64
+	cpu                    time.Duration
+	calls                  map[string]int64
+}
+
+// MeasureCost starts a fleet and measures it.
+func MeasureCost(size int, seed uint64) (Cost, error) {
+	before := memory()
+	f, err := StartFleet(size, NewNetwork(seed, Faults{}))
+	if err != nil {
+		return Cost{}, err
+	}
+	defer f.Stop()
+	time.Sleep(costPause)
+	c := Cost{Instances: size, MemoryKB: float64(memory()-before) / float64(size) / 1000, StoreCalls: map[string]float64{}}
+	quiet, err := f.during(func() error {
+		time.Sleep(quietTime)
+		return nil
+	})
+	if err != nil {
+		return c, err
+	}
+	edits, err := f.during(f.edits)
+	if err != nil {
+		return c, err
+	}
+	restarts, err := f.during(f.restarts)
+	c.fill(quiet, edits.less(quiet, costEdits), restarts.less(quiet, costRestarts))
+	return c, err
+}
+
+func (c *Cost) fill(quiet, edit, restart usage) {
+	n := float64(c.Instances)
+	c.QuietBytesPerSecond = quiet.bytes / quiet.seconds / n
+	c.BytesPerEdit, c.BytesPerRestart = edit.bytes/n, restart.bytes/n
+	changes := (edit.bytes*editsPerDay + restart.bytes*(restartsPerDay+crashesPerDay)) / secondsPerDay / n
+	c.BytesPerSecond = c.QuietBytesPerSecond + changes
+	messages := (edit.messages*editsPerDay + restart.messages*(restartsPerDay+crashesPerDay)) / secondsPerDay
+	c.MessagesPerSecond = (quiet.messages/quiet.seconds + messages) / n
+	c.CPUPercent = 100 * quiet.cpu / quiet.seconds / n
+	c.CPUMillisPerEdit, c.CPUMillisPerRestart = 1000*edit.cpu/n, 1000*restart.cpu/n
+	c.StoreBytesPerSecond = quiet.store / quiet.seconds / n
+	for purpose, calls := range quiet.calls {
+		c.StoreCalls[purpose] = calls / quiet.seconds
+	}
+}
+
+// usage is what a fleet used during some time.
+type usage struct {
+	seconds, bytes, messages, store, cpu float64
+	calls                                map[string]float64
+}
+
+// less returns the usage of one of count changes beyond that of a quiet fleet.
+func (u usage) less(quiet usage, count float64) usage {
+	share := u.seconds / quiet.seconds
+	return usage{
+		seconds: u.seconds / count, bytes: max(0, u.bytes-share*quiet.bytes) / count,
+		messages: max(0, u.messages-share*quiet.messages) / count, cpu: max(0, u.cpu-share*quiet.cpu) / count,
+	}
+}
+
+func (f *Fleet) during(run func() error) (usage, error) {
+	before := f.sample()
+	if err := run(); err != nil {
+		return usage{}, err
+	}
+	after := f.sample()
+	u := usage{
+		seconds: after.at.Sub(before.at).Seconds(), bytes: float64(after.bytes - before.bytes),
+		messages: float64(after.messages - before.messages), store: float64(after.store - before.store),
+		cpu: (after.cpu - before.cpu).Seconds(), calls: map[string]float64{},
+	}
+	for purpose, calls := range after.calls {
+		u.calls[purpose] = float64(calls - before.calls[purpose])
+	}
+	return u, nil
+}
+
+func (f *Fleet) edits() error {
+	for n := range costEdits {
+		i := f.Instances[n%len(f.Instances)]
+		inForce, _ := i.Config.InForce()
+		entry := inForce.Limits[planName(n)]
+		entry.Value.RatePerSecond++
+		e := admin.Edit{ID: fmt.Sprintf("cost-%d", n), Expected: entry.Revision}
+		if _, p := i.Operator.PutLimit(context.Background(), entry.Value, e); p != nil {
+			return errors.Wrap(p, "edit")
+		}
+		time.Sleep(costPause)
+	}
+	return f.Settle()
+}
+
+// restarts crashes instances without an announcement and starts others in their place.
+func (f *Fleet) restarts() error {
+	for n := range costRestarts {
+		stopped := f.Instances[n]
+		stopped.crashed.Store(true)
+		stopped.stop()
+		f.gone = append(f.gone, stopped)
+		f.Instances = append(f.Instances[:n:n], f.Instances[n+1:]...)
+		time.Sleep(crashPause)
+		if err := f.add(len(f.Instances) + 1 + n); err != nil {
+			return err
+		}
+		f.publishList()
+		if err := f.Instances[len(f.Instances)-1].start(); err != nil {
+			return err
+		}
+		if err := f.Settle(); err != nil {
+			return err
+		}
+		time.Sleep(costPause)
+	}
+	return nil
+}
+
+func (f *Fleet) sample() sample {
+	s := sample{at: time.Now(), cpu: processorTime(), calls: map[string]int64{}}
+	for _, i := range slices.Concat(f.Instances, f.gone) {
+		s.bytes += i.Counters.Value("control_bytes_sent") + i.Counters.Value("control_bytes_received")
+		s.messages += i.Counters.Value("control_messages_sent") + i.Counters.Value("control_messages_received")
+		s.store += i.Counters.Value("store_bytes_sent") + i.Counters.Value("store_bytes_received")
+		for _, purpose := range purposes {
+			s.calls[purpose] += i.Counters.Value("platform_calls_" + purpose)
+		}
+	}
+	return s
+}
+
+// purposes are the purposes of the calls that the services for control make.
+var purposes = strings.Fields(`watch_config watch_snapshots watch_targets cold_config cold_snapshots cold_targets
+	list_instances edit_read edit_write`)
+
+// processorTime returns the user and system time of this process.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(errors.Wrap(err, "read processor time"))
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// memory returns the bytes of heap and stacks in use after a collection.
+func memory() int64 {
+	runtime.GC()
+	runtime.GC() // The first one only moves pools to their victim cache.
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
--- /dev/null
+++ b/emulator/controlplane/fit.go
@@ -0,0 +1,48 @@
+package controlplane
+
+import "math"
+
+// Fit is a straight line through values by fleet size.
+type Fit struct {
+	Intercept float64 `json:"intercept"`
+	// Slope is the change for one instance more, and Spread its standard error.
+	Slope  float64 `json:"slope"`
+	Spread float64 `json:"slope_standard_error"`
+	// AtTarget is the value of the line at the target size, and Error its standard error.
+	AtTarget float64 `json:"at_target"`
+	Error    float64 `json:"at_target_standard_error"`
+}
+
+// targetSize is the number of instances of the target size.
+const targetSize = 780
+
+// FitLine fits a line by least squares. It needs at least three points with different sizes.
+func FitLine(sizes, values []float64) Fit {
+	n := float64(len(sizes))
+	meanX, meanY := mean(sizes), mean(values)
+	var xx, xy float64
+	for i := range sizes {
+		xx += (sizes[i] - meanX) * (sizes[i] - meanX)
+		xy += (sizes[i] - meanX) * (values[i] - meanY)
+	}
+	f := Fit{Slope: xy / xx}
+	f.Intercept = meanY - f.Slope*meanX
+	f.AtTarget = f.Intercept + f.Slope*targetSize
+	var squares float64
+	for i := range sizes {
+		residual := values[i] - f.Intercept - f.Slope*sizes[i]
+		squares += residual * residual
+	}
+	variance := squares / (n - 2)
+	f.Spread = math.Sqrt(variance / xx)
+	f.Error = math.Sqrt(variance * (1/n + (targetSize-meanX)*(targetSize-meanX)/xx))
+	return f
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(len(values))
+}
--- /dev/null
+++ b/emulator/controlplane/fleet.go
@@ -0,0 +1,246 @@
+// Package controlplane runs the services that instances need for control (members, configsync and
+// operator) in one process on loopback, with the stand-in of the platform, and measures what they
+// cost and how fast a configuration is in force everywhere. Its measures run in real time.
+package controlplane
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/peer"
+	api "hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/control/config"
+	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/emulator/platform"
+	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/instance/members"
+	"hyssopcroft.example/instance/operator"
+	"hyssopcroft.example/kernel"
+	"hyssopcroft.example/kernel/counters"
+	"hyssopcroft.example/kernel/hlc"
+	"hyssopcroft.example/kernel/timeline"
+)
+
+const (
+	// failureDomains and regions are those of the target size.
+	failureDomains = 7
+	regions        = 2
+	// plans is the number of plans, each with a limit, in the stored lists.
+	plans = 100
+	// settleTimeout bounds the wait for a fleet to know all its members.
+	settleTimeout = 60 * time.Second
+	settlePoll    = 50 * time.Millisecond
+	// timelineEvents is small because the timeline is not part of control.
+	timelineEvents = 64
+	shutdownTime   = 5 * time.Second
+)
+
+// Instance is one instance with the services for control only.
+type Instance struct {
+	Self     membership.Member
+	Region   int
+	Config   *configsync.Service
+	Members  *members.Service
+	Operator *operator.Service
+	Counters *counters.Set
+	// Store counts the bytes of calls to the platform.
+	Store *peer.Traffic
+
+	crashed atomic.Bool
+	kernel  *kernel.Kernel
+	server  *http.Server
+}
+
+// Fleet is a running set of instances and their platform.
+type Fleet struct {
+	Store     *platform.Store
+	Platform  *platform.Server
+	Network   *Network
+	Instances []*Instance
+
+	gone   []*Instance // crashed instances, whose counters still count
+	url    string
+	server *http.Server
+}
+
+// domainOf returns the failure domain and the region of the n-th instance.
+func domainOf(n int) (string, int) {
+	domain := n % failureDomains
+	return fmt.Sprintf("domain-%d", domain), domain * regions / failureDomains
+}
+
+// StartFleet starts the platform and size instances and waits until all know each other as live.
+func StartFleet(size int, n *Network) (*Fleet, error) {
+	f := &Fleet{Store: platform.NewStore(), Network: n}
+	f.Platform = platform.NewServer(f.Store)
+	listener, err := n.listen("platform")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for the platform")
+	}
+	f.url = "http://" + listener.Addr().String()
+	f.server = &http.Server{Handler: f.Platform}
+	go func() { _ = f.server.Serve(listener) }() // Serve always returns an error, at the latest on Close.
+	data, err := json.Marshal(lists())
+	if err != nil {
+		return nil, errors.Wrap(err, "encode lists")
+	}
+	f.Store.Put(configsync.KindConfig, configsync.NameCurrent, data, 0, 0)
+	for i := range size {
+		if err := f.add(i); err != nil {
+			return f, err
+		}
+	}
+	f.publishList()
+	for _, i := range f.Instances {
+		if err := i.start(); err != nil {
+			return f, err
+		}
+	}
+	return f, f.Settle()
+}
+
+func lists() config.Lists {
+	l := config.Lists{Sequence: 1, Plans: map[string]config.Entry[config.Plan]{}, Limits: map[string]config.Entry[config.Limit]{}}
+	for i := range plans {
+		name := planName(i)
+		plan := config.Plan{Name: name, Priority: config.PriorityNormal, Prefer: config.PreferCoverage}
+		limit := config.Limit{
+			Plan: name, Indexes: []string{"shop-returns-counter", "deposit-ledger"}, RatePerSecond: 1000,
+			Concurrency: 100, DeadlineMillis: 250, LeastCoverage: 0.9,
+		}
+		l.Plans[name] = config.Entry[config.Plan]{Value: plan, Revision: 1, Edit: "initial"}
+		l.Limits[name] = config.Entry[config.Limit]{Value: limit, Revision: 1, Edit: "initial"}
+	}
+	return l
+}
+
+func planName(i int) string { return fmt.Sprintf("plan-%03d", i) }
+
+// add prepares the n-th instance without starting it.
+func (f *Fleet) add(n int) error {
+	id := fmt.Sprintf("instance-%03d", n)
+	listener, err := f.Network.listen(id)
+	if err != nil {
+		return errors.Wrap(err, "listen for an instance")
+	}
+	domain, region := domainOf(n)
+	i := &Instance{Region: region, Counters: counters.NewSet(), kernel: kernel.New()}
+	i.Self = membership.Member{
+		ID: id, Address: listener.Addr().String(), FailureDomain: domain,
+		Incarnation: uint64(time.Now().UnixNano()), State: membership.Starting,
+	}
+	i.Store = &peer.Traffic{
+		BytesSent: i.Counters.Counter("store_bytes_sent"), BytesReceived: i.Counters.Counter("store_bytes_received"),
+	}
+	log := slog.New(slog.DiscardHandler)
+	ring := timeline.NewRing(i.Self.ID, timelineEvents, hlc.New(time.Now))
+	store := f.Network.toStore(region, &http.Transport{DialContext: f.Network.dialer(i.Store)})
+	client := api.NewClient(f.url, store, func(p api.Purpose) { i.Counters.Counter("platform_calls_" + string(p)).Add(1) })
+	i.Config = configsync.New(client, i.kernel.Bus(), ring, log, i.Counters)
+	i.Members = members.New(i.Self, client, i.Config, i.kernel.Bus(), ring, log, i.Counters)
+	i.Operator = operator.New(i.Self.ID, domain, client, i.Config, i.Members, ring, i.Counters)
+	i.Members.WrapTransport(func(next http.RoundTripper) http.RoundTripper {
+		if f.Network.pipes != nil {
+			transport := peer.NewTransport(nil)
+			transport.DialContext = f.Network.dialer(nil)
+			next = transport
+		}
+		return i.untilCrash(f.Network.toPeers(domain, region, next))
+	})
+	f.Network.place(i.Self.Address, domain, region)
+	i.serve(listener)
+	f.Instances = append(f.Instances, i)
+	return nil
+}
+
+func (i *Instance) serve(listener net.Listener) {
+	mux := http.NewServeMux()
+	mux.Handle(peer.MembershipHandler(i.Members))
+	mux.Handle(peer.DistributionHandler(i.Config))
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	i.server = &http.Server{Handler: mux, Protocols: &protocols, ConnContext: peer.ConnContext(i.Members.Traffic())}
+	go func() { _ = i.server.Serve(peer.Listener{Listener: listener}) }() // ends with an error on Close
+}
+
+// untilCrash returns a transport that sends nothing after a crash.
+func (i *Instance) untilCrash(next http.RoundTripper) http.RoundTripper {
+	return roundTripper(func(r *http.Request) (*http.Response, error) {
+		if i.crashed.Load() {
+			return nil, errLost
+		}
+		return next.RoundTrip(r)
+	})
+}
+
+func (i *Instance) start() error {
+	for _, s := range []kernel.Service{i.Config, i.Members, i.Operator} {
+		if err := i.kernel.Register(s); err != nil {
+			return err
+		}
+	}
+	return i.kernel.Start(context.Background())
+}
+
+// stop ends an instance. It announces this to its peers unless it has crashed.
+func (i *Instance) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	_ = i.server.Close()   // The listener is gone in any case.
+	_ = i.kernel.Stop(ctx) // A service that does not end in time ends with the process.
+}
+
+// publishList makes the platform's list name all present instances.
+func (f *Fleet) publishList() {
+	var list []api.Instance
+	for _, i := range f.Instances {
+		list = append(list, api.Instance{
+			ID: i.Self.ID, Address: i.Self.Address, FailureDomain: i.Self.FailureDomain, State: api.InstanceLive,
+		})
+	}
+	f.Store.SetInstances(list)
+}
+
+// Settle waits until all instances know each other as live and hold the same configuration.
+func (f *Fleet) Settle() error {
+	for end := time.Now().Add(settleTimeout); time.Now().Before(end); time.Sleep(settlePoll) {
+		if f.settled() {
+			return nil
+		}
+	}
+	return errors.Errorf("%d instances did not settle within %s", len(f.Instances), settleTimeout)
+}
+
+func (f *Fleet) settled() bool {
+	first, _ := f.Instances[0].Config.InForce()
+	for _, i := range f.Instances {
+		inForce, known := i.Config.InForce()
+		if !known || inForce.Sequence != first.Sequence || i.Members.LiveCount() != len(f.Instances) {
+			return false
+		}
+	}
+	return true
+}
+
+// Stop ends all instances and the platform.
+func (f *Fleet) Stop() {
+	var wait sync.WaitGroup
+	for _, i := range f.Instances {
+		wait.Go(i.stop)
+	}
+	wait.Wait()
+	_ = f.server.Close() // The listener is gone in any case.
+}
+
+// any returns a random instance.
+func (f *Fleet) any(random *rand.Rand) *Instance { return f.Instances[random.IntN(len(f.Instances))] }
--- /dev/null
+++ b/emulator/controlplane/network.go
@@ -0,0 +1,145 @@
+package controlplane
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/emulator/pipenet"
+)
+
+// Faults are the faults of the network between instances and to the store.
+type Faults struct {
+	// Loss is the share of messages between instances that are lost. A request and its answer are
+	// lost with the same chance each.
+	Loss float64
+	// LosePushes loses every push, which leaves the distribution to the exchange.
+	LosePushes bool
+	// Apart cuts the regions off from each other, and all but region 0 from the store.
+	Apart bool
+	// DomainDelay and RegionDelay are one-way delays between failure domains and between regions.
+	DomainDelay, RegionDelay time.Duration
+}
+
+type place struct {
+	domain string
+	region int
+}
+
+// Network injects faults into the calls of instances. It is safe for concurrent use.
+type Network struct {
+	mu     sync.Mutex // guards the fields below
+	faults Faults
+	places map[string]place // by address
+	random *rand.Rand
+
+	// pipes carries all connections if it is set; otherwise they go over loopback.
+	pipes *pipenet.Network
+}
+
+// NewNetwork returns a network with faults whose random choices follow the seed.
+func NewNetwork(seed uint64, f Faults) *Network {
+	return &Network{faults: f, places: map[string]place{}, random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// listen opens an address for the platform or for an instance.
+func (n *Network) listen(name string) (net.Listener, error) {
+	if n.pipes != nil {
+		return n.pipes.Listen(name + ":80")
+	}
+	return net.Listen("tcp", "127.0.0.1:0")
+}
+
+// dialer returns the function that opens connections and counts their bytes.
+func (n *Network) dialer(t *peer.Traffic) func(ctx context.Context, network, address string) (net.Conn, error) {
+	if n.pipes != nil {
+		return n.pipes.DialContext
+	}
+	return peer.DialContext(t)
+}
+
+// Set replaces the faults.
+func (n *Network) Set(change func(*Faults)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(&n.faults)
+}
+
+func (n *Network) place(address, domain string, region int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.places[address] = place{domain: domain, region: region}
+}
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+// RoundTrip implements http.RoundTripper.
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// errLost is what a caller sees of a lost message once it gives up.
+var errLost = errors.New("message lost")
+
+// toStore returns a transport from a region to the store, which is in region 0.
+func (n *Network) toStore(region int, next http.RoundTripper) http.RoundTripper {
+	return roundTripper(func(r *http.Request) (*http.Response, error) {
+		n.mu.Lock()
+		cut := n.faults.Apart && region != 0
+		n.mu.Unlock()
+		if cut {
+			<-r.Context().Done()
+			return nil, errLost
+		}
+		return next.RoundTrip(r)
+	})
+}
+
+// toPeers returns a transport from an instance to its peers.
+func (n *Network) toPeers(domain string, region int, next http.RoundTripper) http.RoundTripper {
+	from := place{domain: domain, region: region}
+	return roundTripper(func(r *http.Request) (*http.Response, error) {
+		request, answer, delay := n.fate(from, r)
+		if request {
+			<-r.Context().Done()
+			return nil, errLost
+		}
+		if delay == 0 && !answer {
+			return next.RoundTrip(r)
+		}
+		time.Sleep(delay)
+		resp, err := next.RoundTrip(r)
+		if err != nil {
+			return resp, err
+		}
+		if answer {
+			_ = resp.Body.Close() // The body is dropped on purpose.
+			<-r.Context().Done()
+			return nil, errLost
+		}
+		time.Sleep(delay)
+		return resp, nil
+	})
+}
+
+// fate says whether the request or the answer is lost and how long each is under way.
+func (n *Network) fate(from place, r *http.Request) (request, answer bool, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	to := n.places[r.URL.Host]
+	push := strings.HasSuffix(r.URL.Path, "/Push")
+	request = n.random.Float64() < n.faults.Loss || n.faults.Apart && from.region != to.region || n.faults.LosePushes && push
+	answer = n.random.Float64() < n.faults.Loss
+	switch {
+	case from.region != to.region:
+		delay = n.faults.RegionDelay
+	case from.domain != to.domain:
+		delay = n.faults.DomainDelay
+	}
+	return request, answer, delay
+}
