--- a/instance/operator/service.go
+++ b/instance/operator/service.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -22,10 +21,6 @@
 // Name is the name of the service.
 const Name = "operator"
 
-// editAttempts bounds how often an edit is applied again because another edit came first or the
-// answer to a write was lost.
-const editAttempts = 8
-
 // Service implements admin.Backend. It is safe for concurrent use.
 type Service struct {
 	instance, failureDomain string
@@ -91,39 +86,6 @@
 	return s.edit(ctx, e, func(l config.Lists, e config.Edit) (config.Lists, error) { return l.DeleteLimit(plan, e) })
 }
 
-type change func(config.Lists, config.Edit) (config.Lists, error)
-
-// edit applies a change to the newest lists and writes them conditionally. After a lost answer or
-// a lost race it reads the lists again; an edit that took effect is found there by its id.
-func (s *Service) edit(ctx context.Context, e admin.Edit, apply change) (admin.Accepted, *problem.Problem) {
-	var last error
-	for range editAttempts {
-		lists, version, err := s.read(ctx)
-		if err != nil {
-			last = err
-			continue
-		}
-		next, err := apply(lists, config.Edit{ID: e.ID, Expected: e.Expected})
-		if err != nil {
-			return admin.Accepted{}, problemOf(err)
-		}
-		if next.Sequence == lists.Sequence {
-			return s.accept(next, e), nil
-		}
-		if last = s.write(ctx, next, version); last == nil {
-			return s.accept(next, e), nil
-		}
-		s.counters.Counter("edit_writes_repeated").Add(1)
-	}
-	return admin.Accepted{}, problemOf(last)
-}
-
-func (s *Service) accept(lists config.Lists, e admin.Edit) admin.Accepted {
-	s.counters.Counter("edits_accepted").Add(1)
-	s.config.Offer(lists)
-	return admin.Accepted{Revision: lists.Sequence, Edit: e.ID}
-}
-
 func (s *Service) read(ctx context.Context) (config.Lists, platform.Version, error) {
 	obj, err := s.client.Get(ctx, "edit_read", configsync.KindConfig, configsync.NameCurrent)
 	if errors.Is(err, platform.ErrNotFound) {
@@ -137,40 +99,15 @@
 	return lists, obj.Version, errors.Wrap(err, "decode configuration")
 }
 
-func (s *Service) write(ctx context.Context, lists config.Lists, expected platform.Version) error {
-	data, err := json.Marshal(lists)
-	if err != nil {
-		return errors.Wrap(err, "encode configuration")
-	}
-	obj := platform.Object{Kind: configsync.KindConfig, Name: configsync.NameCurrent, Data: data}
-	_, err = s.client.Put(ctx, "edit_write", obj, expected, 0)
-	return err
-}
-
-func problemOf(err error) *problem.Problem {
-	var conflict *config.ConflictError
-	switch {
-	case errors.As(err, &conflict):
-		return &problem.Problem{
-			Status: http.StatusConflict, Code: problem.Conflict, Message: err.Error(),
-			Expected: uint64(conflict.Expected), Actual: uint64(conflict.Actual),
-		}
-	case errors.Is(err, config.ErrInvalid):
-		return &problem.Problem{Status: http.StatusUnprocessableEntity, Code: problem.Invalid, Message: err.Error()}
-	case errors.Is(err, config.ErrNoEntry):
-		return &problem.Problem{Status: http.StatusNotFound, Code: problem.NotFound, Message: err.Error()}
-	}
-	return &problem.Problem{
-		Status: http.StatusServiceUnavailable, Code: problem.PlatformUnavailable, Message: err.Error(),
-		Run: problem.MayHaveRun,
-	}
-}
-
 // Status returns the state of this instance.
 func (s *Service) Status() admin.Status {
 	lists, _ := s.config.InForce()
 	status := admin.Status{
 		Instance: s.instance, FailureDomain: s.failureDomain, Ready: s.Ready(), ConfigSequence: lists.Sequence,
+		Watching: s.config.Watching(),
+	}
+	if since, unconfirmed := s.config.Unconfirmed(); unconfirmed {
+		status.UnconfirmedSince = &since
 	}
 	for _, m := range s.members.Members() {
 		status.Members = append(status.Members, admin.MemberStatus{
@@ -188,8 +125,7 @@
 			return false
 		}
 	}
-	_, known := s.config.InForce()
-	return known && !s.members.Leaving()
+	return s.config.Ready() && !s.members.Leaving()
 }
 
 // Timeline returns the latest events of this instance.
