--- /dev/null
+++ b/emulator/measure/churn_instance.go
@@ -0,0 +1,165 @@
+package measure
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/hedge"
+	"hyssopcroft.example/query/latency"
+	"hyssopcroft.example/query/placement"
+	"hyssopcroft.example/query/replica"
+	"hyssopcroft.example/query/scatter"
+	"hyssopcroft.example/query/snapshot"
+)
+
+// churnInstance is an instance with the decisions that the entry and relay services run.
+type churnInstance struct {
+	run    *churnRun
+	id     string
+	domain int
+	source *rand.Rand
+
+	maps      []query.Map
+	targets   []query.Target
+	snapshots snapshot.Chooser // over targets, or over groups
+	local     snapshot.Chooser // over targets
+	pool      *scatter.Pool
+	random    *replica.Random // of the baseline
+	place     *placement.Index
+	latencies *latency.Window
+	returns   *latency.Window
+	delay     *hedge.Delay
+	budget    hedge.Budget
+
+	lastAttempt query.AttemptID
+	silentUntil time.Time // as a relay
+	chosen      query.Version
+}
+
+func newChurnInstance(r *churnRun, id string, domain int) *churnInstance {
+	source := rand.New(rand.NewPCG(r.source.Uint64(), r.source.Uint64()))
+	return &churnInstance{
+		run: r, id: id, domain: domain, source: source,
+		pool:   scatter.NewPool(r.size.deployment.FailureDomains[domain], source),
+		random: replica.NewRandom(source), latencies: latency.NewWindow(), returns: latency.NewWindow(),
+		delay: hedge.NewDelay(), budget: hedge.NewBudget(hedge.HedgeShare), lastAttempt: query.AttemptID(source.Uint64()),
+	}
+}
+
+// learn takes published objects; nil means that the object did not change.
+func (in *churnInstance) learn(maps []query.Map, targets []query.Target) {
+	if maps != nil {
+		in.maps = maps
+		in.snapshots.Publish(maps)
+		in.local.Publish(maps)
+	}
+	if targets == nil {
+		return
+	}
+	in.targets = targets
+	in.pool.SetTargets(targets)
+	in.random.SetTargets(targets)
+	in.local.SetTargets(targets)
+	in.place = placement.New(in.id, churnIndex, targets, in.run.members)
+	if in.place.Flat() {
+		in.snapshots.SetTargets(targets)
+		return
+	}
+	var groups []snapshot.Group
+	for _, g := range in.place.Groups() {
+		groups = append(groups, snapshot.Group{ID: string(g.ID), Shards: g.Shards})
+	}
+	in.snapshots.SetGroups(groups)
+}
+
+// choose returns the map that a query is asked at. The baseline takes the newest published one.
+func (in *churnInstance) choose() (query.Map, bool) {
+	if in.run.baseline {
+		return in.maps[len(in.maps)-1], true
+	}
+	m, known := in.snapshots.Choose(in.run.loop.Now())
+	if m.Version < in.chosen {
+		in.run.stats.movedBack++
+	}
+	in.chosen = m.Version
+	return m, known
+}
+
+// observe takes the versions that a target reported.
+func (in *churnInstance) observe(id query.TargetID, held []query.Version) {
+	now := in.run.loop.Now()
+	in.local.Observe(now, id, held)
+	if in.place.Flat() {
+		in.snapshots.Observe(now, id, held)
+	}
+}
+
+// report returns which versions the targets of a group hold.
+func (in *churnInstance) report(asked query.Map) snapshot.Report {
+	g, known := in.place.GroupOf(asked.Shards[0])
+	if !known {
+		return snapshot.Report{}
+	}
+	return in.local.Report(asked, g.Shards)
+}
+
+// holds reports whether the instance may connect to targets of all the shards.
+func (in *churnInstance) holds(shards []query.Shard) bool {
+	return !slices.ContainsFunc(shards, func(s query.Shard) bool {
+		g, known := in.place.GroupOf(s)
+		return !known || !in.place.Holds(g.ID)
+	})
+}
+
+// relaysOf returns the holders of a group: this instance first, then those of its failure domain.
+func (in *churnInstance) relaysOf(id placement.GroupID) []string {
+	holders := slices.Clone(in.place.HoldersOf(id))
+	in.source.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
+	own := in.run.size.deployment.FailureDomains[in.domain]
+	cost := func(i placement.Instance) int {
+		switch {
+		case i.ID == in.id:
+			return 0
+		case i.FailureDomain == own:
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(holders, func(a, b placement.Instance) int { return cmp.Compare(cost(a), cost(b)) })
+	var relays []string
+	for _, h := range holders {
+		relays = append(relays, h.ID)
+	}
+	return relays
+}
+
+func (in *churnInstance) nextAttempt() query.AttemptID {
+	in.lastAttempt++
+	return in.lastAttempt
+}
+
+// config returns what a scatter.Machine of this instance needs.
+func (in *churnInstance) config(req query.Request, m query.Map) scatter.Config {
+	if in.run.baseline {
+		return scatter.Config{Request: req, Map: m, Chooser: in.random, NextAttempt: in.nextAttempt}
+	}
+	return scatter.Config{Request: req, Map: m, Policy: churnPolicy{in: in, version: m.Version}, NextAttempt: in.nextAttempt}
+}
+
+// churnPolicy is the pool of an instance without the targets that are known to lack a version.
+type churnPolicy struct {
+	in      *churnInstance
+	version query.Version
+}
+
+// Choose implements scatter.Policy.
+func (p churnPolicy) Choose(now time.Time, w scatter.Want) (scatter.Grant, replica.Verdict) {
+	w.Unfit = func(id query.TargetID) bool { return !p.in.local.MayHold(now, id, p.version) }
+	return p.in.pool.Choose(now, w)
+}
+
+// End implements scatter.Policy.
+func (p churnPolicy) End(now time.Time, e replica.End) { p.in.pool.End(now, e) }
--- a/emulator/measure/driver.go
+++ b/emulator/measure/driver.go
@@ -171,12 +171,7 @@
 
 // delay returns a one-way delay with its variable part and now and then a lost message.
 func (d *Driver) delay(a, b int) time.Duration {
-	fixed := d.scenario.Deployment.Delay(a, b)
-	total := fixed + time.Duration(d.source.ExpFloat64()*jitterShare*float64(fixed))
-	if a != b && d.source.Float64() < lossShare {
-		total += max(4*fixed, resendFloor)
-	}
-	return total
+	return variableDelay(d.source, d.scenario.Deployment, a, b)
 }
 
 func (d *Driver) sent(id query.TargetID) {
--- a/instance/entry/index.go
+++ b/instance/entry/index.go
@@ -57,16 +57,17 @@
 func (ix *index) chooseSnapshot() (query.Map, bool) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	return ix.snapshots.Choose()
+	return ix.snapshots.Choose(time.Now())
 }
 
 // observe takes the versions that a target reported.
 func (ix *index) observe(id query.TargetID, held []query.Version) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	ix.local.Observe(id, held)
+	now := time.Now()
+	ix.local.Observe(now, id, held)
 	if ix.flat() {
-		ix.snapshots.Observe(id, held)
+		ix.snapshots.Observe(now, id, held)
 	}
 }
 
@@ -87,20 +88,20 @@
 	return r.OnReply(time.Now(), &ix.snapshots, s, o, ix.latencies.Quantile(50))
 }
 
-// restartOnMissing returns the map to restart at if the coverage lacks a shard that lost the snapshot.
-func (ix *index) restartOnMissing(r *snapshot.Restart, got query.Coverage) (query.Map, bool) {
+// restartOnFinish returns the map to restart at if the answer lacks a shard that lost the snapshot.
+func (ix *index) restartOnFinish(r *snapshot.Restart, got query.Coverage) (query.Map, bool) {
 	if r == nil {
 		return query.Map{}, false
 	}
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	return r.OnMissing(time.Now(), &ix.snapshots, got, ix.latencies.Quantile(50))
+	return r.OnFinish(time.Now(), &ix.snapshots, got, ix.latencies.Quantile(50))
 }
 
 // at returns the policy of a query at the version.
 func (ix *index) at(v query.Version) *versionPolicy {
 	return &versionPolicy{
-		index: ix, unfit: func(id query.TargetID) bool { return !ix.local.MayHold(id, v) },
+		index: ix, unfit: func(id query.TargetID) bool { return !ix.local.MayHold(time.Now(), id, v) },
 	}
 }
 
--- a/instance/entry/index_groups.go
+++ b/instance/entry/index_groups.go
@@ -108,9 +108,17 @@
 func (ix *index) observeGroup(id placement.GroupID, p peer.Partial, took time.Duration) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	ix.groups.delay.Record(time.Now(), took)
+	now := time.Now()
+	ix.groups.delay.Record(now, took)
 	ix.groups.returns.Record((took - p.Took) / 2)
-	ix.snapshots.ObserveGroup(string(id), p.Versions)
+	ix.snapshots.ObserveGroup(now, string(id), p.Versions)
+}
+
+// restartOnPart returns the map to restart at if the partial answer lacks a shard that lost the snapshot.
+func (ix *index) restartOnPart(r *snapshot.Restart, got query.Coverage) (query.Map, bool) {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	return r.OnPart(time.Now(), &ix.snapshots, got, ix.latencies.Quantile(50))
 }
 
 // hedgeAfter returns the silence after which a relay is hedged.
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -95,7 +95,7 @@
 		timer.Reset(time.Until(r.machine.NextWake()))
 	}
 	answer := r.machine.Answer()
-	other, again := r.index.restartOnMissing(r.restart, answer.Coverage)
+	other, again := r.index.restartOnFinish(r.restart, answer.Coverage)
 	return answer, other, again
 }
 
--- a/instance/entry/two_level.go
+++ b/instance/entry/two_level.go
@@ -56,7 +56,7 @@
 	for !finished {
 		select {
 		case p := <-r.replies:
-			if other, again := r.index.restartOnMissing(r.restart, p.partial.Answer.Coverage); again {
+			if other, again := r.index.restartOnPart(r.restart, p.partial.Answer.Coverage); again {
 				return query.Answer{}, other, true
 			}
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), p.attempt, p.partial.Reply))
@@ -67,7 +67,9 @@
 		}
 		timer.Reset(time.Until(r.machine.NextWake()))
 	}
-	return r.machine.Answer(), query.Map{}, false
+	answer := r.machine.Answer()
+	other, again := r.index.restartOnFinish(r.restart, answer.Coverage)
+	return answer, other, again
 }
 
 func (r *groupRun) countDropped() {
--- a/query/snapshot/chooser.go
+++ b/query/snapshot/chooser.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"hyssopcroft.example/query"
 )
@@ -14,17 +15,27 @@
 // it is chosen. With one, the loss of a single target would leave the shard out.
 const leastReporters = 2
 
+// reportLife is the time for which a target's report says that it lacks a version newer than all that
+// it holds. Without an end to it, a target that loads late would be left out, and never heard of again.
+const reportLife = 500 * time.Millisecond
+
 // Chooser knows the partition maps that were published for one index and which versions its targets
 // have reported. It is not safe for concurrent use.
 type Chooser struct {
 	maps     []query.Map // ascending by version
 	replicas map[query.Shard][]query.TargetID
-	held     map[query.TargetID][]query.Version // as last reported; absent if never
-	lost     map[query.Version]struct{}         // versions that were chosen and then dropped by a shard
+	reports  map[query.TargetID]report
+	lost     map[query.Version]struct{} // versions that were chosen and then dropped by a shard
 	chosen   query.Version
 	stale    bool // set if the choice has to be made again
 }
 
+// report is what a target said last.
+type report struct {
+	held []query.Version // ascending
+	at   time.Time
+}
+
 // Publish replaces the known partition maps.
 func (c *Chooser) Publish(maps []query.Map) {
 	c.maps = slices.Clone(maps)
@@ -40,7 +51,7 @@
 // SetTargets replaces the live targets. Reports of targets that are no longer listed are forgotten.
 func (c *Chooser) SetTargets(targets []query.Target) {
 	c.replicas = make(map[query.Shard][]query.TargetID, len(targets))
-	held := make(map[query.TargetID][]query.Version, len(targets))
+	reports := make(map[query.TargetID]report, len(targets))
 	for _, t := range targets {
 		if t.Leaving {
 			continue
@@ -48,40 +59,46 @@
 		for _, s := range t.Shards {
 			c.replicas[s] = append(c.replicas[s], t.ID)
 		}
-		if versions, reported := c.held[t.ID]; reported {
-			held[t.ID] = versions
+		if r, reported := c.reports[t.ID]; reported {
+			reports[t.ID] = r
 		}
 	}
-	c.held = held
+	c.reports = reports
 	c.stale = true
 }
 
-// Observe takes the versions that a target reported, in any order. An empty list says that the
+// Observe takes the versions that a target reported, in ascending order. An empty list says that the
 // target holds none.
-func (c *Chooser) Observe(target query.TargetID, held []query.Version) {
-	known, reported := c.held[target]
-	if reported && slices.Equal(known, held) {
-		return
+func (c *Chooser) Observe(now time.Time, target query.TargetID, held []query.Version) {
+	known, reported := c.reports[target]
+	if c.reports == nil {
+		c.reports = map[query.TargetID]report{}
 	}
-	if c.held == nil {
-		c.held = map[query.TargetID][]query.Version{}
+	if reported && slices.Equal(known.held, held) {
+		c.reports[target] = report{held: known.held, at: now}
+		return
 	}
-	c.held[target] = slices.Clone(held)
+	c.reports[target] = report{held: slices.Clone(held), at: now}
 	c.stale = true
 }
 
-// MayHold reports whether the target has reported the version or has reported nothing yet.
-func (c *Chooser) MayHold(target query.TargetID, v query.Version) bool {
-	held, reported := c.held[target]
-	return !reported || slices.Contains(held, v)
+// MayHold reports whether the target has reported the version, has reported nothing yet, or may have
+// loaded the version since its report.
+func (c *Chooser) MayHold(now time.Time, target query.TargetID, v query.Version) bool {
+	r, reported := c.reports[target]
+	if !reported || slices.Contains(r.held, v) {
+		return true
+	}
+	newer := len(r.held) == 0 || v > r.held[len(r.held)-1]
+	return newer && now.Sub(r.at) > reportLife
 }
 
 // Lost reports whether every live replica of the shard has reported that it does not hold the
 // version. It returns false for a shard without live replicas.
-func (c *Chooser) Lost(s query.Shard, v query.Version) bool {
+func (c *Chooser) Lost(now time.Time, s query.Shard, v query.Version) bool {
 	replicas := c.replicas[s]
 	for _, t := range replicas {
-		if c.MayHold(t, v) {
+		if c.MayHold(now, t, v) {
 			return false
 		}
 	}
@@ -91,55 +108,59 @@
 // Choose returns the map of the version that a new query is asked at. It returns false if no map is
 // known. The choice moves to a newer version that is ready; it moves to an older one only if a shard
 // has lost the chosen one.
-func (c *Chooser) Choose() (query.Map, bool) {
+func (c *Chooser) Choose(now time.Time) (query.Map, bool) {
 	if len(c.maps) == 0 {
 		return query.Map{}, false
 	}
 	if c.stale {
-		c.stale = false
-		c.chosen = c.decide()
+		c.chosen, c.stale = c.decide(now)
 	}
 	return c.find(c.chosen)
 }
 
-// Other returns the newest map, apart from that of the version gone, that every shard with a live
-// replica still holds. Ready versions are preferred.
-func (c *Chooser) Other(gone query.Version) (query.Map, bool) {
+// Reported returns the newest map, apart from that of the version gone, that every shard with a live
+// replica is reported to hold. Ready versions are preferred.
+func (c *Chooser) Reported(gone query.Version) (query.Map, bool) {
 	if m, ok := c.newest(func(m query.Map) bool { return m.Version != gone && c.reported(m, leastReporters) }); ok {
 		return m, true
 	}
 	return c.newest(func(m query.Map) bool { return m.Version != gone && c.reported(m, 1) })
 }
 
-func (c *Chooser) decide() query.Version {
+// Other returns the map to turn to from the version gone: a reported one or, if there is none, one
+// that no shard is known to lack. Of these the oldest that is newer than gone is the likeliest to be
+// loaded everywhere.
+func (c *Chooser) Other(now time.Time, gone query.Version) (query.Map, bool) {
+	if m, ok := c.Reported(gone); ok {
+		return m, true
+	}
+	for _, m := range c.maps {
+		if m.Version > gone && !c.lostBySome(now, m) {
+			return m, true
+		}
+	}
+	return c.newest(func(m query.Map) bool { return m.Version < gone && !c.lostBySome(now, m) })
+}
+
+// decide returns the choice, and whether it has to be made again although nothing new is reported.
+func (c *Chooser) decide(now time.Time) (query.Version, bool) {
 	if m, ok := c.newest(func(m query.Map) bool { return m.Version > c.chosen && c.ready(m) }); ok {
-		return m.Version
+		return m.Version, false
 	}
 	present, published := c.find(c.chosen)
-	if published && !c.lostBySome(present) {
-		return c.chosen
+	if published && !c.lostBySome(now, present) {
+		return c.chosen, false
 	}
 	if published {
 		c.markLost(c.chosen)
 	}
-	if m, ok := c.Other(c.chosen); ok {
-		return m.Version
+	if m, ok := c.Other(now, c.chosen); ok {
+		return m.Version, false
 	}
 	if published {
-		return c.chosen
-	}
-	return c.unreported()
-}
-
-// unreported chooses while no version is known to be held: the oldest one that is newer than the
-// last choice, because the newest may still be loading at the targets.
-func (c *Chooser) unreported() query.Version {
-	for _, m := range c.maps {
-		if m.Version > c.chosen && !c.lostBySome(m) {
-			return m.Version
-		}
+		return c.chosen, true
 	}
-	return c.maps[len(c.maps)-1].Version
+	return c.maps[len(c.maps)-1].Version, true
 }
 
 func (c *Chooser) markLost(v query.Version) {
@@ -178,15 +199,15 @@
 func (c *Chooser) reporters(replicas []query.TargetID, v query.Version) int {
 	n := 0
 	for _, t := range replicas {
-		if slices.Contains(c.held[t], v) {
+		if slices.Contains(c.reports[t].held, v) {
 			n++
 		}
 	}
 	return n
 }
 
-func (c *Chooser) lostBySome(m query.Map) bool {
-	return slices.ContainsFunc(m.Shards, func(s query.Shard) bool { return c.Lost(s, m.Version) })
+func (c *Chooser) lostBySome(now time.Time, m query.Map) bool {
+	return slices.ContainsFunc(m.Shards, func(s query.Shard) bool { return c.Lost(now, s, m.Version) })
 }
 
 func (c *Chooser) newest(suits func(query.Map) bool) (query.Map, bool) {
--- a/query/snapshot/chooser_test.go
+++ b/query/snapshot/chooser_test.go
@@ -27,6 +27,8 @@
 	return query.Target{ID: query.TargetID(id), Shards: shards}
 }
 
+var now = time.Unix(1000, 0)
+
 func versions(v ...query.Version) []query.Version { return v }
 
 // Guards against a version that is chosen before two replicas of a shard hold it, that waits for
@@ -56,15 +58,15 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			var chooser snapshot.Chooser
-			_, known := chooser.Choose()
+			_, known := chooser.Choose(now)
 			require.False(t, known)
 			chooser.Publish([]query.Map{split, old})
 			chooser.SetTargets(c.targets)
 			for _, r := range c.reports {
-				chooser.Observe(r.target, r.held)
-				chooser.Choose()
+				chooser.Observe(now, r.target, r.held)
+				chooser.Choose(now)
 			}
-			m, known := chooser.Choose()
+			m, known := chooser.Choose(now)
 			require.True(t, known)
 			require.Equal(t, c.want, m.Version)
 		})
@@ -80,7 +82,7 @@
 		var chooser snapshot.Chooser
 		chooser.Publish(maps)
 		chooser.SetTargets(targets)
-		m, _ := chooser.Choose()
+		m, _ := chooser.Choose(now)
 		lost := map[query.Version]bool{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			to := rapid.SampledFrom(targets).Draw(t, "target")
@@ -90,16 +92,16 @@
 					held = append(held, v)
 				}
 			}
-			chooser.Observe(to.ID, held)
+			chooser.Observe(now, to.ID, held)
 			before := m
-			m, _ = chooser.Choose()
+			m, _ = chooser.Choose(now)
 			if m.Version == before.Version {
 				continue
 			}
-			isLost := chooser.Lost(before.Shards[0], before.Version) || chooser.Lost(before.Shards[1], before.Version)
+			isLost := chooser.Lost(now, before.Shards[0], before.Version) || chooser.Lost(now, before.Shards[1], before.Version)
 			require.True(t, m.Version > before.Version || isLost, "moved back from %d", before.Version)
 			for _, x := range targets {
-				require.False(t, lost[m.Version] && !isLost && serves(x, m) && !chooser.MayHold(x.ID, m.Version), "returned to a lost version")
+				require.False(t, lost[m.Version] && !isLost && serves(x, m) && !chooser.MayHold(now, x.ID, m.Version), "returned to a lost version")
 			}
 			lost[before.Version] = lost[before.Version] || isLost
 		}
@@ -113,7 +115,6 @@
 // Guards against a second restart, one without enough time, and one while a replica still holds the
 // version.
 func TestRestart(t *testing.T) {
-	now := time.Unix(0, 0)
 	const median = 10 * time.Millisecond
 	cases := []struct {
 		name     string
@@ -133,7 +134,7 @@
 			chooser.Publish([]query.Map{{Version: 1, Shards: []query.Shard{1}}, {Version: 2, Shards: []query.Shard{1}}})
 			chooser.SetTargets([]query.Target{target("a1", 1), target("a2", 1)})
 			for _, id := range c.reports {
-				chooser.Observe(id, versions(2))
+				chooser.Observe(now, id, versions(2))
 			}
 			restart := snapshot.NewRestart(1, now.Add(c.timeLeft))
 			m, again := restart.OnReply(now, &chooser, 1, c.outcome, median)
@@ -143,8 +144,38 @@
 			}
 			require.Equal(t, query.Version(2), m.Version)
 			gone := query.Coverage{Missing: []query.MissingShard{{Shard: 1, Cause: query.CauseSnapshotGone}}}
-			_, again = restart.OnMissing(now, &chooser, gone, median)
+			_, again = restart.OnFinish(now, &chooser, gone, median)
 			require.False(t, again, "second restart")
 		})
 	}
 }
+
+// Guards against a target that loads a version late and is left out for good, because it is not asked
+// at that version and therefore cannot report it.
+func TestReportOfAMissingNewerVersionExpires(t *testing.T) {
+	var chooser snapshot.Chooser
+	chooser.Publish([]query.Map{{Version: 1, Shards: []query.Shard{1}}, {Version: 2, Shards: []query.Shard{1}}, {Version: 3, Shards: []query.Shard{1}}})
+	chooser.SetTargets([]query.Target{target("a1", 1)})
+	chooser.Observe(now, "a1", versions(2))
+	later := now.Add(time.Second)
+	require.False(t, chooser.MayHold(now, "a1", 3))
+	require.True(t, chooser.MayHold(later, "a1", 3))
+	require.False(t, chooser.MayHold(later, "a1", 1), "a dropped version does not come back")
+}
+
+// Guards against a restart that is used up on a version of which little is known, while replies that
+// tell more are on their way.
+func TestEarlyRestartNeedsAReportedNewerVersion(t *testing.T) {
+	var chooser snapshot.Chooser
+	chooser.Publish([]query.Map{{Version: 1, Shards: []query.Shard{1, 2}}, {Version: 2, Shards: []query.Shard{1, 2}}})
+	chooser.SetTargets([]query.Target{target("a1", 1), target("b1", 2)})
+	chooser.Observe(now, "a1", versions(2))
+	restart := snapshot.NewRestart(1, now.Add(time.Second))
+	_, again := restart.OnReply(now, &chooser, 1, query.OutcomeSnapshotGone, time.Millisecond)
+	require.False(t, again, "shard 2 has not reported version 2")
+	chooser.Observe(now, "b1", versions(1, 2))
+	gone := query.Coverage{Missing: []query.MissingShard{{Shard: 1, Cause: query.CauseSnapshotGone}}}
+	m, again := restart.OnPart(now, &chooser, gone, time.Millisecond)
+	require.True(t, again)
+	require.Equal(t, query.Version(2), m.Version)
+}
--- a/query/snapshot/group.go
+++ b/query/snapshot/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"hyssopcroft.example/query"
 )
@@ -28,7 +29,7 @@
 // here yet.
 func (c *Chooser) Report(asked query.Map, shards []query.Shard) Report {
 	for _, s := range asked.Shards {
-		reported := func(t query.TargetID) bool { _, ok := c.held[t]; return ok }
+		reported := func(t query.TargetID) bool { _, ok := c.reports[t]; return ok }
 		if len(c.replicas[s]) > 0 && !slices.ContainsFunc(c.replicas[s], reported) {
 			return Report{}
 		}
@@ -63,13 +64,13 @@
 }
 
 // ObserveGroup takes the report of a relay of the group.
-func (c *Chooser) ObserveGroup(id string, r Report) {
+func (c *Chooser) ObserveGroup(now time.Time, id string, r Report) {
 	if !r.Known {
 		return
 	}
 	held, ready := replicasOf(id)
-	c.Observe(held, r.Held)
-	c.Observe(ready, r.Ready)
+	c.Observe(now, held, r.Held)
+	c.Observe(now, ready, r.Ready)
 }
 
 func replicasOf(group string) (held, ready query.TargetID) {
