Measure messages and bytes of one and two levels

Cause: the cost of the second level, and what it saves between failure domains, was not known.

Change: hyssopctl measure fan-out counts messages and body bytes per query for 8 and 780 instances with the placement and the messages of the instance.

--- a/emulator/measure/churn.go
+++ b/emulator/measure/churn.go
@@ -22,7 +22,7 @@
 const (
 	churnIndex     = "churn"
 	churnRate      = 100.0 // queries per second
-	churnSeconds   = 120
+	churnTime      = 120 * time.Second
 	churnWarmUp    = 2 * time.Second
 	leastComplete  = 0.995
 	silencePeriod  = 5 * time.Second
@@ -55,7 +55,7 @@
 	loop := NewLoop()
 	r := &churnRun{
 		loop: loop, source: rand.New(rand.NewPCG(seed, 2)), size: size, world: newChurnWorld(loop, size, seed),
-		byID: map[string]*churnInstance{}, end: loop.Now().Add(churnSeconds * time.Second), baseline: baseline, crossed: crossed,
+		byID: map[string]*churnInstance{}, end: loop.Now().Add(size.time), baseline: baseline, crossed: crossed,
 	}
 	r.stats.missing = map[query.Cause]int64{}
 	domains := size.deployment.FailureDomains
--- a/emulator/measure/churn_oracle.go
+++ b/emulator/measure/churn_oracle.go
@@ -9,7 +9,7 @@
 
 // judge compares an answer with the truth.
 func (r *churnRun) judge(req query.Request, a query.Answer, started time.Time) {
-	if started.Before(r.end.Add(churnWarmUp - churnSeconds*time.Second)) {
+	if started.Before(r.end.Add(churnWarmUp - r.size.time)) {
 		return
 	}
 	s := &r.stats
@@ -92,8 +92,8 @@
 		name string
 		size churnSize
 	}{
-		{"one_level", churnSize{deployment: Deployments()[1], replicaSets: 15, connections: 25}},
-		{"two_levels", churnSize{deployment: wideDeployment(28), replicaSets: 60, connections: 8}},
+		{"one_level", churnSize{deployment: Deployments()[1], replicaSets: 15, connections: 25, time: churnTime}},
+		{"two_levels", churnSize{deployment: wideDeployment(28), replicaSets: 60, connections: 8, time: churnTime}},
 	} {
 		for _, crossed := range []bool{false, true} {
 			name := c.name
@@ -113,7 +113,7 @@
 		add(report.Sizes, c.name, Figures{
 			"instances": float64(c.size.deployment.Entries), "replica_sets": float64(c.size.replicaSets),
 			"replicas": churnReplicas, "connection_limit": float64(c.size.connections), "queries_per_s": churnRate,
-			"seconds": churnSeconds, "deadline_ms": searchDeadline.Seconds() * 1000,
+			"seconds": churnTime.Seconds(), "deadline_ms": searchDeadline.Seconds() * 1000,
 		})
 	}
 	return report
--- a/emulator/measure/churn_world.go
+++ b/emulator/measure/churn_world.go
@@ -39,6 +39,7 @@
 	deployment  Deployment
 	replicaSets int // shards at the first version
 	connections int // limit of each target
+	time        time.Duration
 }
 
 // churnReplicas is the number of targets in a replica set.
--- /dev/null
+++ b/emulator/measure/fan_out.go
@@ -0,0 +1,249 @@
+package measure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"hyssopcroft.example/adapter/wire/relaypb"
+	"hyssopcroft.example/adapter/wire/targetpb"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/group"
+	"hyssopcroft.example/query/placement"
+)
+
+func init() {
+	Register(Measure{
+		Name:    "fan-out",
+		Summary: "messages and bytes per query over two levels, against one level (counts, no times)",
+		Run:     runFanOut,
+	})
+}
+
+const (
+	fanOutLimit  = 10 // hits of an answer, and of each shard
+	fanOutText   = 60 // bytes of the text of a hit
+	fanOutSample = 70 // instances at the target size whose queries are counted
+)
+
+// fanOutCase is one index whose queries are counted.
+type fanOutCase struct {
+	name        string
+	deployment  Deployment
+	shards      int
+	connections int // limit of a target
+}
+
+// fanOutCount holds what the queries of some instances cost.
+type fanOutCount struct {
+	queries, messages, crossing, bytes, crossingBytes float64
+}
+
+// message counts one message between two failure domains.
+func (c *fanOutCount) message(from, to string, size int) {
+	c.messages++
+	c.bytes += float64(size)
+	if from != to {
+		c.crossing++
+		c.crossingBytes += float64(size)
+	}
+}
+
+func (c *fanOutCount) figures() Figures {
+	return Figures{
+		"messages_per_query": c.messages / c.queries, "cross_domain_messages_per_query": c.crossing / c.queries,
+		"body_bytes_per_query": c.bytes / c.queries, "cross_domain_bytes_per_query": c.crossingBytes / c.queries,
+	}
+}
+
+// runFanOut counts requests and answers of queries without failures. A target is chosen in the failure
+// domain of whoever asks if there is one. Bytes are those of the message bodies.
+func runFanOut(seed uint64) Report {
+	report := NewReport()
+	today := Deployments()[0]
+	today.Entries = 8
+	for _, c := range []fanOutCase{
+		// One level suffices for 8 instances; the limit of 8 forces two.
+		{name: "8_instances", deployment: today, shards: 15, connections: 8},
+		{name: "780_instances", deployment: wideDeployment(780), shards: 440, connections: 25},
+	} {
+		targets := c.targets(rand.New(rand.NewPCG(seed, 1)))
+		members := c.members()
+		flat, two := c.oneLevel(targets, members), c.twoLevels(targets, members, rand.New(rand.NewPCG(seed, 2)))
+		add(report.Baseline, c.name, flat)
+		add(report.Result, c.name, two)
+		for figure := range two {
+			report.Compare(c.name + "/" + figure)
+		}
+		report.ResultAtMost(c.name+"/connections_per_target", float64(c.connections/2))
+		add(report.Sizes, c.name, Figures{
+			"instances": float64(len(members)), "shards": float64(c.shards), "replicas": churnReplicas,
+			"connection_limit": float64(c.connections), "failure_domains": float64(len(c.deployment.FailureDomains)),
+		})
+	}
+	return report
+}
+
+// targets places the replicas of each shard in three random failure domains.
+func (c fanOutCase) targets(source *rand.Rand) []query.Target {
+	domains := c.deployment.FailureDomains
+	var out []query.Target
+	for s := range c.shards {
+		for replica, d := range source.Perm(len(domains))[:churnReplicas] {
+			out = append(out, query.Target{
+				ID: query.TargetID(fmt.Sprintf("%d-%d", s, replica)), FailureDomain: domains[d], Index: churnIndex,
+				Shards: []query.Shard{query.Shard(s)}, Connections: c.connections,
+			})
+		}
+	}
+	return out
+}
+
+func (c fanOutCase) members() []placement.Instance {
+	domains := c.deployment.FailureDomains
+	var out []placement.Instance
+	for i := range c.deployment.Entries {
+		out = append(out, placement.Instance{ID: fmt.Sprintf("instance-%d", i), FailureDomain: domains[i%len(domains)]})
+	}
+	return out
+}
+
+// nearest returns the failure domain of the replica that is asked from a domain.
+func nearest(targets []query.Target, s query.Shard, from string) string {
+	first := targets[int(s)*churnReplicas : (int(s)+1)*churnReplicas]
+	for _, t := range first {
+		if t.FailureDomain == from {
+			return from
+		}
+	}
+	return first[0].FailureDomain
+}
+
+// askShard counts the sub-request to a shard and its answer.
+func askShard(count *fanOutCount, targets []query.Target, s query.Shard, from string) {
+	to := nearest(targets, s, from)
+	count.message(from, to, proto.Size(searchRequest(s)))
+	count.message(to, from, proto.Size(searchResponse(s)))
+}
+
+func (c fanOutCase) oneLevel(targets []query.Target, members []placement.Instance) Figures {
+	var count fanOutCount
+	for _, in := range members[:min(fanOutSample, len(members))] {
+		count.queries++
+		for s := range c.shards {
+			askShard(&count, targets, query.Shard(s), in.FailureDomain)
+		}
+	}
+	f := count.figures()
+	f["connections_per_target"] = float64(len(members))
+	return f
+}
+
+func (c fanOutCase) twoLevels(targets []query.Target, members []placement.Instance, source *rand.Rand) Figures {
+	var count fanOutCount
+	var most float64
+	m := query.Map{Version: 1}
+	for s := range c.shards {
+		m.Shards = append(m.Shards, query.Shard(s))
+	}
+	for _, in := range members[:min(fanOutSample, len(members))] {
+		place := placement.New(in.ID, churnIndex, targets, members)
+		count.queries++
+		relay := func(id placement.GroupID) []string {
+			holders := place.HoldersOf(id)
+			most = max(most, float64(len(holders)))
+			return []string{nearestHolder(holders, in, source).ID}
+		}
+		for _, part := range group.Divide(place, m, relay) {
+			askGroup(&count, targets, part, in, members)
+		}
+	}
+	f := count.figures()
+	f["connections_per_target"] = most
+	return f
+}
+
+// nearestHolder returns the instance itself if it holds the group, or else a holder in its failure
+// domain, or else any.
+func nearestHolder(holders []placement.Instance, in placement.Instance, source *rand.Rand) placement.Instance {
+	var near []placement.Instance
+	for _, h := range holders {
+		if h.ID == in.ID {
+			return h
+		}
+		if h.FailureDomain == in.FailureDomain {
+			near = append(near, h)
+		}
+	}
+	if len(near) > 0 {
+		return near[source.IntN(len(near))]
+	}
+	return holders[source.IntN(len(holders))]
+}
+
+// askGroup counts the message to a relay, its sub-requests and its partial answer.
+func askGroup(count *fanOutCount, targets []query.Target, part group.Part, in placement.Instance, members []placement.Instance) {
+	relay := in
+	for _, m := range members {
+		if m.ID == part.Relays[0] {
+			relay = m
+		}
+	}
+	if relay.ID != in.ID {
+		count.message(in.FailureDomain, relay.FailureDomain, proto.Size(groupRequest(part.Shards)))
+		count.message(relay.FailureDomain, in.FailureDomain, proto.Size(groupResponse(part.Shards)))
+	}
+	for _, s := range part.Shards {
+		askShard(count, targets, s, relay.FailureDomain)
+	}
+}
+
+const (
+	fanOutID    = 1 << 63 // ids are fixed-size in messages
+	fanOutQuery = "washed jars"
+)
+
+func searchRequest(s query.Shard) *targetpb.SearchRequest {
+	return &targetpb.SearchRequest{
+		RequestId: fanOutID, AttemptId: fanOutID, Index: churnIndex, Shard: uint32(s), Snapshot: 1, Query: fanOutQuery,
+		Limit: fanOutLimit, TimeLeftUs: 100_000,
+	}
+}
+
+func searchResponse(s query.Shard) *targetpb.SearchResponse {
+	r := &targetpb.SearchResponse{
+		RequestId: fanOutID, AttemptId: fanOutID, Shard: uint32(s), Snapshot: 1,
+		Outcome: targetpb.Outcome_OUTCOME_ANSWERED, Held: []uint64{1, 2, 3},
+	}
+	for i := range fanOutLimit {
+		r.Hits = append(r.Hits, &targetpb.Hit{Id: fmt.Sprintf("%d/%d", s, i), Score: 0.5, Text: strings.Repeat("x", fanOutText)})
+	}
+	return r
+}
+
+func groupRequest(shards []query.Shard) *relaypb.GroupRequest {
+	r := &relaypb.GroupRequest{
+		RequestId: fanOutID, AttemptId: fanOutID, Index: churnIndex, Snapshot: 1, Query: fanOutQuery, Limit: fanOutLimit,
+		TimeLeftUs: 100_000, Plan: "counter", Priority: "high",
+	}
+	for _, s := range shards {
+		r.Shards = append(r.Shards, uint32(s))
+	}
+	return r
+}
+
+func groupResponse(shards []query.Shard) *relaypb.GroupResponse {
+	r := &relaypb.GroupResponse{
+		RequestId: fanOutID, AttemptId: fanOutID, Snapshot: 1, Outcome: relaypb.Outcome_OUTCOME_ANSWERED,
+		VersionsKnown: true, Held: []uint64{1, 2, 3}, Ready: []uint64{1, 2, 3}, TookUs: 20_000,
+	}
+	for _, s := range shards {
+		r.Included = append(r.Included, uint32(s))
+	}
+	for i := range fanOutLimit {
+		r.Hits = append(r.Hits, &relaypb.Hit{Id: fmt.Sprintf("%d/%d", shards[0], i), Score: 0.5, Text: strings.Repeat("x", fanOutText)})
+	}
+	return r
+}
