--- a/instance/entry/index_groups.go
+++ b/instance/entry/index_groups.go
@@ -28,7 +28,7 @@
 }
 
 func newGroupTimes() *groupTimes {
-	return &groupTimes{delay: hedge.NewDelay(), returns: latency.NewWindow(), budget: hedge.NewBudget(hedge.HedgeShare)}
+	return &groupTimes{delay: hedge.NewDelay(), returns: latency.NewWindow(), budget: hedge.NewHedges()}
 }
 
 // flat reports whether the instance holds all targets. The caller holds the mutex.
