--- a/instance/app/drain.go
+++ b/instance/app/drain.go
@@ -34,7 +34,7 @@
 type drainer struct {
 	backend  caller.Backend
 	counters *counters.Set
-	onPhase  func(drain.Phase)
+	onPhase  func(drain.Phase) // called with mu held, in the order of the phases
 
 	mu         sync.Mutex // guards the fields below
 	controller *drain.Controller
@@ -87,19 +87,20 @@
 // change gives the controller an event and follows its phase.
 func (d *drainer) change(event func(now time.Time)) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	event(time.Now())
 	from, to := d.known, d.controller.Phase()
-	d.known = to
-	if from != to {
-		d.setTimer()
-	}
-	if to == drain.Stopping && from != to {
-		close(d.stopping)
+	if from == to {
+		return
 	}
-	d.mu.Unlock()
+	d.known = to
+	d.setTimer()
 	for p := from + 1; p <= to; p++ {
 		d.onPhase(p)
 	}
+	if to == drain.Stopping {
+		close(d.stopping)
+	}
 }
 
 // setTimer must be called with d.mu held.
--- /dev/null
+++ b/instance/app/drain_test.go
@@ -0,0 +1,77 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/caller"
+	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/control/drain"
+	"hyssopcroft.example/kernel/counters"
+	"hyssopcroft.example/kernel/settings"
+)
+
+// slowBackend takes handlerTime for each request.
+type slowBackend struct{}
+
+func (slowBackend) Search(context.Context, caller.Search) (caller.Result, *problem.Problem) {
+	time.Sleep(handlerTime)
+	return caller.Result{Complete: true}, nil
+}
+
+func (slowBackend) Execute(context.Context, caller.Execute) (caller.Execution, *problem.Problem) {
+	time.Sleep(handlerTime)
+	return caller.Execution{}, nil
+}
+
+// Guards against a shutdown that refuses work too early, lets it in too late, cuts what is in flight
+// or calls a resend "not run".
+func TestDrainerPhases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var phases []drain.Phase
+		s := Settings{BalancerLag: settings.Duration(5 * time.Second)}.withDefaults()
+		d := newDrainer(slowBackend{}, s, counters.NewSet(), func(p drain.Phase) { phases = append(phases, p) })
+		begin := time.Now()
+		idle := d.begin()
+		time.Sleep(4 * time.Second)
+		go func() {
+			result, p := d.Search(context.Background(), caller.Search{})
+			require.Nil(t, p)
+			require.True(t, result.Complete)
+		}()
+		time.Sleep(2 * time.Second)
+		_, p := d.Search(context.Background(), caller.Search{})
+		require.Equal(t, problem.NotRun, p.Run)
+		require.Positive(t, p.RetryAfterMillis)
+		_, p = d.Execute(context.Background(), caller.Execute{FirstSubmission: true})
+		require.Equal(t, problem.NotRun, p.Run)
+		_, p = d.Execute(context.Background(), caller.Execute{})
+		require.Equal(t, problem.MayHaveRun, p.Run)
+		<-idle
+		require.Equal(t, 4*time.Second+handlerTime, time.Since(begin))
+		require.Equal(t, []drain.Phase{drain.Leaving, drain.Refusing, drain.Stopping}, phases)
+		require.Zero(t, d.cut())
+	})
+}
+
+// Guards against clients that stay on an open connection of an instance that leaves.
+func TestLeavingInstanceAsksToCloseConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDrainer(slowBackend{}, Settings{}.withDefaults(), counters.NewSet(), func(drain.Phase) {})
+		handler := d.closeWhileLeaving(http.NotFoundHandler())
+		header := func() string {
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/search", nil))
+			return w.Header().Get("Connection")
+		}
+		require.Empty(t, header())
+		<-d.begin()
+		require.Equal(t, "close", header())
+	})
+}
