--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -20,8 +20,10 @@
 	"hyssopcroft.example/instance/claims"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/entry"
+	"hyssopcroft.example/instance/limits"
 	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/instance/operator"
+	"hyssopcroft.example/instance/relay"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
 	"hyssopcroft.example/kernel/hlc"
@@ -67,8 +69,16 @@
 		Bus: k.Bus(), Log: log, Counters: c,
 	})
 	e.UseClaims(cl)
+	li := limits.New(limits.Config{
+		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: peer.NewTransport(),
+		Ring: ring, Log: log, Counters: c,
+	})
+	e.UseLimits(li)
+	e.UseMembers(m)
+	rel := relay.New(e, c)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
-	for _, service := range []kernel.Service{e, cfg, m, cl, op} {
+	op.RequireReady(li.Ready)
+	for _, service := range []kernel.Service{e, cfg, m, cl, li, op, rel} {
 		if err := k.Register(service); err != nil {
 			return nil, err
 		}
@@ -82,22 +92,31 @@
 		}
 	})
 	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), listener: listener}
-	a.server = newServer(d, op, m, cl, c)
+	a.server = newServer(connectedBackend{Service: op, entry: e}, d, c,
+		route(peer.MembershipHandler(m)), route(peer.ExecutionHandler(cl)),
+		route(peer.LendingHandler(li)), route(peer.RelayHandler(rel)))
 	a.server.ConnState = a.connections.follow
 	return a, nil
 }
 
-func newServer(d *drainer, op *operator.Service, m *members.Service, cl *claims.Service, c *counters.Set) *http.Server {
+// peerRoute is the handler of one twirp service and the prefix of its paths.
+type peerRoute struct {
+	prefix  string
+	handler http.Handler
+}
+
+func route(prefix string, handler http.Handler) peerRoute { return peerRoute{prefix, handler} }
+
+func newServer(operators admin.Backend, callers *drainer, c *counters.Set, peers ...peerRoute) *http.Server {
 	r := chi.NewRouter()
 	r.Group(func(r chi.Router) {
-		r.Use(d.closeWhileLeaving)
-		caller.Routes(r, d)
+		r.Use(callers.closeWhileLeaving)
+		caller.Routes(r, callers)
 	})
-	admin.Routes(r, op, c)
-	prefix, handler := peer.MembershipHandler(m)
-	r.Handle(prefix+"*", handler)
-	prefix, handler = peer.ExecutionHandler(cl)
-	r.Handle(prefix+"*", handler)
+	admin.Routes(r, operators, c)
+	for _, p := range peers {
+		r.Handle(p.prefix+"*", p.handler)
+	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
--- a/query/replica/target.go
+++ b/query/replica/target.go
@@ -13,9 +13,9 @@
 	// outlierFactor bounds a new latency relative to the average, so that one straggler does not
 	// move the queries of a healthy target elsewhere.
 	outlierFactor = 4
-	// staleHalfLife is the time in which half of what was learnt above the class's latency is
-	// forgotten while nothing is learnt, so that a target that was slow is tried again.
-	staleHalfLife = 5 * time.Second
+	// staleAfter is the time without a new latency after which the known one counts half, so that a
+	// target that was slow is tried again.
+	staleAfter = 10 * time.Second
 	// coldAnswers is the number of answers after which a new or returned target counts as warm.
 	coldAnswers = 8
 	// coldCost is the additional cost of a cold target's first attempt, as a multiple of its cost.
@@ -25,8 +25,6 @@
 	// localityCost is the cost of another failure domain besides its latency: its links vary and cost
 	// more than usual.
 	localityCost = time.Millisecond
-	// silenceFactor is the multiple of the usual latency after which a wait counts as silence.
-	silenceFactor = 3
 	// drainMemory is the time after which a target that refused as draining, and that the platform's
 	// list has neither marked as leaving nor removed, gets one attempt to see whether it is back.
 	drainMemory = 10 * time.Minute
@@ -48,6 +46,7 @@
 	coldLeft   int // answers until the target counts as warm
 	shedAt     time.Time
 	answeredAt time.Time
+	suspects   int // overdue attempts since whose sending the target has answered nothing
 	draining   bool
 	drainedAt  time.Time
 	returning  bool // a probe after drainMemory is in flight
@@ -69,7 +68,8 @@
 func (s *state) cost(now time.Time, typical time.Duration) float64 {
 	latency := typical
 	if s.latency > 0 {
-		latency = s.present(now, typical)
+		idle := float64(now.Sub(s.learntAt)) / float64(staleAfter)
+		latency = time.Duration(float64(s.latency) / (1 + idle*idle))
 	}
 	cost := float64(s.inFlight+1) * float64(latency)
 	if !s.local {
@@ -78,16 +78,6 @@
 	return cost * (1 + coldCost*float64(s.coldLeft)/coldAnswers)
 }
 
-// present returns the learnt latency less what is stale of it.
-func (s *state) present(now time.Time, typical time.Duration) time.Duration {
-	excess := s.latency - typical
-	if excess <= 0 {
-		return s.latency
-	}
-	halvings := float64(now.Sub(s.learntAt)) / float64(staleHalfLife)
-	return typical + time.Duration(float64(excess)/(1+halvings*halvings))
-}
-
 func (s *state) learn(now time.Time, latency time.Duration) {
 	if s.latency == 0 {
 		s.latency = latency
@@ -117,7 +107,7 @@
 
 // alive notes that the target answered or refused. A target that was out of use is a new one.
 func (s *state) alive(now time.Time) {
-	s.answeredAt = now
+	s.answeredAt, s.suspects = now, 0
 	if s.breaker.onAnswer() {
 		s.limit, s.coldLeft = newLimit(), coldAnswers
 	}
@@ -136,17 +126,20 @@
 		s.coldLeft--
 	}
 	s.learn(now, e.Elapsed)
-	s.limit.onAnswer(now, s.inFlight+1, s.latency, s.lowest.Value())
+	s.limit.onAnswer(now, s.inFlight+1, e.Elapsed, s.lowest.Value())
 }
 
-// onSilence takes an attempt that this instance cancelled. It counts against the target only if the
-// wait was long and the target has answered nothing meanwhile, because a busy target is not a lost
+// onSilence takes an attempt that this instance cancelled. It counts against the target only if it
+// was overdue and the target has answered nothing meanwhile, because a busy target is not a lost
 // one. A probe that was cancelled counts in any case.
-func (s *state) onSilence(now time.Time, e End, typical time.Duration, source *rand.Rand) {
-	long := e.Elapsed >= silenceFactor*max(s.latency, typical)
+func (s *state) onSilence(now time.Time, e End, source *rand.Rand) {
 	s.learn(now, max(e.Elapsed, s.latency))
-	quiet := s.answeredAt.Before(now.Add(-e.Elapsed))
-	if s.breaker.open || long && quiet {
+	if s.breaker.open || e.Overdue && s.quietFor(now, e.Elapsed) {
 		s.breaker.onFailure(now, false, source)
 	}
 }
+
+// quietFor reports whether the target has answered nothing for at least d.
+func (s *state) quietFor(now time.Time, d time.Duration) bool {
+	return !s.answeredAt.After(now.Add(-d))
+}
--- a/query/scatter/pool.go
+++ b/query/scatter/pool.go
@@ -14,7 +14,8 @@
 type Pool struct {
 	chooser *replica.Chooser
 	classes []class
-	budgets map[budgetKey]*budgets
+	plans   map[string]*planBudgets
+	latest  *planBudgets // of the plan asked for last; a query asks for each of its shards
 }
 
 // class is what was learnt of one target class.
@@ -23,9 +24,10 @@
 	lowest replica.Lowest
 }
 
-type budgetKey struct {
-	plan  string
-	class replica.Class
+// planBudgets holds the budgets of one plan by target class.
+type planBudgets struct {
+	plan    string
+	classes []budgets
 }
 
 type budgets struct {
@@ -34,7 +36,7 @@
 
 // NewPool returns a pool without targets. domain is the failure domain of this instance.
 func NewPool(domain string, source *rand.Rand) *Pool {
-	return &Pool{chooser: replica.NewChooser(domain, source), budgets: map[budgetKey]*budgets{}}
+	return &Pool{chooser: replica.NewChooser(domain, source), plans: map[string]*planBudgets{}}
 }
 
 // SetTargets replaces the known targets.
@@ -45,7 +47,7 @@
 	}
 }
 
-// Choose implements Policy. The tokens belong to the class that bears the additional load.
+// Choose implements Policy.
 func (p *Pool) Choose(now time.Time, w Want) (Grant, replica.Verdict) {
 	ask := replica.Ask{Shard: w.Shard, Use: w.Use, Tried: w.Tried, Unfit: w.Unfit}
 	pick, verdict := p.chooser.Choose(now, ask)
@@ -64,33 +66,54 @@
 		verdict = replica.NoToken
 	default:
 		after, _ := c.delay.Value()
-		return Grant{Target: pick.Target, HedgeAfter: after, Return: c.lowest.Value() / 2}, replica.Chosen
+		return Grant{Target: pick.Target, Class: pick.Class, HedgeAfter: after, Return: c.lowest.Value() / 2}, replica.Chosen
 	}
 	p.chooser.Release(pick.Target)
 	return Grant{}, verdict
 }
 
-// pay takes the token of an extra attempt, or earns for a first one.
+// pay takes the token of an extra attempt, or earns for a first one. An instance sends most first
+// attempts to its own failure domain and most hedges elsewhere, so the budget of the class that bears
+// the load alone would leave it without hedges.
 func (p *Pool) pay(w Want, c replica.Class) bool {
-	key := budgetKey{plan: w.Plan, class: c}
-	b := p.budgets[key]
-	if b == nil {
-		b = &budgets{hedges: hedge.NewBudget(hedge.HedgeShare), retries: hedge.NewBudget(hedge.RetryShare)}
-		p.budgets[key] = b
-	}
 	switch {
 	case w.Free:
 		return true
-	case w.Use == replica.Hedge:
+	case w.Use == replica.First:
+		b := p.budget(w.Plan, c)
+		b.hedges.Earn()
+		b.retries.Earn()
+		return true
+	}
+	return p.budget(w.Plan, w.From).take(w.Use) || w.From != c && p.budget(w.Plan, c).take(w.Use)
+}
+
+func (p *Pool) budget(plan string, c replica.Class) *budgets {
+	b := p.latest
+	if b == nil || b.plan != plan {
+		b = p.plans[plan]
+	}
+	if b == nil {
+		b = &planBudgets{plan: plan}
+		p.plans[plan] = b
+	}
+	p.latest = b
+	for len(b.classes) <= int(c) {
+		b.classes = append(b.classes, budgets{hedges: hedge.NewHedges(), retries: hedge.NewRetries()})
+	}
+	return &b.classes[c]
+}
+
+func (b *budgets) take(use replica.Use) bool {
+	if use == replica.Hedge {
 		return b.hedges.Take()
-	case w.Use == replica.Retry:
-		return b.retries.Take()
 	}
-	b.hedges.Earn()
-	b.retries.Earn()
-	return true
+	return b.retries.Take()
 }
 
+// Overdue implements Policy.
+func (p *Pool) Overdue(target query.TargetID, sent time.Time) { p.chooser.Overdue(target, sent) }
+
 // End implements Policy.
 func (p *Pool) End(now time.Time, e replica.End) {
 	c, known := p.chooser.End(now, e)
