--- a/emulator/fleet/two_level_test.go
+++ b/emulator/fleet/two_level_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -15,6 +16,7 @@
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/emulator/fleet"
 	"hyssopcroft.example/instance/app"
+	"hyssopcroft.example/kernel/settings"
 	"hyssopcroft.example/query"
 )
 
@@ -34,6 +36,7 @@
 		id, domain := fmt.Sprintf("entry-%d", i), domains[i%len(domains)]
 		a, err := app.New(app.Settings{
 			Instance: id, FailureDomain: domain, Region: "wales", Listen: "127.0.0.1:0", Platform: f.PlatformURL(),
+			BalancerLag: settings.Duration(time.Millisecond), // no balancer sends requests here
 		}, slog.New(slog.DiscardHandler))
 		require.NoError(t, err)
 		apps = append(apps, a)
