Open one connection to a target at a time

Cause: every attempt at a target without a connection opened one of its own, and an attempt that ended early left its dial behind, which then took a connection of the target unused.

--- a/adapter/target/client.go
+++ b/adapter/target/client.go
@@ -24,6 +24,9 @@
 	PathExecute = "/v1/execute"
 	// ContentType is the type of request and response bodies.
 	ContentType = "application/x-protobuf"
+	// dialTimeout bounds the opening of a connection, for which all attempts at the target wait. It is
+	// far above the round trip between regions.
+	dialTimeout = time.Second
 	// maxResponseBytes bounds what is read of one answer.
 	maxResponseBytes = 4 << 20
 )
@@ -47,7 +50,10 @@
 		Protocols:          &protocols,
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DisableCompression: true,
-		DialContext:        ObserveDial((&net.Dialer{}).DialContext),
+		// For HTTP/2 this bounds the connections that are being opened. Without it every attempt at a
+		// target without a connection opens one of its own.
+		MaxConnsPerHost: 1,
+		DialContext:     ObserveDial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 	}
 }
 
--- a/cmd/hyssopctl/deployment.go
+++ b/cmd/hyssopctl/deployment.go
@@ -15,8 +15,8 @@
 		PlatformPort:   platformPort,
 		FailureDomains: []string{"austur-a", "reykjanes-a", "nordur-a"},
 		Indexes: []fleet.Index{
-			{Name: "returns-counter", Shards: 10, Replicas: 3, Slots: 2, Connections: 25},
-			{Name: "washing-depot", Shards: 1, Replicas: 10, Slots: 2, Connections: 100},
+			{Name: "returns-counter", Shards: 10, Replicas: 3, Slots: 2, Connections: 25, ConnectionCost: 6 * time.Millisecond},
+			{Name: "washing-depot", Shards: 1, Replicas: 10, Slots: 2, Connections: 100, ConnectionCost: time.Millisecond},
 		},
 		Lists:           demoLists(),
 		MeanServiceTime: 2 * time.Millisecond,
--- a/emulator/target/contract_test.go
+++ b/emulator/target/contract_test.go
@@ -5,10 +5,12 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
@@ -293,6 +295,27 @@
 	})
 }
 
+// Guards against attempts that open a connection each to a target that has none yet, as before its
+// first request or after a crash: targets limit their connections.
+func TestConcurrentAttemptsShareOneConnection(t *testing.T) {
+	cfg := config()
+	cfg.Slots, cfg.QueueLimit = 10, 0
+	inWorld(t, cfg, target.HostConfig{ConnectionCost: 6 * time.Millisecond}, func(t *testing.T, w *world) {
+		for opened := range int64(2) {
+			var wait sync.WaitGroup
+			for range 10 {
+				wait.Go(func() {
+					assert.Equal(t, query.OutcomeAnswered, w.client.Search(t.Context(), search(0, 1, "jars")).Outcome)
+				})
+			}
+			wait.Wait()
+			require.Equal(t, opened+1, w.searcher.Counter("connections_opened"))
+			w.host.Crash()
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
 // Guards against a restarted searcher that is warm at once, and against one that stays away.
 func TestCrashEndsAllStreamsAndRestartsCold(t *testing.T) {
 	cfg := config()
--- a/emulator/target/host.go
+++ b/emulator/target/host.go
@@ -15,7 +15,8 @@
 
 // HostConfig describes the process that a searcher runs in.
 type HostConfig struct {
-	// Connections is the largest number of connections; 0 sets no limit.
+	// Connections is the largest number of connections, those that switch faults included; 0 sets no
+	// limit.
 	Connections int
 	// ConnectionCost is the time until a new connection is usable.
 	ConnectionCost time.Duration
