Name the cause of a short answer in path-cost

Cause: path-cost ended with 'answer lacks 57 shards' once at a load average of 30 and did not say why.

Change: the error names the cause of the first missing shard.

--- a/emulator/pathcost/pathcost.go
+++ b/emulator/pathcost/pathcost.go
@@ -187,7 +187,7 @@
 		return p
 	}
 	if !result.Complete {
-		return errors.Errorf("answer lacks %d shards", len(result.Coverage.Missing))
+		return errors.Errorf("answer lacks %d shards, the first because of %s", len(result.Coverage.Missing), result.Coverage.Missing[0].Cause)
 	}
 	return nil
 }
