--- a/emulator/measure/churn_instance.go
+++ b/emulator/measure/churn_instance.go
@@ -45,7 +45,7 @@
 		run: r, id: id, domain: domain, source: source,
 		pool:   scatter.NewPool(r.size.deployment.FailureDomains[domain], source),
 		random: replica.NewRandom(source), latencies: latency.NewWindow(), returns: latency.NewWindow(),
-		delay: hedge.NewDelay(), budget: hedge.NewBudget(hedge.HedgeShare), lastAttempt: query.AttemptID(source.Uint64()),
+		delay: hedge.NewDelay(), budget: hedge.NewHedges(), lastAttempt: query.AttemptID(source.Uint64()),
 	}
 }
 
@@ -161,5 +161,8 @@
 	return p.in.pool.Choose(now, w)
 }
 
+// Overdue implements scatter.Policy.
+func (p churnPolicy) Overdue(target query.TargetID, sent time.Time) { p.in.pool.Overdue(target, sent) }
+
 // End implements scatter.Policy.
 func (p churnPolicy) End(now time.Time, e replica.End) { p.in.pool.End(now, e) }
