--- a/adapter/target/client.go
+++ b/adapter/target/client.go
@@ -51,7 +51,10 @@
 		Protocols:          &protocols,
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 		DisableCompression: true,
-		DialContext:        ObserveDial(dialer.DialContext),
+		// For HTTP/2 this bounds the connections that are being opened. Without it every attempt at a
+		// target without a connection opens one of its own.
+		MaxConnsPerHost: 1,
+		DialContext:     ObserveDial(dialer.DialContext),
 	}
 }
 
--- a/emulator/measure/churn_instance.go
+++ b/emulator/measure/churn_instance.go
@@ -166,3 +166,6 @@
 
 // End implements scatter.Policy.
 func (p churnPolicy) End(now time.Time, e replica.End) { p.in.pool.End(now, e) }
+
+// Overdue implements scatter.Policy.
+func (p churnPolicy) Overdue(id query.TargetID, sent time.Time) { p.in.pool.Overdue(id, sent) }
