--- a/adapter/target/pool.go
+++ b/adapter/target/pool.go
@@ -9,10 +9,8 @@
 // second it is longer than any request.
 const retiredSweeps = 30
 
-// Pool sends requests over one transport and one connection for each address, so that the connection
-// to one target can be released without those to others. Without the limit of one, each request that
-// finds no connection would open one of its own. It implements http.RoundTripper and is safe for
-// concurrent use.
+// Pool sends requests over one transport for each address, so that the connection to one target can be
+// released without those to others. It implements http.RoundTripper and is safe for concurrent use.
 type Pool struct {
 	open func() *http.Transport
 
@@ -42,7 +40,6 @@
 	defer p.mu.Unlock()
 	if t, known = p.byAddress[address]; !known {
 		t = p.open()
-		t.MaxConnsPerHost = 1
 		p.byAddress[address] = t
 	}
 	return t
--- a/emulator/measure/churn_instance.go
+++ b/emulator/measure/churn_instance.go
@@ -162,10 +162,7 @@
 }
 
 // Overdue implements scatter.Policy.
-func (p churnPolicy) Overdue(target query.TargetID, sent time.Time) { p.in.pool.Overdue(target, sent) }
+func (p churnPolicy) Overdue(id query.TargetID, sent time.Time) { p.in.pool.Overdue(id, sent) }
 
 // End implements scatter.Policy.
 func (p churnPolicy) End(now time.Time, e replica.End) { p.in.pool.End(now, e) }
-
-// Overdue implements scatter.Policy.
-func (p churnPolicy) Overdue(id query.TargetID, sent time.Time) { p.in.pool.Overdue(id, sent) }
