--- /dev/null
+++ b/adapter/peer/relay_test.go
@@ -0,0 +1,91 @@
+package peer_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/adapter/wire/relaypb"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/group"
+	"hyssopcroft.example/query/snapshot"
+)
+
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+type relay struct {
+	answer func(*relaypb.GroupRequest) *relaypb.GroupResponse
+}
+
+func (r relay) ScatterGroup(_ context.Context, req *relaypb.GroupRequest) (*relaypb.GroupResponse, error) {
+	return r.answer(req), nil
+}
+
+var call = peer.ScatterGroup{
+	Request: 1, Attempt: 2, Index: "ledger", Snapshot: 3, Shards: []query.Shard{4, 5}, Query: "jars", Limit: 6,
+	TimeLeft: 7 * time.Millisecond, Plan: "counter", Priority: "high",
+}
+
+// Guards against a field of a group or of a partial answer that is lost or changed on its way.
+func TestGroupTravelsUnchanged(t *testing.T) {
+	want := peer.Partial{
+		Reply: group.Reply{Attempt: 2, Outcome: query.OutcomeAnswered, Answer: query.Answer{
+			Request: 1, Index: "ledger", Snapshot: 3, Hits: []query.Hit{{ID: "a", Score: 0.5, Text: "b"}},
+			Coverage: query.Coverage{Included: []query.Shard{4}, Missing: []query.MissingShard{{Shard: 5, Cause: query.CauseShed}}},
+		}},
+		Versions: snapshot.Report{Known: true, Held: []query.Version{2, 3}, Ready: []query.Version{3}}, Took: time.Millisecond,
+	}
+	prefix, handler := peer.RelayHandler(relay{answer: func(req *relaypb.GroupRequest) *relaypb.GroupResponse {
+		require.Equal(t, call, peer.GroupFromWire(req))
+		return peer.PartialToWire(want)
+	}})
+	client := peer.NewRelayClient(roundTripper(func(r *http.Request) (*http.Response, error) {
+		require.Contains(t, r.URL.Path, prefix)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		return w.Result(), nil
+	}))
+	require.Equal(t, want, client.Scatter(t.Context(), "relay:1", call))
+}
+
+// Guards against "not run" for a group that the relay may have run, and against a group that is given
+// up although it certainly did not reach the relay.
+func TestWhatFailuresProve(t *testing.T) {
+	cases := []struct {
+		name string
+		err  error
+		body http.HandlerFunc
+		want query.Outcome
+	}{
+		{"cannot connect", &net.OpError{Op: "dial", Err: net.ErrClosed}, nil, query.OutcomeNotRun},
+		{"no such service", nil, http.NotFound, query.OutcomeNotRun},
+		{"connection lost", io.ErrUnexpectedEOF, nil, query.OutcomeUnknown},
+		{"read failed", &net.OpError{Op: "read", Err: net.ErrClosed}, nil, query.OutcomeUnknown},
+		{"internal error", nil, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, query.OutcomeUnknown},
+		{"garbage", nil, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte{0xff}) }, query.OutcomeUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			client := peer.NewRelayClient(roundTripper(func(r *http.Request) (*http.Response, error) {
+				if c.err != nil {
+					return nil, c.err
+				}
+				w := httptest.NewRecorder()
+				c.body(w, r)
+				return w.Result(), nil
+			}))
+			p := client.Scatter(t.Context(), "relay:1", call)
+			require.Equal(t, c.want, p.Outcome)
+			require.Equal(t, call.Attempt, p.Attempt)
+		})
+	}
+}
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -93,6 +93,7 @@
 			log.Error("event not published", "topic", ev.Topic(), "error", err)
 		}
 	})
+	rel.UseDrain(d.start, d.end)
 	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), listener: listener}
 	a.server = newServer(op, d, c,
 		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)),
--- a/instance/relay/service.go
+++ b/instance/relay/service.go
@@ -9,6 +9,8 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/wire/relaypb"
 	"hyssopcroft.example/kernel/counters"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/group"
 )
 
 // Name is the name of the service.
@@ -24,20 +26,36 @@
 type Service struct {
 	backend  Backend
 	counters *counters.Set
+	start    func() bool
+	end      func()
 }
 
 // New returns a service over a backend.
-func New(backend Backend, c *counters.Set) *Service { return &Service{backend: backend, counters: c} }
+func New(backend Backend, c *counters.Set) *Service {
+	return &Service{backend: backend, counters: c, start: func() bool { return true }, end: func() {}}
+}
+
+// UseDrain makes the service ask before each group whether new work is taken, and tell when the group
+// has ended. It must be called before the service is served.
+func (s *Service) UseDrain(start func() bool, end func()) { s.start, s.end = start, end }
 
 // ScatterGroup implements relaypb.Relay. Failures are outcomes in the response.
 func (s *Service) ScatterGroup(ctx context.Context, req *relaypb.GroupRequest) (*relaypb.GroupResponse, error) {
 	start := time.Now()
-	p := s.backend.RunGroup(ctx, peer.GroupFromWire(req))
+	p := s.run(ctx, peer.GroupFromWire(req))
 	s.counters.Counter("relay_groups_" + p.Outcome.String()).Add(1)
 	p.Took = time.Since(start)
 	return peer.PartialToWire(p), nil
 }
 
+func (s *Service) run(ctx context.Context, g peer.ScatterGroup) peer.Partial {
+	if !s.start() {
+		return peer.Partial{Reply: group.Reply{Attempt: g.Attempt, Outcome: query.OutcomeDraining}}
+	}
+	defer s.end()
+	return s.backend.RunGroup(ctx, g)
+}
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
--- /dev/null
+++ b/instance/relay/service_test.go
@@ -0,0 +1,37 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/adapter/wire/relaypb"
+	"hyssopcroft.example/instance/relay"
+	"hyssopcroft.example/kernel/counters"
+)
+
+type backend struct{ ran int }
+
+func (b *backend) RunGroup(context.Context, peer.ScatterGroup) peer.Partial {
+	b.ran++
+	return peer.Partial{}
+}
+
+// Guards against a group that a leaving instance runs although it refuses new work, and against a
+// refusal that does not say that nothing was run.
+func TestLeavingRelayRefusesGroups(t *testing.T) {
+	b := &backend{}
+	s := relay.New(b, counters.NewSet())
+	admitted, ended := true, 0
+	s.UseDrain(func() bool { return admitted }, func() { ended++ })
+	_, err := s.ScatterGroup(t.Context(), &relaypb.GroupRequest{AttemptId: 3})
+	require.NoError(t, err)
+	admitted = false
+	resp, err := s.ScatterGroup(t.Context(), &relaypb.GroupRequest{AttemptId: 4})
+	require.NoError(t, err)
+	require.Equal(t, relaypb.Outcome_OUTCOME_DRAINING, resp.Outcome)
+	require.Equal(t, uint64(4), resp.AttemptId)
+	require.Equal(t, [2]int{1, 1}, [2]int{b.ran, ended})
+}
