Choose the holders of a group without sorting all instances

Change: the highest ranks are kept in short lists, ids are hashed once, and a placement follows another after one second at the earliest.

--- a/instance/entry/peers.go
+++ b/instance/entry/peers.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// placementPause is the least time between two placements, so that the loss of many members
-	// at once costs few computations.
-	placementPause = 200 * time.Millisecond
+	// placementPause is the least time between two placements, so that the loss of many members at
+	// once costs few of them. One takes several milliseconds for an index of the target size.
+	placementPause = time.Second
 	// sweepPeriod is the time between two looks at released connections.
 	sweepPeriod = time.Second
 	// connectTimeout bounds the opening of one connection ahead of queries.
--- a/query/placement/holders.go
+++ b/query/placement/holders.go
@@ -31,64 +31,95 @@
 // Holders returns the live instances that hold connections to the targets of the group, in
 // descending rank within each failure domain. Those in the group's failure domains come first.
 func Holders(g Group, instances []Instance) []Instance {
-	return choose(g, instances, false, HoldersPerTarget(g.Connections))
+	return choose(g, hashed(instances, false), HoldersPerTarget(g.Connections))
 }
 
 // Keepers returns the leaving instances that may keep the connections which they have to the targets
 // of the group.
 func Keepers(g Group, instances []Instance) []Instance {
-	return choose(g, instances, true, keepersPerTarget(g.Connections))
+	return choose(g, hashed(instances, true), keepersPerTarget(g.Connections))
 }
 
-type ranked struct {
+// candidate is an instance with the hash of its id.
+type candidate struct {
 	Instance
-	score uint64
+	hash uint64
+}
+
+// hashed returns the instances that are leaving or those that are not.
+func hashed(instances []Instance, leaving bool) []candidate {
+	var out []candidate
+	for _, i := range instances {
+		if i.Leaving == leaving {
+			out = append(out, candidate{Instance: i, hash: xxhash.Sum64String(i.ID)})
+		}
+	}
+	return out
 }
 
 // choose takes equal numbers from each failure domain of the group and fills up with the highest
-// ranks of all others.
-func choose(g Group, instances []Instance, leaving bool, want int) []Instance {
-	list := rank(g, instances, leaving)
-	chosen := make([]Instance, 0, want)
-	taken := make(map[string]bool, want)
-	take := func(r ranked) {
-		chosen = append(chosen, r.Instance)
-		taken[r.ID] = true
+// ranks of all others. Ranks are by rendezvous hash of group and instance.
+func choose(g Group, candidates []candidate, want int) []Instance {
+	group := xxhash.Sum64String(string(g.ID))
+	near := make([]ranking, len(g.FailureDomains))
+	for d := range near {
+		near[d].limit = want / len(near)
 	}
-	quota := want / max(1, len(g.FailureDomains))
-	for _, domain := range g.FailureDomains {
-		left := quota
-		for _, r := range list {
-			if left > 0 && r.FailureDomain == domain {
-				take(r)
-				left--
-			}
+	// At most want of these are taken for their failure domain, so that enough are left.
+	all := ranking{limit: 2 * want}
+	for i := range candidates {
+		c := &candidates[i]
+		score := rendezvous(group, c.hash)
+		all.add(c, score)
+		if d, found := slices.BinarySearch(g.FailureDomains, c.FailureDomain); found {
+			near[d].add(c, score)
 		}
 	}
-	for _, r := range list {
-		if len(chosen) < want && !taken[r.ID] {
-			take(r)
+	chosen := make([]Instance, 0, want)
+	for _, r := range near {
+		for _, c := range r.best {
+			chosen = append(chosen, c.Instance)
 		}
 	}
-	return chosen
-}
-
-// rank sorts by descending rendezvous hash of group and instance.
-func rank(g Group, instances []Instance, leaving bool) []ranked {
-	list := make([]ranked, 0, len(instances))
-	group := xxhash.Sum64String(string(g.ID))
-	for _, i := range instances {
-		if i.Leaving == leaving {
-			list = append(list, ranked{Instance: i, score: rendezvous(group, i.ID)})
+	for _, c := range all.best {
+		if len(chosen) < want && !contains(chosen, c.ID) {
+			chosen = append(chosen, c.Instance)
 		}
 	}
-	slices.SortFunc(list, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.ID, b.ID)) })
-	return list
+	return chosen
 }
 
-func rendezvous(group uint64, instance string) uint64 {
+func rendezvous(group, instance uint64) uint64 {
 	var pair [16]byte
 	binary.BigEndian.PutUint64(pair[:8], group)
-	binary.BigEndian.PutUint64(pair[8:], xxhash.Sum64String(instance))
+	binary.BigEndian.PutUint64(pair[8:], instance)
 	return xxhash.Sum64(pair[:])
 }
+
+// ranking keeps the candidates with the highest scores, in descending order.
+type ranking struct {
+	limit  int
+	best   []*candidate
+	scores []uint64
+}
+
+func (r *ranking) add(c *candidate, score uint64) {
+	n := len(r.best)
+	if r.limit == 0 || n == r.limit && r.before(n-1, c, score) {
+		return
+	}
+	i := n
+	for i > 0 && !r.before(i-1, c, score) {
+		i--
+	}
+	r.best = slices.Insert(r.best, i, c)
+	r.scores = slices.Insert(r.scores, i, score)
+	if len(r.best) > r.limit {
+		r.best, r.scores = r.best[:r.limit], r.scores[:r.limit]
+	}
+}
+
+// before reports whether the candidate at position i ranks before another one.
+func (r *ranking) before(i int, c *candidate, score uint64) bool {
+	return cmp.Or(cmp.Compare(score, r.scores[i]), cmp.Compare(r.best[i].ID, c.ID)) < 0
+}
--- a/query/placement/placement.go
+++ b/query/placement/placement.go
@@ -25,6 +25,7 @@
 		flat: fits(targets, instances), groups: Groups(index, targets),
 		byShard: map[query.Shard]int{}, byID: map[GroupID]int{}, targets: make(map[query.TargetID]int, len(targets)),
 	}
+	live, leaving := hashed(instances, false), hashed(instances, true)
 	for i, g := range p.groups {
 		p.byID[g.ID] = i
 		for _, s := range g.Shards {
@@ -33,9 +34,10 @@
 		for _, t := range g.Targets {
 			p.targets[t] = i
 		}
-		holders := Holders(g, instances)
+		holders := choose(g, live, HoldersPerTarget(g.Connections))
+		keepers := choose(g, leaving, keepersPerTarget(g.Connections))
 		p.holders = append(p.holders, holders)
-		p.held = append(p.held, contains(holders, self) || contains(Keepers(g, instances), self))
+		p.held = append(p.held, contains(holders, self) || contains(keepers, self))
 	}
 	return p
 }
