Place again only for other members or targets, outside the lock of the index

Cause: each change of a member's record, such as its configuration sequence, led to a placement, which held the lock of the query path for several milliseconds.

Change: the instances of the last placement are compared first, and the computation holds no lock.

Figures: none measured; go test -race passes for the fleet tests of searches, versions and two levels.

Conclusion: a configuration change costs no placement.

--- a/instance/entry/index.go
+++ b/instance/entry/index.go
@@ -23,7 +23,8 @@
 	pool      *scatter.Pool
 	targets   []query.Target
 	addresses map[query.TargetID]string
-	place     *placement.Index // nil until members are known
+	place     *placement.Index     // nil until members are known
+	placedFor []placement.Instance // of the placement; nil if it has to be made again
 	groups    *groupTimes
 }
 
@@ -45,6 +46,7 @@
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
 	ix.targets = targets
+	ix.placedFor = nil
 	ix.local.SetTargets(targets)
 	ix.pool.SetTargets(targets)
 	clear(ix.addresses)
--- a/instance/entry/index_groups.go
+++ b/instance/entry/index_groups.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"hyssopcroft.example/adapter/peer"
@@ -34,11 +35,20 @@
 // flat reports whether the instance holds all targets. The caller holds the mutex.
 func (ix *index) flat() bool { return ix.place == nil || ix.place.Flat() }
 
-// setPlace replaces the placement.
+// setPlace replaces the placement if the instances or the targets are others than before.
 func (ix *index) setPlace(self string, instances []placement.Instance) {
+	ix.mu.Lock()
+	if ix.placedFor != nil && slices.Equal(ix.placedFor, instances) {
+		ix.mu.Unlock()
+		return
+	}
+	targets := ix.targets
+	ix.placedFor = instances
+	ix.mu.Unlock()
+	place := placement.New(self, ix.name, targets, instances) // takes too long for a lock on the query path
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	ix.place = placement.New(self, ix.name, ix.targets, instances)
+	ix.place = place
 	ix.setReplicas()
 }
 
