--- a/cmd/hyssopctl/main.go
+++ b/cmd/hyssopctl/main.go
@@ -37,8 +37,8 @@
 
 Exit codes: 0 done; 1 any failure not listed here; 2 wrong command line; 3 the entry changed since it
 was read; 4 the entry, plan, index or measure does not exist; 5 a value, the settings or the request
-is impossible; 6 an instance or the platform did not answer, so that an edit or a request may have
-taken effect; 7 the request was refused and not run; 8 the request may have run, its outcome is
+is impossible; 6 an instance or the platform did not answer, the field run of the failure says
+whether a request or an edit may have taken effect; 7 the request was refused and not run; 8 the request may have run, its outcome is
 unknown; 9 the answer covers fewer shards than the plan demands.
 
 With --json the result goes to standard output and a failure, as {"error": {...}}, to standard error.`
