--- a/adapter/admin/handler.go
+++ b/adapter/admin/handler.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -51,7 +52,12 @@
 	FailureDomain  string          `json:"failure_domain"`
 	Ready          bool            `json:"ready"`
 	ConfigSequence config.Revision `json:"config_sequence"`
-	Members        []MemberStatus  `json:"members"`
+	// Watching is set if the instance watches the store.
+	Watching bool `json:"watching"`
+	// UnconfirmedSince is set while the instance cannot tell whether the store holds a newer
+	// configuration: the time when it last could.
+	UnconfirmedSince *time.Time     `json:"unconfirmed_since,omitempty"`
+	Members          []MemberStatus `json:"members"`
 }
 
 // Backend does the work of the interface.
--- a/adapter/peer/lending.go
+++ b/adapter/peer/lending.go
@@ -24,7 +24,7 @@
 func AskToWire(plan string, a share.Ask) *sharepb.Ask {
 	return &sharepb.Ask{
 		Plan: plan, Using: &sharepb.LoanId{Epoch: a.Using.Epoch, Number: a.Using.Number},
-		Held: amountToWire(a.Held), HeldForMs: uint32(max(0, (a.HeldFor+time.Millisecond-1).Milliseconds())),
+		Held: amountToWire(a.Held), HeldForMs: uint32(max(0, (a.HeldFor + time.Millisecond - 1).Milliseconds())),
 		InFlight: uint32(a.InFlight), Want: amountToWire(a.Want),
 	}
 }
--- a/emulator/target/contract_test.go
+++ b/emulator/target/contract_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	api "hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/adapter/wire/targetpb"
@@ -151,37 +153,22 @@
 		execute  query.Outcome
 		runs     int // of the execute
 	}{
-		{
-			name: "no listener", search: query.OutcomeNotRun, execute: query.OutcomeNotRun,
-			prepare: func(_ context.Context, w *world) { w.host.Stop() },
-		},
-		{
-			name: "crash on the request", search: query.OutcomeCrashed, execute: query.OutcomeCrashed, runs: 1,
-			prepare: func(_ context.Context, w *world) { faults(w, target.Faults{CrashOn: "jars"}) },
-		},
-		{
-			name: "crash by another request", search: query.OutcomeCrashed, execute: query.OutcomeCrashed,
-			prepare: func(_ context.Context, w *world) { time.AfterFunc(serviceTime/2, w.host.Crash) },
-		},
-		{
-			name: "away after a crash", search: query.OutcomeNotRun, execute: query.OutcomeNotRun,
-			prepare: func(_ context.Context, w *world) { w.host.Crash() },
-		},
-		{
-			name: "silent connection", search: query.OutcomeUnknown, execute: query.OutcomeUnknown,
+		{name: "no listener", search: query.OutcomeNotRun, execute: query.OutcomeNotRun,
+			prepare: func(_ context.Context, w *world) { w.host.Stop() }},
+		{name: "crash on the request", search: query.OutcomeCrashed, execute: query.OutcomeCrashed, runs: 1,
+			prepare: func(_ context.Context, w *world) { faults(w, target.Faults{CrashOn: "jars"}) }},
+		{name: "crash by another request", search: query.OutcomeCrashed, execute: query.OutcomeCrashed,
+			prepare: func(_ context.Context, w *world) { time.AfterFunc(serviceTime/2, w.host.Crash) }},
+		{name: "away after a crash", search: query.OutcomeNotRun, execute: query.OutcomeNotRun,
+			prepare: func(_ context.Context, w *world) { w.host.Crash() }},
+		{name: "silent connection", search: query.OutcomeUnknown, execute: query.OutcomeUnknown,
 			prepare: func(ctx context.Context, w *world) {
 				w.client.Search(ctx, search(0, 1, "sign"))
 				w.host.Silence(1)
-			},
-		},
-		{
-			name: "client gives up", search: query.OutcomeUnknown, execute: query.OutcomeUnknown,
-			patience: serviceTime / 2,
-		},
-		{
-			name: "client gave up before", search: query.OutcomeNotRun, execute: query.OutcomeNotRun,
-			patience: time.Nanosecond, prepare: func(context.Context, *world) { time.Sleep(time.Second) },
-		},
+			}},
+		{name: "client gives up", search: query.OutcomeUnknown, execute: query.OutcomeUnknown, patience: serviceTime / 2},
+		{name: "client gave up before", search: query.OutcomeNotRun, execute: query.OutcomeNotRun, patience: time.Nanosecond,
+			prepare: func(context.Context, *world) { time.Sleep(time.Second) }},
 		{
 			// The connection ends before the client has written the request to it.
 			name: "connection limit reached", limits: target.HostConfig{Connections: 1},
@@ -240,19 +227,37 @@
 	}
 }
 
+// answer returns the body of a whole answer to the search and to the execute below.
+func answer(t *testing.T, text string) []byte {
+	t.Helper()
+	raw, err := proto.Marshal(&targetpb.SearchResponse{
+		RequestId: 7, AttemptId: 9, Snapshot: 1, Outcome: targetpb.Outcome_OUTCOME_ANSWERED,
+		Hits: []*targetpb.Hit{{Text: text}},
+	})
+	require.NoError(t, err)
+	return raw
+}
+
 // Guards against a response that cannot be understood and yet counts as an answer (I2, I3).
 func TestBadResponsesAreUnknown(t *testing.T) {
+	const limit = 4 << 20
+	body := func(raw []byte) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(raw) }
+	}
+	large := answer(t, strings.Repeat("x", limit))
 	cases := map[string]http.HandlerFunc{
-		"not protobuf": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte{0xff}) },
-		"error status": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
-		"too large":    func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, 4<<20+1)) },
-		"reset stream": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
-		"empty body":   func(http.ResponseWriter, *http.Request) {},
+		"not protobuf":            body([]byte{0xff}),
+		"answer and more":         body(append(answer(t, ""), 0xff)),
+		"one byte over the limit": body(answer(t, strings.Repeat("x", 2*limit-len(large)+1))),
+		"empty body":              body(nil),
+		"error status":            func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"reset stream":            func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
 		"body cut off": func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Length", "100")
 			_, _ = w.Write(make([]byte, 10))
 		},
 	}
+	require.Len(t, answer(t, strings.Repeat("x", 2*limit-len(large)+1)), limit+1)
 	for name, handler := range cases {
 		t.Run(name, func(t *testing.T) {
 			inWorld(t, config(), target.HostConfig{}, func(t *testing.T, w *world) {
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -62,15 +62,15 @@
 		Incarnation: uint64(time.Now().UnixNano()), State: membership.Starting,
 	}
 	cfg := configsync.New(client, k.Bus(), ring, log, c)
-	m := members.New(self, client, k.Bus(), ring, log, c)
+	m := members.New(self, client, cfg, k.Bus(), ring, log, c)
 	e := entry.New(s.Instance, s.FailureDomain, cfg, k.Bus(), log, c)
 	cl := claims.New(claims.Config{
-		Instance: s.Instance, Client: client, Members: m, Targets: e, Peers: peer.NewTransport(),
+		Instance: s.Instance, Client: client, Members: m, Targets: e, Peers: peer.NewTransport(nil),
 		Bus: k.Bus(), Log: log, Counters: c,
 	})
 	e.UseClaims(cl)
 	li := limits.New(limits.Config{
-		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: peer.NewTransport(),
+		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: peer.NewTransport(nil),
 		Ring: ring, Log: log, Counters: c,
 	})
 	e.UseLimits(li)
@@ -78,6 +78,8 @@
 	rel := relay.New(e, c)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
 	op.RequireReady(li.Ready)
+	// At 20 connections a second, the first queries of an unconnected instance would miss their deadlines.
+	op.RequireReady(e.Connected)
 	for _, service := range []kernel.Service{e, cfg, m, cl, li, op, rel} {
 		if err := k.Register(service); err != nil {
 			return nil, err
@@ -92,10 +94,11 @@
 		}
 	})
 	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), listener: listener}
-	a.server = newServer(connectedBackend{Service: op, entry: e}, d, c,
-		route(peer.MembershipHandler(m)), route(peer.ExecutionHandler(cl)),
+	a.server = newServer(op, d, c,
+		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)),
 		route(peer.LendingHandler(li)), route(peer.RelayHandler(rel)))
 	a.server.ConnState = a.connections.follow
+	a.server.ConnContext = peer.ConnContext(m.Traffic())
 	return a, nil
 }
 
@@ -132,7 +135,7 @@
 		return errors.Wrap(err, "start services")
 	}
 	go func() {
-		if err := a.server.Serve(a.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := a.server.Serve(peer.Listener{Listener: a.listener}); !errors.Is(err, http.ErrServerClosed) {
 			a.log.Error("server ended", "error", err)
 		}
 	}()
@@ -159,7 +162,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(a.settings.ShutdownTimeout))
 	defer cancel()
 	idle := a.drain.begin()
-	a.members.Leave(ctx)
+	a.members.Leave()
 	select {
 	case <-idle:
 	case <-ctx.Done():
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -70,7 +70,7 @@
 		dials.Limit(t)
 		return t
 	})
-	peerPool := peer.NewTransport()
+	peerPool := peer.NewTransport(nil)
 	dials.Limit(peerPool)
 	s := &Service{
 		instance: instance, failureDomain: failureDomain, config: cfg, targets: target.NewClient(pool),
