Release the records of a bucket that another instance writes

Cause: a writer that was no longer chosen kept the claims of an hour in memory until it happened to write again.

Conclusion: the memory of claims follows the ownership of buckets.

--- a/control/claim/log.go
+++ b/control/claim/log.go
@@ -100,8 +100,13 @@
 // chosen adds no claims, but still records results until another writer has taken over.
 func (l *Log) SetChosen(now time.Time, chosen bool) []Action {
 	l.chosen = chosen
-	if chosen {
-		return l.step(now)
+	out := l.refuseQueuedUnlessChosen()
+	return append(out, l.step(now)...)
+}
+
+func (l *Log) refuseQueuedUnlessChosen() []Action {
+	if l.chosen {
+		return nil
 	}
 	return l.refuseQueued()
 }
--- a/control/claim/store.go
+++ b/control/claim/store.go
@@ -11,6 +11,9 @@
 	if l.call != noCall || now.Before(l.retryAt) {
 		return nil
 	}
+	if !l.chosen && l.owned && l.moved == nil && l.Settled() {
+		l.forget() // Nothing is left to record, and the records of an hour need memory.
+	}
 	switch {
 	case l.recheck || (!l.owned && l.pending == nil && len(l.queue) > 0):
 		l.call = headRead
