Measure replacements over relays, and make instances without targets ready

Cause: the measure ran with a flat fan-out only and did not look at coverage. Over relays, an instance that holds no group of targets never became ready, because readiness waited for an open connection.

Change: emulator/rolling takes the connection limit, counts incomplete searches, and its test runs over relays too; instance/entry is connected once the targets that it knows were placed, even if it holds none.

--- a/emulator/measure/rolling_replace.go
+++ b/emulator/measure/rolling_replace.go
@@ -14,7 +14,8 @@
 	})
 }
 
-// rollingReplace compares the phases of a shutdown with instances that refuse work and stop at once.
+// rollingReplace compares the phases of a shutdown with instances that refuse work and stop at once,
+// for a flat fan-out and over relays.
 func rollingReplace(seed uint64) Report {
 	r := NewReport()
 	cfg := rolling.Config{
@@ -24,14 +25,21 @@
 	r.Sizes["instances"] = float64(cfg.Instances)
 	r.Sizes["workers"] = float64(cfg.Workers)
 	r.Sizes["balancer_poll_s"] = cfg.BalancerPoll.Seconds()
-	cfg.BalancerLag = time.Millisecond
-	r.Baseline = replaced(cfg)
-	cfg.BalancerLag = 5 * time.Second
-	r.Result = replaced(cfg)
-	r.ResultAtMost("requests_cut", 0)
-	r.ResultAtMost("new_work_after_3s_of_refusal", 0)
-	r.ResultAtMost("run_twice", 0)
-	r.ResultAtLeast("replaced", float64(cfg.Instances))
+	for _, c := range []struct {
+		name        string
+		connections int
+	}{{"flat", 25}, {"relays", 5}} {
+		cfg.Connections = c.connections
+		r.Sizes[c.name+"/connections"] = float64(c.connections)
+		cfg.BalancerLag = time.Millisecond
+		add(r.Baseline, c.name, replaced(cfg))
+		cfg.BalancerLag = 5 * time.Second
+		add(r.Result, c.name, replaced(cfg))
+		r.ResultAtMost(c.name+"/requests_cut", 0)
+		r.ResultAtMost(c.name+"/new_work_after_3s_of_refusal", 0)
+		r.ResultAtMost(c.name+"/run_twice", 0)
+		r.ResultAtLeast(c.name+"/replaced", float64(cfg.Instances))
+	}
 	return r
 }
 
@@ -39,7 +47,7 @@
 	result, err := rolling.Run(cfg)
 	f := Figures{
 		"requests": float64(result.Requests), "requests_cut": float64(result.Cut),
-		"requests_refused": float64(result.Refused), "new_work_after_3s_of_refusal": float64(result.Late),
+		"requests_refused": float64(result.Refused), "searches_incomplete": float64(result.Incomplete), "new_work_after_3s_of_refusal": float64(result.Late),
 		"run_twice": float64(result.RunTwice), "longest_stop_s": result.LongestStop.Seconds(),
 		"replaced": float64(result.Replaced),
 	}
--- a/emulator/rolling/rolling.go
+++ b/emulator/rolling/rolling.go
@@ -30,6 +30,9 @@
 	BalancerPoll time.Duration
 	// MeanServiceTime is the mean of the exponential service time of the searchers.
 	MeanServiceTime time.Duration
+	// Connections is the connection limit of a searcher. Below twice the number of instances plus
+	// two, searches go over relays.
+	Connections int
 	// Settle is how long the load runs before the first and after each replacement.
 	Settle time.Duration
 	Seed   uint64
@@ -42,6 +45,8 @@
 	Cut int
 	// Refused requests were told that they were not run.
 	Refused int
+	// Incomplete searches were answered without all shards.
+	Incomplete int
 	// Late requests went to an instance that had refused new work for 3 s.
 	Late int
 	// RunTwice counts the requests that may not be repeated and ran more than once.
@@ -84,7 +89,7 @@
 	f, err := fleet.Start(fleet.Deployment{
 		Host: "127.0.0.1", FailureDomains: []string{failureDomain}, Lists: lists(), Seed: cfg.Seed,
 		MeanServiceTime: cfg.MeanServiceTime,
-		Indexes:         []fleet.Index{{Name: index, Shards: 4, Replicas: 3, Slots: 8, Connections: 25}},
+		Indexes:         []fleet.Index{{Name: index, Shards: 4, Replicas: 3, Slots: 8, Connections: cfg.Connections}},
 	})
 	if err != nil {
 		return Result{}, err
--- a/emulator/rolling/rolling_test.go
+++ b/emulator/rolling/rolling_test.go
@@ -7,19 +7,24 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Guards against an instance that cuts requests, or refuses them although the balancer has not
-// noticed yet, when it is replaced under load.
+// Guards against an instance that cuts requests or partial queries, or refuses them although the
+// balancer has not noticed yet, when it is replaced under load.
 func TestReplacingEachInstanceCutsNothing(t *testing.T) {
-	r, err := Run(Config{
-		Instances: 3, Workers: 12, BalancerLag: 600 * time.Millisecond, BalancerPoll: 50 * time.Millisecond,
-		MeanServiceTime: 20 * time.Millisecond, Settle: 200 * time.Millisecond, Seed: 1,
-	})
-	require.NoError(t, err)
-	require.Equal(t, 3, r.Replaced)
-	require.Zero(t, r.Cut, "%v", r.Causes)
-	require.Zero(t, r.Refused, "%v", r.Causes)
-	require.Zero(t, r.Late)
-	require.Zero(t, r.RunTwice)
-	require.Positive(t, r.Requests)
-	t.Logf("%+v", r)
+	for name, connections := range map[string]int{"flat": 25, "over relays": 5} {
+		t.Run(name, func(t *testing.T) {
+			r, err := Run(Config{
+				Instances: 3, Workers: 12, BalancerLag: 600 * time.Millisecond, BalancerPoll: 50 * time.Millisecond,
+				MeanServiceTime: 20 * time.Millisecond, Connections: connections, Settle: 200 * time.Millisecond, Seed: 1,
+			})
+			require.NoError(t, err)
+			require.Equal(t, 3, r.Replaced)
+			require.Zero(t, r.Cut, "%v", r.Causes)
+			require.Zero(t, r.Refused, "%v", r.Causes)
+			require.Zero(t, r.Incomplete, "%v", r.Causes)
+			require.Zero(t, r.Late)
+			require.Zero(t, r.RunTwice)
+			require.Positive(t, r.Requests)
+			t.Logf("%+v", r)
+		})
+	}
 }
--- a/emulator/rolling/worker.go
+++ b/emulator/rolling/worker.go
@@ -17,6 +17,7 @@
 const (
 	// executeShare is the share of requests that may not be repeated.
 	executeShare = 0.2
+	pathSearch   = "/v1/search"
 	// thinkTime is the pause between two requests of a worker.
 	thinkTime = 5 * time.Millisecond
 )
@@ -55,7 +56,7 @@
 		w.address = address
 	}
 	w.sent++
-	path, body := "/v1/search", any(caller.Search{Plan: plan, Index: index, Query: "washed jars"})
+	path, body := pathSearch, any(caller.Search{Plan: plan, Index: index, Query: "washed jars"})
 	if w.source.Float64() < executeShare {
 		key := fmt.Sprintf("%d-%d.%d", time.Now().UnixMilli(), w.number, w.sent)
 		path, body = "/v1/execute", caller.Execute{Plan: plan, Index: index, Key: key, Body: "credit 2", FirstSubmission: true}
@@ -63,12 +64,15 @@
 	}
 	begin, address := time.Now(), w.address
 	cause, refused, leave := w.post(path, body)
-	if leave || cause != "" {
+	incomplete := cause == causeIncomplete
+	if leave || (cause != "" && !incomplete) {
 		w.address = ""
 	}
 	w.run.count(func(r *Result) {
 		r.Requests++
 		switch {
+		case incomplete:
+			r.Incomplete++
 		case refused:
 			r.Refused++
 		case cause != "":
@@ -81,7 +85,7 @@
 	w.run.countLate(address, begin)
 }
 
-// post returns why a request was cut, "" if it was not; whether it was refused as not run; and
+// post returns what is wrong with the answer, "" if nothing is; whether it was refused as not run; and
 // whether the instance asked to close the connection.
 func (w *worker) post(path string, body any) (cause string, refused, leave bool) {
 	raw, err := json.Marshal(body)
@@ -98,7 +102,7 @@
 		return path + ": body cut", false, true
 	}
 	if resp.StatusCode == http.StatusOK {
-		return "", false, resp.Close
+		return incompleteCause(path, raw), false, resp.Close
 	}
 	p := problem.Read(raw, resp.StatusCode)
 	if p == nil {
@@ -107,6 +111,17 @@
 	return path + ": " + p.Error(), p.Run == problem.NotRun, resp.Close
 }
 
+// causeIncomplete is the cause of a search that was answered without all shards.
+const causeIncomplete = "incomplete"
+
+func incompleteCause(path string, raw []byte) string {
+	var result caller.Result
+	if path != pathSearch || (json.Unmarshal(raw, &result) == nil && result.Complete) {
+		return ""
+	}
+	return causeIncomplete
+}
+
 func (r *run) addKey(key string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/instance/entry/index.go
+++ b/instance/entry/index.go
@@ -112,6 +112,13 @@
 	return ix.pool.Peek(time.Now(), s)
 }
 
+// size returns the number of known targets.
+func (ix *index) size() int {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	return len(ix.addresses)
+}
+
 func (ix *index) address(id query.TargetID) string {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
--- a/instance/entry/peers.go
+++ b/instance/entry/peers.go
@@ -56,8 +56,12 @@
 		case <-sweep.C:
 			s.pool.Sweep()
 		case <-s.placeWanted:
+			known := s.knowsTargets() // before they are placed
 			s.place()
 			s.connect(ctx)
+			if known {
+				s.connected.Store(true)
+			}
 			pause(ctx, placementPause)
 		}
 	}
@@ -111,9 +115,11 @@
 	}
 	_ = wait.Wait() // Failures are counted; the first query tries again.
 	s.opened = held
-	if len(held) > 0 {
-		s.connected.Store(true)
-	}
+}
+
+// knowsTargets reports whether any index has targets. An instance may hold none of them.
+func (s *Service) knowsTargets() bool {
+	return slices.ContainsFunc(s.allIndexes(), func(ix *index) bool { return ix.size() > 0 })
 }
 
 // leaving reports whether this instance shuts down. It opens no connection ahead of queries then.
