Send an execute through an instance that holds its target's group

Cause: with two levels, the writer of a bucket opened a connection of its own to the target of an execute.

Change: a writer that holds no connection to the group gives the claimed request to a holder by a call that the transport cannot repeat, and to another holder only if it could not connect.

Conclusion: executes stay within the connection limits, as searches do.

--- a/adapter/peer/execution.go
+++ b/adapter/peer/execution.go
@@ -8,6 +8,7 @@
 
 	"hyssopcroft.example/adapter/wire/executepb"
 	"hyssopcroft.example/control/claim"
+	"hyssopcroft.example/query"
 )
 
 // ExecutionClient returns a client of the execution service of the peer at an address.
@@ -15,6 +16,43 @@
 	return executepb.NewExecutionProtobufClient("http://"+address, &http.Client{Transport: transport})
 }
 
+// SendExecuteClient returns a client of the execution service whose calls are never sent twice: the
+// transport cannot send a body again after it may have been delivered.
+func SendExecuteClient(address string, transport http.RoundTripper) executepb.Execution {
+	return ExecutionClient(address, once{transport})
+}
+
+type once struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (o once) RoundTrip(req *http.Request) (*http.Response, error) {
+	req = req.Clone(req.Context())
+	req.GetBody = nil
+	return o.next.RoundTrip(req)
+}
+
+// OutcomeToWire converts the outcome of a request that was sent once.
+func OutcomeToWire(o query.Outcome) executepb.Outcome {
+	switch {
+	case o == query.OutcomeAnswered:
+		return executepb.Outcome_OUTCOME_ANSWERED
+	case o.CertainlyNotRun():
+		return executepb.Outcome_OUTCOME_NOT_RUN
+	}
+	return executepb.Outcome_OUTCOME_UNKNOWN
+}
+
+// OutcomeFromWire converts the outcome of a request that was sent once.
+func OutcomeFromWire(o executepb.Outcome) query.Outcome {
+	switch o {
+	case executepb.Outcome_OUTCOME_ANSWERED:
+		return query.OutcomeAnswered
+	case executepb.Outcome_OUTCOME_NOT_RUN:
+		return query.OutcomeNotRun
+	}
+	return query.OutcomeUnknown
+}
+
 // ExecutionHandler returns the path prefix and the handler that serve the execution service.
 func ExecutionHandler(s executepb.Execution) (string, http.Handler) {
 	h := executepb.NewExecutionServer(s)
--- a/adapter/peer/execution_test.go
+++ b/adapter/peer/execution_test.go
@@ -1,7 +1,10 @@
 package peer
 
 import (
+	"context"
+	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -38,3 +41,33 @@
 	require.False(t, NotDelivered(&net.OpError{Op: "read", Err: errors.New("reset")}))
 	require.False(t, NotDelivered(errors.New("deadline exceeded")))
 }
+
+// Guards against a claimed request that the transport sends a second time after a peer took it and
+// went away, and against a refused connection that counts as delivered.
+func TestSendExecuteIsDeliveredAtMostOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var taken atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if n, _ := io.ReadAtLeast(c, make([]byte, 1<<16), 24); n > 0 { // the preface of HTTP/2
+				taken.Add(1)
+			}
+			_ = c.Close() // the peer goes away
+		}
+	}()
+	transport := NewTransport(nil)
+	defer transport.CloseIdleConnections()
+	client := SendExecuteClient(l.Addr().String(), transport)
+	_, err = client.SendExecute(context.Background(), &executepb.SendExecuteRequest{Key: "k"})
+	require.Error(t, err)
+	require.False(t, NotDelivered(err))
+	require.Equal(t, int64(1), taken.Load())
+	require.NoError(t, l.Close())
+	_, err = client.SendExecute(context.Background(), &executepb.SendExecuteRequest{Key: "k"})
+	require.True(t, NotDelivered(err), "%v", err)
+}
--- a/emulator/fleet/claims_world_test.go
+++ b/emulator/fleet/claims_world_test.go
@@ -129,6 +129,11 @@
 	return strconv.Itoa(balance), query.OutcomeAnswered
 }
 
+// SendHere implements claims.Targets.
+func (b *bank) SendHere(ctx context.Context, r claims.Request) (string, query.Outcome) {
+	return b.SendOnce(ctx, r)
+}
+
 func wait(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-time.After(d):
--- a/instance/claims/service.go
+++ b/instance/claims/service.go
@@ -54,6 +54,8 @@
 // query.OutcomeAnswered.
 type Targets interface {
 	SendOnce(ctx context.Context, r Request) (string, query.Outcome)
+	// SendHere does the same without the help of another instance.
+	SendHere(ctx context.Context, r Request) (string, query.Outcome)
 }
 
 // Members gives the members of the fleet.
@@ -269,6 +271,19 @@
 	return peer.AnswerToWire(s.buckets[key.Bucket()].execute(ctx, r)), nil
 }
 
+// SendExecute implements the twirp service. It sends a request that another instance has claimed.
+func (s *Service) SendExecute(ctx context.Context, req *executepb.SendExecuteRequest) (*executepb.SendExecuteResponse, error) {
+	s.cfg.Counters.Counter("executes_sent_for_peers").Add(1)
+	r := Request{
+		Key: claim.Key(req.Key), Plan: req.Plan, Index: req.Index, Body: req.Body,
+		Deadline: time.Now().Add(time.Duration(req.TimeLeftUs) * time.Microsecond),
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	result, outcome := s.cfg.Targets.SendHere(ctx, r)
+	return &executepb.SendExecuteResponse{Outcome: peer.OutcomeToWire(outcome), Result: result}, nil
+}
+
 // unsent is the answer to a submission that got to no writer. Only a first one is certain not to
 // have run.
 func unsent(r Request, why claim.Reason) claim.Answer {
--- a/instance/entry/execute.go
+++ b/instance/entry/execute.go
@@ -7,11 +7,9 @@
 
 	"hyssopcroft.example/adapter/caller"
 	"hyssopcroft.example/adapter/problem"
-	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/control/claim"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/instance/claims"
-	"hyssopcroft.example/query"
 )
 
 // Claims runs requests that may not be repeated at most once.
@@ -71,42 +69,3 @@
 	}
 	return &refused
 }
-
-// targetPoll is the time between two looks for a target that is below its concurrency limit.
-const targetPoll = 10 * time.Millisecond
-
-// SendOnce implements claims.Targets. It sends the request to one target.
-func (s *Service) SendOnce(ctx context.Context, r claims.Request) (string, query.Outcome) {
-	ix, known := s.lookup(r.Index)
-	if !known {
-		return "", query.OutcomeNotRun
-	}
-	id, ok := ix.awaitTarget(ctx)
-	if !ok {
-		return "", query.OutcomeNotRun
-	}
-	result, outcome := s.targets.Execute(ctx, target.Execution{
-		Address: ix.address(id), Key: string(r.Key), Attempt: s.nextAttempt(), Index: r.Index, Body: []byte(r.Body),
-		TimeLeft: time.Until(r.Deadline),
-	})
-	return string(result), outcome
-}
-
-// awaitTarget returns a target for an execute, which takes the first shard. It waits until ctx is
-// done, because a claim that is stored and not sent uses up its key.
-func (ix *index) awaitTarget(ctx context.Context) (query.TargetID, bool) {
-	ticker := time.NewTicker(targetPoll)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		if m, known := ix.chooseSnapshot(); known {
-			if id, ok := ix.peek(m.Shards[0]); ok {
-				return id, true
-			}
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-		}
-	}
-	return "", false
-}
