--- a/emulator/measure/driver.go
+++ b/emulator/measure/driver.go
@@ -20,7 +20,12 @@
 	Utilisation float64
 	Queries     int // recorded queries
 	WarmUp      int // queries before them that are not recorded
-	Deadline    time.Duration
+	// WarmUpUtilisation, if set, takes the place of Utilisation for the first half of WarmUp.
+	WarmUpUtilisation float64
+	Deadline          time.Duration
+	// Shares gives the shares of the queries by priority, from batch to high, for runs with
+	// admission; without it, all queries are of normal priority and none is refused.
+	Shares []float64
 	// PreferCoverage is set for a plan that prefers coverage.
 	PreferCoverage bool
 	// Baseline selects one random live replica per shard without hedges, retries and admission.
@@ -32,13 +37,19 @@
 
 // stats holds what a run recorded.
 type stats struct {
-	latency  *hdrhistogram.Histogram // microseconds, as the client sees it
-	attempts int64
-	shards   int64 // shards asked by recorded queries
-	included int64
-	short    int64 // answers that lack a shard
-	wrong    int64 // answers that the oracle found wrong
-	late     int64
+	latency   *hdrhistogram.Histogram // microseconds, as the client sees it
+	attempts  int64
+	shards    int64 // shards asked by recorded queries
+	included  int64
+	short     int64 // answers that lack a shard
+	wrong     int64 // answers that the oracle found wrong
+	late      int64
+	complete  int64 // answers that cover every shard, from the first recorded query to the last
+	refused   int64
+	brokeWord int64                   // attempts sent for queries that were refused as not run
+	high      *hdrhistogram.Histogram // latency of high priority, microseconds
+	began     time.Time
+	ended     time.Time
 }
 
 // Driver runs the queries of a scenario against the model of its searchers.
@@ -52,6 +63,7 @@
 	entries   []*entry
 	shardMap  query.Map
 	stats     stats
+	refused   map[query.RequestID]struct{} // told "not run"
 	started   int
 	// tamper, if set, takes the place of the delivery of replies.
 	tamper func(f *flight, sent query.AttemptID, r query.Reply)
@@ -69,9 +81,11 @@
 	d := &Driver{
 		Loop: NewLoop(), scenario: sc, index: sc.Index, source: rand.New(rand.NewPCG(sc.Seed, 1)),
 		searchers: map[query.TargetID]*searcher{}, targets: sc.Deployment.targets(sc.Index),
+		refused:  map[query.RequestID]struct{}{},
 		shardMap: query.Map{Version: version, Shards: sc.Index.shards()},
 	}
 	d.stats.latency = hdrhistogram.New(1, longestLatency.Microseconds(), 3)
+	d.stats.high = hdrhistogram.New(1, longestLatency.Microseconds(), 3)
 	for i, t := range d.targets {
 		d.searchers[t.ID] = &searcher{
 			loop: d.Loop, source: rand.New(rand.NewPCG(sc.Seed, uint64(1000+i))), service: sc.Service, factor: 1,
@@ -113,22 +127,58 @@
 		return
 	}
 	d.started++
-	if d.started == d.scenario.WarmUp+1 && d.scenario.Fault != nil {
-		d.scenario.Fault(d)
+	if d.started == d.scenario.WarmUp+1 {
+		d.stats.began = d.Loop.Now()
+		if d.scenario.Fault != nil {
+			d.scenario.Fault(d)
+		}
+	}
+	if d.started == d.scenario.WarmUp+d.scenario.Queries {
+		d.stats.ended = d.Loop.Now()
 	}
 	e := d.entries[d.source.IntN(len(d.entries))]
 	for e.away {
 		e = d.entries[d.source.IntN(len(d.entries))]
 	}
+	priority := d.priority()
 	e.start(query.Request{
-		ID: query.RequestID(d.source.Uint64()), Plan: "plan", Index: d.index.Name,
+		ID: query.RequestID(d.source.Uint64()), Plan: planNames[priority], Index: d.index.Name,
 		Limit: len(d.shardMap.Shards), Deadline: d.Loop.Now().Add(d.scenario.Deadline),
-		PreferCoverage: d.scenario.PreferCoverage,
+		PreferCoverage: d.scenario.PreferCoverage, Priority: priority,
 	}, d.shardMap, d.started > d.scenario.WarmUp)
-	gap := d.source.ExpFloat64() / d.scenario.rate()
+	sc := d.scenario
+	if sc.WarmUpUtilisation > 0 && d.started <= sc.WarmUp/2 {
+		sc.Utilisation = sc.WarmUpUtilisation
+	}
+	gap := d.source.ExpFloat64() / sc.rate()
 	d.Loop.After(time.Duration(gap*float64(time.Second)), d.arrive)
 }
 
+// planNames holds one plan for each priority, since the priority belongs to the plan.
+var planNames = [...]string{"batch-plan", "normal-plan", "high-plan"}
+
+// priority draws the priority of a query.
+func (d *Driver) priority() query.Priority {
+	if d.scenario.Shares == nil {
+		return query.PriorityNormal
+	}
+	x := d.source.Float64()
+	for p, share := range d.scenario.Shares {
+		if x -= share; x < 0 {
+			return query.Priority(p)
+		}
+	}
+	return query.PriorityHigh
+}
+
+// refuse notes that the caller was told that the query was not run.
+func (d *Driver) refuse(req query.Request, recorded bool) {
+	d.refused[req.ID] = struct{}{}
+	if recorded {
+		d.stats.refused++
+	}
+}
+
 // deliver passes an attempt's outcome to its query. A hit carries the ids that it answers, so that
 // the oracle can tell to which request it belongs.
 func (d *Driver) deliver(f *flight, a scatter.Action, o query.Outcome, cold bool) {
@@ -150,11 +200,20 @@
 // finish records a query and lets the oracle check its answer.
 func (d *Driver) finish(f *flight) {
 	answer := f.machine.Answer()
+	if f.admitted {
+		f.entry.admission.Done(d.Loop.Now(), f.ticket, answer.Coverage.TimedOut())
+	}
+	if answer.Coverage.Complete() && !d.stats.began.IsZero() && d.stats.ended.IsZero() {
+		d.stats.complete++
+	}
 	if !f.recorded {
 		return
 	}
 	took := d.Loop.Now().Sub(f.started) + 2*d.scenario.Deployment.ToClients
 	_ = d.stats.latency.RecordValue(took.Microseconds()) // Deadlines lie below the longest value.
+	if f.request.Priority == query.PriorityHigh {
+		_ = d.stats.high.RecordValue(took.Microseconds()) // Deadlines lie below the longest value.
+	}
 	d.stats.shards += int64(len(f.entry.driver.shardMap.Shards))
 	d.stats.included += int64(len(answer.Coverage.Included))
 	if !answer.Coverage.Complete() {
@@ -193,7 +252,7 @@
 func (d *Driver) figures() Figures {
 	s := &d.stats
 	millis := func(quantile float64) float64 { return float64(s.latency.ValueAtQuantile(quantile)) / 1000 }
-	return Figures{
+	f := Figures{
 		"p50_ms": millis(50), "p99_ms": millis(99), "p99.9_ms": millis(99.9),
 		"coverage":           float64(s.included) / float64(max(1, s.shards)),
 		"attempts_per_shard": float64(s.attempts) / float64(max(1, s.shards)),
@@ -201,4 +260,8 @@
 		"wrong_answers":      float64(s.wrong),
 		"late_replies":       float64(s.late),
 	}
+	if d.scenario.Shares != nil {
+		d.overloadFigures(f)
+	}
+	return f
 }
--- a/emulator/measure/entry.go
+++ b/emulator/measure/entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/admission"
 	"hyssopcroft.example/query/replica"
 	"hyssopcroft.example/query/scatter"
 )
@@ -28,6 +29,7 @@
 	domain      int
 	random      *replica.Random
 	pool        *scatter.Pool
+	admission   *admission.Controller
 	connections map[query.TargetID]*connection
 	lastAttempt query.AttemptID
 	away        bool // lost with its failure domain; callers go elsewhere
@@ -47,6 +49,8 @@
 	started  time.Time
 	jobs     map[query.AttemptID]*job
 	finished bool
+	admitted bool // by the admission controller
+	ticket   admission.Ticket
 	recorded bool      // counts in the figures
 	wake     time.Time // earliest wake-up that is scheduled; zero if none
 }
@@ -57,6 +61,7 @@
 		source: rand.New(rand.NewPCG(d.source.Uint64(), d.source.Uint64())),
 	}
 	e.lastAttempt = query.AttemptID(e.source.Uint64())
+	e.admission = admission.New()
 	e.random = replica.NewRandom(e.source)
 	e.pool = scatter.NewPool(d.scenario.Deployment.FailureDomains[domain], e.source)
 	return e
@@ -82,8 +87,19 @@
 
 // start runs a query.
 func (e *entry) start(req query.Request, m query.Map, recorded bool) {
+	now := e.driver.Loop.Now()
+	var ticket admission.Ticket
+	admits := e.driver.scenario.Shares != nil && !e.driver.scenario.Baseline
+	if admits {
+		var v admission.Verdict
+		if ticket, v = e.admission.Admit(now, req.Priority, req.Deadline.Sub(now)); v != admission.Admitted {
+			e.driver.refuse(req, recorded)
+			return
+		}
+	}
 	f := &flight{
 		entry: e, request: req, version: m.Version, started: e.driver.Loop.Now(), recorded: recorded,
+		admitted: admits, ticket: ticket,
 		jobs: map[query.AttemptID]*job{}, machine: scatter.New(e.machineConfig(req, m)),
 	}
 	f.perform(f.machine.Start(e.driver.Loop.Now()))
@@ -145,6 +161,9 @@
 	if f.recorded {
 		d.stats.attempts++
 	}
+	if _, refused := d.refused[f.request.ID]; refused {
+		d.stats.brokeWord++
+	}
 	if d.onSend != nil {
 		d.onSend(f, a)
 	}
--- /dev/null
+++ b/emulator/measure/overload.go
@@ -0,0 +1,67 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+)
+
+func init() {
+	Register(Measure{
+		Name:    "overload",
+		Summary: "goodput, high-priority tail and truth of refusals at 1.5, 2 and 5 times capacity",
+		Run:     runOverload,
+	})
+}
+
+// priorityShares are the shares of batch, normal and high priority in all overload cases.
+var priorityShares = []float64{0.3, 0.6, 0.1}
+
+const (
+	// unloadedUtilisation is the load at which the unloaded tail of high priority is taken, and from
+	// which the load rises.
+	unloadedUtilisation = 0.2
+	// settleTime is the time after the rise that is not recorded, recordTime the time that is.
+	settleTime = 1500 * time.Millisecond
+	recordTime = 2 * time.Second
+)
+
+func runOverload(seed uint64) Report {
+	r := NewReport()
+	for _, d := range Deployments() {
+		ix := d.Indexes[0]
+		sc := Scenario{
+			Deployment: d, Index: ix, Service: heavyTail, Utilisation: unloadedUtilisation, Queries: 20_000,
+			WarmUp: 2_000, Deadline: searchDeadline, Seed: seed, Shares: priorityShares,
+		}
+		unloaded := NewDriver(sc).Run()["high_p99_ms"]
+		for _, factor := range []float64{1.5, 2, 5} {
+			sc.Utilisation, sc.WarmUpUtilisation = factor, unloadedUtilisation
+			sc.Queries = int(sc.rate() * recordTime.Seconds())
+			sc.WarmUp = 2 * int(sc.rate()*settleTime.Seconds())
+			r.runOverloadCase(fmt.Sprintf("%s-%s-%gx", d.Name, ix.Name, factor), sc, unloaded)
+		}
+	}
+	return r
+}
+
+func (r *Report) runOverloadCase(name string, sc Scenario, unloaded float64) {
+	r.runBoth(name, sc)
+	r.Sizes[name+"/unloaded_high_p99_ms"] = unloaded
+	for _, figures := range []Figures{r.Baseline, r.Result} {
+		figures[name+"/high_p99_of_unloaded"] = figures[name+"/high_p99_ms"] / unloaded
+	}
+	r.ResultAtLeast(name+"/goodput_of_capacity", 0.9)
+	r.ResultAtMost(name+"/high_p99_of_unloaded", 1.5)
+	r.ResultAtMost(name+"/run_though_refused", 0)
+}
+
+// overloadFigures adds the figures of a run with admission.
+func (d *Driver) overloadFigures(f Figures) {
+	s := &d.stats
+	capacity := d.scenario.rate() / d.scenario.Utilisation
+	f["goodput_of_capacity"] = float64(s.complete) / s.ended.Sub(s.began).Seconds() / capacity
+	f["high_p99_ms"] = float64(s.high.ValueAtQuantile(99)) / 1000
+	f["high_answered"] = float64(s.high.TotalCount())
+	f["refused"] = float64(s.refused)
+	f["run_though_refused"] = float64(s.brokeWord)
+}
--- a/query/query.go
+++ b/query/query.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -45,6 +46,18 @@
 	Shards  []Shard `json:"shards"`
 }
 
+// Priority orders requests under load; the lowest is refused first.
+type Priority uint8
+
+const (
+	// PriorityBatch is for requests for which nobody waits.
+	PriorityBatch Priority = iota
+	// PriorityNormal is for interactive use.
+	PriorityNormal
+	// PriorityHigh is for callers who wait at a counter.
+	PriorityHigh
+)
+
 // Request is a search over all shards of one index.
 type Request struct {
 	ID    RequestID
@@ -54,6 +67,7 @@
 	// Limit is the largest number of hits in the answer.
 	Limit    int
 	Deadline time.Time
+	Priority Priority
 	// PreferCoverage is set for plans that try other replicas until the deadline before they answer
 	// short. Other plans answer short as soon as nothing is left to wait for.
 	PreferCoverage bool
@@ -140,6 +154,11 @@
 // Complete reports whether no shard is missing.
 func (c Coverage) Complete() bool { return len(c.Missing) == 0 }
 
+// TimedOut reports whether a shard is missing because of the deadline.
+func (c Coverage) TimedOut() bool {
+	return slices.ContainsFunc(c.Missing, func(m MissingShard) bool { return m.Cause == CauseTimeout })
+}
+
 // Answer is the merged result of a search. All hits come from the same snapshot.
 type Answer struct {
 	Request  RequestID
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -63,6 +63,7 @@
 	timers     timers
 	openShards int
 	finished   bool
+	ran        bool             // a target may have run a part of the query
 	actions    []Action         // reused by every call
 	tried      []query.TargetID // scratch space
 	dropped    map[string]int64
@@ -247,9 +248,14 @@
 	a.ended = true
 	sh.inFlight--
 	e.Target, e.Elapsed, e.Overdue = a.target, now.Sub(a.sent), a.overdue
+	m.ran = m.ran || e.Cancelled || !e.Outcome.CertainlyNotRun()
 	m.policy.End(now, e)
 }
 
+// MayHaveRun reports whether a target may have run a part of the query. It is to be called after
+// Finish. Where it returns false, every attempt that was sent came back as certainly not run.
+func (m *Machine) MayHaveRun() bool { return m.ran }
+
 // Answer returns the merged answer. It is to be called once, after Finish.
 func (m *Machine) Answer() query.Answer {
 	return m.merger.Finish(m.cfg.Request.Index, func(s query.Shard) query.Cause {
