--- a/cmd/hyssopctl/lists.go
+++ b/cmd/hyssopctl/lists.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"hyssopcroft.example/adapter/admin"
+	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/control/config"
 )
 
@@ -59,6 +60,7 @@
 type editFlags struct {
 	Revision uint64 `default:"0" help:"Revision at which the entry was read; 0 creates it."`
 	EditID   string `name:"edit-id" help:"Id of the edit, to repeat one whose answer was lost."`
+	waitFlags
 }
 
 func (f editFlags) header() http.Header {
@@ -140,18 +142,37 @@
 		return errors.Wrapf(err, "decode %s", file)
 	}
 	var accepted admin.Accepted
-	if err := call(http.MethodPut, c.Instance, pathOf(value), f.header(), value, &accepted); err != nil {
-		return err
+	header := f.header()
+	if err := call(http.MethodPut, c.Instance, pathOf(value), header, value, &accepted); err != nil {
+		return withEditID(err, header)
 	}
-	return printAccepted(c, accepted)
+	return finishEdit(c, f, accepted)
 }
 
 func deleteEntry(c *cli, path string, f editFlags) error {
 	var accepted admin.Accepted
-	if err := call(http.MethodDelete, c.Instance, path, f.header(), nil, &accepted); err != nil {
+	header := f.header()
+	if err := call(http.MethodDelete, c.Instance, path, header, nil, &accepted); err != nil {
+		return withEditID(err, header)
+	}
+	return finishEdit(c, f, accepted)
+}
+
+// withEditID names the edit in a failure after which it may have taken effect, so that it can be
+// repeated under the same id.
+func withEditID(err error, header http.Header) error {
+	var p *problem.Problem
+	if errors.As(err, &p) && p.Run == problem.MayHaveRun {
+		p.Message += "; to find out, repeat it with --edit-id " + header.Get(admin.HeaderEdit)
+	}
+	return err
+}
+
+func finishEdit(c *cli, f editFlags, a admin.Accepted) error {
+	if err := printAccepted(c, a); err != nil {
 		return err
 	}
-	return printAccepted(c, accepted)
+	return f.wait(c, a.Revision)
 }
 
 func printAccepted(c *cli, a admin.Accepted) error {
--- a/cmd/hyssopctl/status.go
+++ b/cmd/hyssopctl/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"hyssopcroft.example/adapter/admin"
 	"hyssopcroft.example/adapter/problem"
@@ -71,6 +72,9 @@
 	status := one.Status
 	fmt.Printf("%s at %s in %s: ready %t, configuration %d\n",
 		status.Instance, one.Address, status.FailureDomain, status.Ready, status.ConfigSequence)
+	if status.UnconfirmedSince != nil {
+		fmt.Printf("  unconfirmed since %s: the store may hold a newer configuration\n", status.UnconfirmedSince.Format(time.RFC3339))
+	}
 	for _, m := range status.Members {
 		fmt.Printf("  %-16s %-22s %-16s %-9s configuration %d\n", m.ID, m.Address, m.FailureDomain, m.State, m.ConfigSequence)
 	}
--- /dev/null
+++ b/cmd/hyssopctl/wait.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"hyssopcroft.example/adapter/admin"
+	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/control/config"
+)
+
+// waitPoll is the pause between two looks at the status of an instance.
+const waitPoll = 200 * time.Millisecond
+
+// waitFlags make an edit wait until it is in force.
+type waitFlags struct {
+	Wait        bool          `help:"Wait until all live instances have the edit in force."`
+	WaitTimeout time.Duration `default:"30s" help:"Longest time to wait."`
+}
+
+// progress counts the live members that have a configuration in force.
+type progress struct {
+	inForce, live int
+	// behind lists the live members that have not confirmed the configuration.
+	behind []string
+}
+
+func progressOf(s admin.Status, sequence config.Revision) progress {
+	var p progress
+	for _, m := range s.Members {
+		if m.State != "live" {
+			continue
+		}
+		p.live++
+		if m.ConfigSequence >= sequence {
+			p.inForce++
+		} else {
+			p.behind = append(p.behind, m.ID)
+		}
+	}
+	return p
+}
+
+// wait asks the instance for its status until all live members have the sequence number. Progress
+// goes to standard error.
+func (f waitFlags) wait(c *cli, sequence config.Revision) error {
+	if !f.Wait {
+		return nil
+	}
+	var last progress
+	var failure error
+	for end := time.Now().Add(f.WaitTimeout); time.Now().Before(end); time.Sleep(waitPoll) {
+		var status admin.Status
+		if failure = call(http.MethodGet, c.Instance, "/v1/status", nil, nil, &status); failure != nil {
+			continue
+		}
+		p := progressOf(status, sequence)
+		if p.inForce != last.inForce || p.live != last.live {
+			fmt.Fprintf(os.Stderr, "in force at %d of %d live instances\n", p.inForce, p.live)
+		}
+		last = p
+		if p.live > 0 && p.inForce == p.live {
+			return nil
+		}
+	}
+	message := "the edit is accepted; not confirmed in time by " + strings.Join(last.behind, ", ")
+	if failure != nil {
+		message = "the edit is accepted; its progress is not known: " + failure.Error()
+	}
+	return &problem.Problem{Code: problem.NotReady, Message: message}
+}
--- a/control/config/edit.go
+++ b/control/config/edit.go
@@ -72,6 +72,16 @@
 // Has reports whether an edit is among the latest that were accepted.
 func (l Lists) Has(editID string) bool { return slices.Contains(l.Edits, editID) }
 
+// RevisionOf returns the sequence number that an edit among the latest brought about. Each edit
+// adds one to the sequence number and one id to Edits.
+func (l Lists) RevisionOf(editID string) (Revision, bool) {
+	i := slices.Index(l.Edits, editID)
+	if i < 0 {
+		return 0, false
+	}
+	return l.Sequence - Revision(len(l.Edits)-1-i), true
+}
+
 func plansOf(l *Lists) *map[string]Entry[Plan]   { return &l.Plans }
 func limitsOf(l *Lists) *map[string]Entry[Limit] { return &l.Limits }
 
--- a/emulator/pathcost/entry_side.go
+++ b/emulator/pathcost/entry_side.go
@@ -16,13 +16,15 @@
 	"hyssopcroft.example/instance/app"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/entry"
+	"hyssopcroft.example/kernel/settings"
 	"hyssopcroft.example/query"
 )
 
 const (
 	planName = "counter"
-	// readyTimeout bounds the wait for configuration and target lists.
-	readyTimeout = 10 * time.Second
+	// readyTimeout bounds the wait for configuration, target lists and connections, which an instance
+	// opens at 19 a second.
+	readyTimeout = 2 * time.Minute
 	readyPoll    = 20 * time.Millisecond
 )
 
@@ -38,6 +40,7 @@
 func newEntrySide(platformURL string, log *slog.Logger) (*entrySide, error) {
 	a, err := app.New(app.Settings{
 		Instance: "path-cost", FailureDomain: "local", Region: "local", Listen: "127.0.0.1:0", Platform: platformURL,
+		BalancerLag: settings.Duration(time.Millisecond), // no balancer sends requests here
 	}, log)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/instance/operator/edit.go
@@ -0,0 +1,128 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/admin"
+	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/control/config"
+	"hyssopcroft.example/instance/configsync"
+)
+
+const (
+	// editTimeout bounds one edit. It stays below the time that hyssopctl waits for an answer.
+	editTimeout = 8 * time.Second
+	// firstPause and longestPause bound the pauses between the calls of an edit that does not get
+	// through at once.
+	firstPause   = 10 * time.Millisecond
+	longestPause = 500 * time.Millisecond
+)
+
+type change func(config.Lists, config.Edit) (config.Lists, error)
+
+// edit applies a change to the newest lists and writes them conditionally. After a lost answer or a
+// lost race it reads the lists again; an edit that took effect is found there by its id.
+func (s *Service) edit(ctx context.Context, e admin.Edit, apply change) (admin.Accepted, *problem.Problem) {
+	ctx, cancel := context.WithTimeout(ctx, editTimeout)
+	defer cancel()
+	inForce, _ := s.config.InForce()
+	op := config.NewOperation(e.ID, inForce.Sequence, func(l config.Lists) (config.Lists, error) {
+		return apply(l, config.Edit{ID: e.ID, Expected: e.Expected})
+	})
+	step := config.Step{}
+	for wait := firstPause; step.Verdict == 0; {
+		if step.Write != nil {
+			step = op.OnWrite(s.write(ctx, *step.Write, platform.Version(step.Expected)))
+		} else {
+			step = s.readStep(ctx, op)
+		}
+		if step.Verdict != 0 || step.Write != nil {
+			continue
+		}
+		s.counters.Counter("edit_steps_repeated").Add(1)
+		if !pause(ctx, wait/2+rand.N(wait)) {
+			step = op.Abandon(errors.New("the edit did not get through in time"))
+		}
+		wait = min(2*wait, longestPause)
+	}
+	return s.finish(step, e)
+}
+
+func (s *Service) readStep(ctx context.Context, op *config.Operation) config.Step {
+	lists, version, err := s.read(ctx)
+	if err != nil {
+		return op.OnReadFailed(err)
+	}
+	return op.OnRead(lists, uint64(version))
+}
+
+func (s *Service) finish(step config.Step, e admin.Edit) (admin.Accepted, *problem.Problem) {
+	switch step.Verdict {
+	case config.Accepted:
+		s.counters.Counter("edits_accepted").Add(1)
+		s.config.Accept(step.Lists)
+		return admin.Accepted{Revision: step.Revision, Edit: e.ID}, nil
+	case config.Unknown:
+		s.counters.Counter("edits_unknown").Add(1)
+		return admin.Accepted{}, &problem.Problem{
+			Status: http.StatusGatewayTimeout, Code: problem.OutcomeUnknown, Run: problem.MayHaveRun,
+			Message: "the edit may have been accepted; repeat it with the same id to find out",
+		}
+	}
+	s.counters.Counter("edits_refused").Add(1)
+	p := problemOf(step.Err)
+	p.Run = problem.NotRun
+	return admin.Accepted{}, p
+}
+
+func (s *Service) write(ctx context.Context, lists config.Lists, expected platform.Version) config.WriteOutcome {
+	data, err := json.Marshal(lists)
+	if err != nil {
+		panic(errors.Wrap(err, "encode configuration"))
+	}
+	obj := platform.Object{Kind: configsync.KindConfig, Name: configsync.NameCurrent, Data: data}
+	_, err = s.client.Put(ctx, "edit_write", obj, expected, 0)
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		return config.Written
+	case errors.As(err, &conflict):
+		return config.NotWritten
+	}
+	return config.WriteUnknown
+}
+
+func problemOf(err error) *problem.Problem {
+	var conflict *config.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return &problem.Problem{
+			Status: http.StatusConflict, Code: problem.Conflict, Message: err.Error(),
+			Expected: uint64(conflict.Expected), Actual: uint64(conflict.Actual),
+		}
+	case errors.Is(err, config.ErrInvalid):
+		return &problem.Problem{Status: http.StatusUnprocessableEntity, Code: problem.Invalid, Message: err.Error()}
+	case errors.Is(err, config.ErrNoEntry):
+		return &problem.Problem{Status: http.StatusNotFound, Code: problem.NotFound, Message: err.Error()}
+	}
+	return &problem.Problem{Status: http.StatusServiceUnavailable, Code: problem.PlatformUnavailable, Message: err.Error()}
+}
+
+// pause waits and reports whether ctx is still open.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
