--- a/query/replica/chooser_test.go
+++ b/query/replica/chooser_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -221,3 +222,14 @@
 	}
 	require.Greater(t, fill(), after)
 }
+
+// BenchmarkKnownTarget measures the memory for each target that an instance knows.
+func BenchmarkKnownTarget(b *testing.B) {
+	b.ReportAllocs()
+	targets := make([]query.Target, b.N)
+	for i := range targets {
+		targets[i] = query.Target{ID: query.TargetID(strconv.Itoa(i)), FailureDomain: "d", Shards: []query.Shard{query.Shard(i / 3)}}
+	}
+	b.ResetTimer()
+	replica.NewChooser("d", rand.New(rand.NewPCG(1, 1))).SetTargets(targets)
+}
