Bound the attempts of a plan that prefers coverage

Cause: after a round over all replicas, refusals were retried without a token, up to every 2 to 50 ms until the deadline, also where no replica serves the shard. Change: refusals of later rounds cost a retry token, and a shard that no replica serves is given up. Conclusion: the attempts for each shard are bounded by the first round and the budget.

--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -142,6 +142,7 @@
 func (m *Machine) fail(now time.Time, a attempt, o query.Outcome) {
 	sh := &m.shards[a.shard]
 	sh.cause = causeOf(o)
+	sh.holds = sh.holds || o != query.OutcomeSnapshotGone && o != query.OutcomeWrongShard
 	switch {
 	case sh.inFlight == 0:
 		m.retry(now, a.shard, o.CertainlyNotRun())
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -32,6 +32,7 @@
 	inFlight int32
 	latest   int32 // latest attempt, -1 before the first
 	round    int32 // latest attempt of the earlier rounds, -1 in the first round
+	holds    bool  // in this round an attempt ended otherwise than by "does not hold it"
 	free     bool  // the next retry replaces an attempt that certainly did not run
 	pause    time.Duration
 	wake     time.Time     // timer in force; others of the shard are out of date
@@ -140,8 +141,9 @@
 // retry follows an attempt that brought no answer while no other is in flight.
 func (m *Machine) retry(now time.Time, i int32, free bool) {
 	sh := &m.shards[i]
-	sh.free = free
-	switch m.send(now, i, replica.Retry, free) {
+	// Refusals of later rounds are paid for, or shedding replicas would be asked again and again.
+	sh.free = free && sh.round < 0
+	switch m.send(now, i, replica.Retry, sh.free) {
 	case replica.Limited:
 		m.arm(now.Add(limitedWait), i)
 	case replica.NoToken:
@@ -161,11 +163,11 @@
 // is of no use where the replicas answered that they do not hold the snapshot or the shard.
 func (m *Machine) nextRound(now time.Time, i int32) {
 	sh := &m.shards[i]
-	if !m.cfg.Request.PreferCoverage || sh.cause == query.CauseSnapshotGone {
+	if !m.cfg.Request.PreferCoverage || sh.latest > sh.round && !sh.holds {
 		m.closeShard(i)
 		return
 	}
-	sh.round = sh.latest
+	sh.round, sh.holds = sh.latest, false
 	sh.pause = min(max(2*sh.pause, firstRound), longestRound)
 	m.arm(now.Add(sh.pause), i)
 }
