--- /dev/null
+++ b/adapter/trace/file.go
@@ -0,0 +1,89 @@
+// Package trace records decisions: the events and times that went into them and the actions that
+// came out. Each recorder wraps one decision type and has its methods. A recorder that belongs to a
+// nil Recorder passes the calls on and records nothing.
+package trace
+
+import (
+	"bufio"
+	"compress/gzip"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"hyssopcroft.example/adapter/wire/tracepb"
+)
+
+// FormatVersion is the version of the format that this package writes, and the highest that it reads.
+const FormatVersion = 1
+
+// maxRecordBytes bounds one record. The longest is a query: 440 shards with a few attempts each and
+// their hits take less than 1 MB.
+const maxRecordBytes = 16 << 20
+
+var (
+	// ErrMalformed says that a file is not a trace.
+	ErrMalformed = errors.New("not a trace")
+	// ErrCut says that a trace ends before its end mark, because its recorder was stopped or the
+	// file was not copied whole.
+	ErrCut = errors.New("the trace is cut")
+)
+
+// VersionError says that a trace has a format that this version of the program cannot read.
+type VersionError struct{ Version uint32 }
+
+// Error names both versions.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("the trace has format version %d; versions 1 to %d can be read", e.Version, FormatVersion)
+}
+
+// Trace is a trace in memory.
+type Trace struct {
+	Header  *tracepb.Header
+	Records []*tracepb.Record
+}
+
+// Read reads a whole trace. It fails with ErrMalformed, ErrCut or a *VersionError; with ErrCut it
+// returns the records before the cut.
+func Read(from io.Reader) (Trace, error) {
+	t := Trace{Header: &tracepb.Header{}}
+	unzip, err := gzip.NewReader(from)
+	if err != nil {
+		return t, readError(err)
+	}
+	in := bufio.NewReader(unzip)
+	if err := next(in, t.Header); err != nil {
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		return t, readError(err)
+	}
+	if v := t.Header.GetVersion(); v == 0 || v > FormatVersion {
+		return t, &VersionError{Version: v}
+	}
+	for {
+		record := &tracepb.Record{}
+		switch err := next(in, record); {
+		case err == io.EOF:
+			return t, nil
+		case err != nil:
+			return t, readError(err)
+		case record.GetRecord() == nil:
+			return t, errors.Wrap(ErrMalformed, "a record of an unknown type")
+		}
+		t.Records = append(t.Records, record)
+	}
+}
+
+func next(in *bufio.Reader, m proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxRecordBytes}.UnmarshalFrom(in, m)
+}
+
+func readError(err error) error {
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+		return errors.Wrap(ErrCut, err.Error())
+	}
+	return errors.Wrap(ErrMalformed, err.Error())
+}
--- /dev/null
+++ b/adapter/trace/machine.go
@@ -0,0 +1,183 @@
+package trace
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"hyssopcroft.example/adapter/wire/tracepb"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/replica"
+	"hyssopcroft.example/query/scatter"
+)
+
+// Machine is a scatter.Machine that is recorded. The query becomes one record once it has been
+// answered or abandoned. A Machine without a policy is not recorded.
+type Machine struct {
+	*scatter.Machine
+	recorder *Recorder // nil if nothing is recorded, or no longer
+	query    *tracepb.Query
+	step     *tracepb.QueryStep // of the call that is running
+	last     *tracepb.QueryStep // of the call before
+}
+
+// NewMachine returns a machine that r records.
+func NewMachine(cfg scatter.Config, r *Recorder) *Machine {
+	m := &Machine{}
+	if r != nil && cfg.Policy != nil {
+		m.recorder = r
+		m.query = queryOf(r, cfg)
+		cfg.Policy = &recordedPolicy{Policy: cfg.Policy, machine: m}
+		next := cfg.NextAttempt
+		cfg.NextAttempt = func() query.AttemptID {
+			id := next()
+			if m.step != nil {
+				m.step.Attempts = append(m.step.Attempts, uint64(id))
+			}
+			return id
+		}
+	}
+	m.Machine = scatter.New(cfg)
+	return m
+}
+
+func queryOf(r *Recorder, cfg scatter.Config) *tracepb.Query {
+	req := cfg.Request
+	return &tracepb.Query{
+		Request: uint64(req.ID), Plan: req.Plan, Index: req.Index, Limit: uint32(req.Limit),
+		Deadline: r.since(req.Deadline), Priority: uint32(req.Priority), PreferCoverage: req.PreferCoverage,
+		Snapshot: uint64(cfg.Map.Version), Shards: numbers(cfg.Map.Shards),
+	}
+}
+
+// Start does what scatter.Machine.Start does.
+func (m *Machine) Start(now time.Time) []scatter.Action {
+	m.begin(now, tracepb.QueryEvent_QUERY_EVENT_START)
+	return m.end(m.Machine.Start(now))
+}
+
+// OnReply does what scatter.Machine.OnReply does.
+func (m *Machine) OnReply(now time.Time, sent query.AttemptID, r query.Reply) []scatter.Action {
+	m.begin(now, tracepb.QueryEvent_QUERY_EVENT_REPLY)
+	if m.step != nil {
+		m.step.Reply = replyOf(sent, r)
+	}
+	return m.end(m.Machine.OnReply(now, sent, r))
+}
+
+// OnWake does what scatter.Machine.OnWake does.
+func (m *Machine) OnWake(now time.Time) []scatter.Action {
+	m.begin(now, tracepb.QueryEvent_QUERY_EVENT_WAKE)
+	return m.end(m.Machine.OnWake(now))
+}
+
+// Abandon does what scatter.Machine.Abandon does.
+func (m *Machine) Abandon(now time.Time) []scatter.Action {
+	m.begin(now, tracepb.QueryEvent_QUERY_EVENT_ABANDON)
+	actions := m.end(m.Machine.Abandon(now))
+	m.emit()
+	return actions
+}
+
+// Answer does what scatter.Machine.Answer does.
+func (m *Machine) Answer() query.Answer {
+	a := m.Machine.Answer()
+	if m.recorder != nil {
+		m.query.Answer = answerOf(a, m.Dropped())
+		m.emit()
+	}
+	return a
+}
+
+// LastStep returns the record of the latest call, nil if there is none.
+func (m *Machine) LastStep() *tracepb.QueryStep { return m.last }
+
+func (m *Machine) begin(now time.Time, event tracepb.QueryEvent) {
+	if m.recorder != nil {
+		m.step = &tracepb.QueryStep{At: m.recorder.since(now), Event: event}
+	}
+}
+
+func (m *Machine) end(actions []scatter.Action) []scatter.Action {
+	if m.step == nil {
+		return actions
+	}
+	for _, a := range actions {
+		m.step.Actions = append(m.step.Actions, &tracepb.Action{
+			Kind: uint32(a.Kind), Attempt: uint64(a.Attempt), Shard: uint32(a.Shard), Target: string(a.Target),
+			TimeLeft: int64(a.TimeLeft),
+		})
+	}
+	m.step.NextWake = m.recorder.since(m.NextWake())
+	m.query.Steps = append(m.query.Steps, m.step)
+	m.last, m.step = m.step, nil
+	return actions
+}
+
+// emit hands the query to the recorder. What happens after it is not recorded.
+func (m *Machine) emit() {
+	if m.recorder == nil {
+		return
+	}
+	m.recorder.write(&tracepb.Record{Record: &tracepb.Record_Query{Query: m.query}})
+	m.recorder, m.query = nil, nil
+}
+
+// recordedPolicy records what a machine asks of its policy.
+type recordedPolicy struct {
+	scatter.Policy
+	machine *Machine
+}
+
+func (p *recordedPolicy) Choose(now time.Time, w scatter.Want) (scatter.Grant, replica.Verdict) {
+	g, v := p.Policy.Choose(now, w)
+	if p.machine.step == nil {
+		return g, v
+	}
+	choice := &tracepb.Choice{
+		Shard: uint32(w.Shard), Use: uint32(w.Use), Free: w.Free, From: uint32(w.From), TimeLeft: int64(w.TimeLeft),
+		Verdict: uint32(v), Target: string(g.Target), Class: uint32(g.Class), HedgeAfter: int64(g.HedgeAfter),
+		WayBack: int64(g.Return),
+	}
+	for _, t := range w.Tried {
+		choice.Tried = append(choice.Tried, string(t))
+	}
+	p.machine.step.Choices = append(p.machine.step.Choices, choice)
+	return g, v
+}
+
+func replyOf(sent query.AttemptID, r query.Reply) *tracepb.Reply {
+	return &tracepb.Reply{
+		Sent: uint64(sent), Attempt: uint64(r.Attempt), Request: uint64(r.Request), Shard: uint32(r.Shard),
+		Snapshot: uint64(r.Snapshot), Outcome: uint32(r.Outcome), Cold: r.Cold, Hits: hitsOf(r.Hits),
+	}
+}
+
+func answerOf(a query.Answer, dropped map[string]int64) *tracepb.Answer {
+	recorded := &tracepb.Answer{
+		Snapshot: uint64(a.Snapshot), Included: numbers(a.Coverage.Included), Hits: hitsOf(a.Hits),
+	}
+	for _, m := range a.Coverage.Missing {
+		recorded.Missing = append(recorded.Missing, &tracepb.Missing{Shard: uint32(m.Shard), Cause: string(m.Cause)})
+	}
+	for _, reason := range slices.Sorted(maps.Keys(dropped)) {
+		recorded.Dropped = append(recorded.Dropped, &tracepb.Dropped{Reason: reason, Replies: dropped[reason]})
+	}
+	return recorded
+}
+
+func hitsOf(hits []query.Hit) []*tracepb.Hit {
+	var recorded []*tracepb.Hit
+	for _, h := range hits {
+		recorded = append(recorded, &tracepb.Hit{Id: h.ID, Score: h.Score})
+	}
+	return recorded
+}
+
+func numbers(shards []query.Shard) []uint32 {
+	recorded := make([]uint32, len(shards))
+	for i, s := range shards {
+		recorded[i] = uint32(s)
+	}
+	return recorded
+}
--- /dev/null
+++ b/adapter/trace/recorder.go
@@ -0,0 +1,117 @@
+package trace
+
+import (
+	"compress/gzip"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"hyssopcroft.example/adapter/wire/tracepb"
+)
+
+const (
+	// DefaultMaxBytes bounds a recording before compression. Instances have no disk, so the file
+	// lies in memory; compressed it takes about a tenth of that.
+	DefaultMaxBytes = 64 << 20
+	// flushBytes is the amount of records after which they are written out, so that a process that
+	// crashes leaves a trace that is cut shortly before the crash.
+	flushBytes = 64 << 10
+)
+
+// Recorder takes the records of all decisions of one process. It is safe for concurrent use. The
+// methods of a nil Recorder do nothing.
+type Recorder struct {
+	start time.Time
+	now   func() time.Time
+
+	mu        sync.Mutex // guards the fields below
+	take      func(*tracepb.Record) error
+	flush     func() error
+	close     func() error
+	room      int // bytes before compression
+	unflushed int
+	dropped   int64
+	err       error
+}
+
+// NewRecorder returns a recorder that writes a trace of at most maxBytes before compression to out.
+// source names the instance or the measure; now is its clock.
+func NewRecorder(out io.Writer, source string, maxBytes int, now func() time.Time) (*Recorder, error) {
+	zip := gzip.NewWriter(out)
+	start := now()
+	header := &tracepb.Header{Version: FormatVersion, Source: source, StartUnixNano: start.UnixNano()}
+	if _, err := protodelim.MarshalTo(zip, header); err != nil {
+		return nil, errors.Wrap(err, "write trace")
+	}
+	return &Recorder{
+		start: start, now: now, room: maxBytes, flush: zip.Flush, close: zip.Close,
+		take: func(record *tracepb.Record) error {
+			_, err := protodelim.MarshalTo(zip, record)
+			return err
+		},
+	}, nil
+}
+
+// NewCollector returns a recorder that passes its records to take. The times in them count from start;
+// now is the clock of decisions that are not given a time.
+func NewCollector(start time.Time, now func() time.Time, take func(*tracepb.Record)) *Recorder {
+	none := func() error { return nil }
+	return &Recorder{
+		start: start, now: now, room: int(^uint(0) >> 1), flush: none, close: none,
+		take: func(record *tracepb.Record) error {
+			take(record)
+			return nil
+		},
+	}
+}
+
+// Dropped returns the number of records that did not fit or could not be written.
+func (r *Recorder) Dropped() int64 {
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dropped
+}
+
+// Close ends the recording. It returns the first error of a write.
+func (r *Recorder) Close() error {
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.room = 0
+	if err := r.close(); r.err == nil {
+		r.err = err
+	}
+	return errors.Wrap(r.err, "write trace")
+}
+
+// write takes one record. Once one did not fit, all later ones are dropped, so that the trace of a
+// decision with several records has no gap.
+func (r *Recorder) write(record *tracepb.Record) {
+	size := proto.Size(record)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if size > r.room || r.err != nil {
+		r.room = 0
+		r.dropped++
+		return
+	}
+	r.room -= size
+	r.err = r.take(record)
+	if r.unflushed += size; r.unflushed >= flushBytes && r.err == nil {
+		r.unflushed = 0
+		r.err = r.flush()
+	}
+}
+
+// since returns a time as nanoseconds since the start. It uses the monotonic clock where there is
+// one, as the decisions do.
+func (r *Recorder) since(t time.Time) int64 { return int64(t.Sub(r.start)) }
--- /dev/null
+++ b/adapter/trace/share.go
@@ -0,0 +1,149 @@
+package trace
+
+import (
+	"time"
+
+	"hyssopcroft.example/adapter/wire/tracepb"
+	"hyssopcroft.example/control/share"
+)
+
+// Lender is a share.Lender that is recorded, one record for each call that changes it.
+type Lender struct {
+	*share.Lender
+	recorder *Recorder
+	plan     string
+	epoch    uint64
+	limit    share.Amount
+}
+
+// NewLender returns a lender that r records; the other arguments are those of share.NewLender.
+func NewLender(plan string, limit share.Amount, epoch uint64, now time.Time, hasPredecessor bool, r *Recorder) *Lender {
+	l := &Lender{Lender: share.NewLender(limit, epoch, now, hasPredecessor), recorder: r, plan: plan, epoch: epoch, limit: limit}
+	if r != nil {
+		open := &tracepb.LenderOpen{Limit: amountOf(limit), HasPredecessor: hasPredecessor}
+		l.record(&tracepb.LenderEvent{At: r.since(now), Event: &tracepb.LenderEvent_Open{Open: open}})
+	}
+	return l
+}
+
+// SetLimit does what share.Lender.SetLimit does. A call that changes nothing is not recorded.
+func (l *Lender) SetLimit(limit share.Amount) {
+	l.Lender.SetLimit(limit)
+	if l.recorder != nil && limit != l.limit {
+		l.limit = limit
+		at := l.recorder.since(l.recorder.now())
+		l.record(&tracepb.LenderEvent{At: at, Event: &tracepb.LenderEvent_SetLimit{SetLimit: amountOf(limit)}})
+	}
+}
+
+// OnAsk does what share.Lender.OnAsk does.
+func (l *Lender) OnAsk(now time.Time, ask share.Ask) share.Loan {
+	loan := l.Lender.OnAsk(now, ask)
+	if l.recorder != nil {
+		event := &tracepb.LenderAsk{Ask: askOf(ask), Loan: loanOf(loan)}
+		l.record(&tracepb.LenderEvent{At: l.recorder.since(now), Event: &tracepb.LenderEvent_Ask{Ask: event}})
+	}
+	return loan
+}
+
+func (l *Lender) record(e *tracepb.LenderEvent) {
+	e.Plan, e.Epoch = l.plan, l.epoch
+	l.recorder.write(&tracepb.Record{Record: &tracepb.Record_Lender{Lender: e}})
+}
+
+// Holder is a share.Holder that is recorded, one record for each call that changes it.
+type Holder struct {
+	*share.Holder
+	recorder   *Recorder
+	plan, name string
+}
+
+// NewHolder returns a holder that r records; the other arguments are those of share.NewHolder.
+func NewHolder(plan, name string, limit share.Amount, members int, now time.Time, r *Recorder) *Holder {
+	h := &Holder{Holder: share.NewHolder(name, limit, members, now), recorder: r, plan: plan, name: name}
+	if r != nil {
+		open := &tracepb.HolderLimit{Limit: amountOf(limit), Members: int64(members)}
+		h.record(now, &tracepb.HolderEvent{Event: &tracepb.HolderEvent_Open{Open: open}})
+	}
+	return h
+}
+
+// SetLimit does what share.Holder.SetLimit does.
+func (h *Holder) SetLimit(now time.Time, limit share.Amount, members int) {
+	h.Holder.SetLimit(now, limit, members)
+	if h.recorder != nil {
+		event := &tracepb.HolderLimit{Limit: amountOf(limit), Members: int64(members)}
+		h.record(now, &tracepb.HolderEvent{Event: &tracepb.HolderEvent_SetLimit{SetLimit: event}})
+	}
+}
+
+// Admit does what share.Holder.Admit does.
+func (h *Holder) Admit(now time.Time) (admitted bool, retryAfter time.Duration) {
+	admitted, retryAfter = h.Holder.Admit(now)
+	h.recordAdmit(now, &tracepb.HolderAdmit{Admitted: admitted, RetryAfter: int64(retryAfter)})
+	return admitted, retryAfter
+}
+
+// Retry does what share.Holder.Retry does.
+func (h *Holder) Retry(now time.Time) (admitted bool, retryAfter time.Duration) {
+	admitted, retryAfter = h.Holder.Retry(now)
+	h.recordAdmit(now, &tracepb.HolderAdmit{Retry: true, Admitted: admitted, RetryAfter: int64(retryAfter)})
+	return admitted, retryAfter
+}
+
+func (h *Holder) recordAdmit(now time.Time, event *tracepb.HolderAdmit) {
+	if h.recorder != nil {
+		h.record(now, &tracepb.HolderEvent{Event: &tracepb.HolderEvent_Admit{Admit: event}})
+	}
+}
+
+// Done does what share.Holder.Done does.
+func (h *Holder) Done() {
+	h.Holder.Done()
+	if h.recorder != nil {
+		h.record(h.recorder.now(), &tracepb.HolderEvent{Event: &tracepb.HolderEvent_Done{Done: &tracepb.HolderDone{}}})
+	}
+}
+
+// NextAsk does what share.Holder.NextAsk does. Calls without a due ask are recorded as well, because
+// they move the window over which demand is counted.
+func (h *Holder) NextAsk(now time.Time) (share.Ask, bool) {
+	ask, due := h.Holder.NextAsk(now)
+	if h.recorder != nil {
+		event := &tracepb.HolderAsk{}
+		if due {
+			event.Ask = askOf(ask)
+		}
+		h.record(now, &tracepb.HolderEvent{Event: &tracepb.HolderEvent_Ask{Ask: event}})
+	}
+	return ask, due
+}
+
+// OnLoan does what share.Holder.OnLoan does.
+func (h *Holder) OnLoan(sent, now time.Time, loan share.Loan) {
+	h.Holder.OnLoan(sent, now, loan)
+	if h.recorder != nil {
+		event := &tracepb.HolderLoan{Sent: h.recorder.since(sent), Loan: loanOf(loan)}
+		h.record(now, &tracepb.HolderEvent{Event: &tracepb.HolderEvent_Loan{Loan: event}})
+	}
+}
+
+func (h *Holder) record(now time.Time, e *tracepb.HolderEvent) {
+	e.Plan, e.Holder, e.At = h.plan, h.name, h.recorder.since(now)
+	h.recorder.write(&tracepb.Record{Record: &tracepb.Record_Holder{Holder: e}})
+}
+
+func amountOf(a share.Amount) *tracepb.Amount {
+	return &tracepb.Amount{Rate: a.Rate, Concurrency: int64(a.Concurrency)}
+}
+
+func loanOf(l share.Loan) *tracepb.Loan {
+	return &tracepb.Loan{Epoch: l.ID.Epoch, Number: l.ID.Number, Amount: amountOf(l.Amount), Time: int64(l.Time)}
+}
+
+func askOf(a share.Ask) *tracepb.Ask {
+	return &tracepb.Ask{
+		Holder: a.Holder, UsingEpoch: a.Using.Epoch, UsingNumber: a.Using.Number, Held: amountOf(a.Held),
+		HeldFor: int64(a.HeldFor), InFlight: int64(a.InFlight), Want: amountOf(a.Want),
+	}
+}
--- a/cmd/hyssopctl/exit.go
+++ b/cmd/hyssopctl/exit.go
@@ -17,6 +17,7 @@
 	exitRefused     = 7
 	exitUnknown     = 8
 	exitCoverage    = 9
+	exitDiffers     = 10
 )
 
 var exitCodes = map[problem.Code]int{
@@ -41,6 +42,9 @@
 // has the code of an unknown outcome.
 func exitCode(err error) int {
 	var p *problem.Problem
+	if errors.Is(err, errDiffers) {
+		return exitDiffers
+	}
 	if !errors.As(err, &p) {
 		return exitFailure
 	}
--- a/cmd/hyssopctl/main.go
+++ b/cmd/hyssopctl/main.go
@@ -31,6 +31,7 @@
 	PathCost          pathCostCmd          `cmd:"" help:"Measure what a sub-request costs an instance, against a bare net/http scatter."`
 	Timeline          timelineCmd          `cmd:"" help:"Merge the events of instances and stand-ins into one timeline."`
 	Measure           measureCmd           `cmd:"" help:"Run a measure of the decisions, or list the measures."`
+	Replay            replayCmd            `cmd:"" help:"Replay recorded traces against the present decisions."`
 }
 
 const description = `Operates hyssopcroft.
@@ -39,7 +40,8 @@
 was read; 4 the entry, plan, index or measure does not exist; 5 a value, the settings or the request
 is impossible; 6 an instance or the platform did not answer, the field run of the failure says
 whether a request or an edit may have taken effect; 7 the request was refused and not run; 8 the request may have run, its outcome is
-unknown; 9 the answer covers fewer shards than the plan demands.
+unknown; 9 the answer covers fewer shards than the plan demands; 10 a replay differs from what was
+recorded or stated.
 
 With --json the result goes to standard output and a failure, as {"error": {...}}, to standard error.`
 
--- a/cmd/hyssopctl/main_test.go
+++ b/cmd/hyssopctl/main_test.go
@@ -85,6 +85,9 @@
 		{"check of faults as JSON", "--json check ../../examples/workload.json", exitInvalid, `"path": "/listen"`, `{"error":{"code":"invalid"`},
 		{"load elsewhere", "load --workload ../../examples/workload.json 192.0.2.1:80", exitInvalid, "", "loopback"},
 		{"load", "--json load --workload ../../examples/workload.json --requests 1 " + good, 0, `"finished": 1`, ""},
+		{"replay", "replay ../../emulator/replay/testdata/target-crash.trace.gz", 0, "stated outcomes checked, pass true", ""},
+		{"replay of no trace", "replay ../../examples/workload.json", exitInvalid, "", "not a trace"},
+		{"replay of no file", "replay no-such", exitNotFound, "", "no-such"},
 		{"unknown measure", "measure no-such", exitNotFound, "", "no-such"},
 	}
 	for _, c := range cases {
--- a/cmd/hyssopctl/measure.go
+++ b/cmd/hyssopctl/measure.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"maps"
+	"os"
 	"slices"
 
+	"github.com/pkg/errors"
+
 	"hyssopcroft.example/adapter/problem"
 	_ "hyssopcroft.example/emulator/controlplane" // registers its measures
 	"hyssopcroft.example/emulator/measure"
@@ -37,8 +40,9 @@
 }
 
 type measureRunCmd struct {
-	Name string `arg:"" help:"Name of the measure."`
-	Seed uint64 `default:"1" help:"Seed of all random choices."`
+	Name      string `arg:"" help:"Name of the measure."`
+	Seed      uint64 `default:"1" help:"Seed of all random choices."`
+	TraceFile string `type:"path" help:"File to record the decisions to, for replay."`
 }
 
 // Run runs one measure. A missed goal is part of the report and no error.
@@ -47,7 +51,10 @@
 	if !ok {
 		return &problem.Problem{Code: problem.NotFound, Message: "no measure is named " + k.Name}
 	}
-	report := m.Execute(k.Seed)
+	report, err := k.execute(m)
+	if err != nil {
+		return err
+	}
 	if c.JSON {
 		return printJSON(report)
 	}
@@ -55,6 +62,30 @@
 	return nil
 }
 
+// execute runs the measure and records it if a file is named.
+func (k measureRunCmd) execute(m measure.Measure) (measure.Report, error) {
+	if k.TraceFile == "" {
+		return m.Execute(k.Seed), nil
+	}
+	file, err := os.Create(k.TraceFile)
+	if err != nil {
+		return measure.Report{}, errors.Wrap(err, "open trace file")
+	}
+	end, err := measure.Record(file, m.Name)
+	if err != nil {
+		return measure.Report{}, err
+	}
+	report := m.Execute(k.Seed)
+	dropped, err := end()
+	if dropped > 0 {
+		fmt.Fprintf(os.Stderr, "hyssopctl: the trace is full and lacks %d records\n", dropped)
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	return report, errors.Wrap(err, "write trace file")
+}
+
 func printReport(r measure.Report) {
 	fmt.Printf("%s, seed %d, pass %t\n", r.Name, r.Seed, r.Pass)
 	for _, figure := range slices.Sorted(maps.Keys(r.Result)) {
--- a/emulator/measure/churn_flight.go
+++ b/emulator/measure/churn_flight.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/group"
 	"hyssopcroft.example/query/scatter"
@@ -15,7 +16,7 @@
 	request  query.Request
 	shardMap query.Map
 	restart  *snapshot.Restart // nil at a relay
-	machine  *scatter.Machine
+	machine  *trace.Machine
 	ended    map[query.AttemptID]bool
 	finished bool
 	wake     time.Time
@@ -26,7 +27,7 @@
 func (in *churnInstance) scatter(req query.Request, m query.Map, restart *snapshot.Restart, done func(query.Answer, query.Map, bool)) *churnFlight {
 	f := &churnFlight{
 		in: in, request: req, shardMap: m, restart: restart, done: done,
-		machine: scatter.New(in.config(req, m)), ended: map[query.AttemptID]bool{},
+		machine: trace.NewMachine(in.config(req, m), recorder), ended: map[query.AttemptID]bool{},
 	}
 	f.perform(f.machine.Start(in.run.loop.Now()))
 	return f
--- a/emulator/measure/entry.go
+++ b/emulator/measure/entry.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/admission"
 	"hyssopcroft.example/query/replica"
@@ -45,7 +46,7 @@
 	entry    *entry
 	request  query.Request
 	version  query.Version
-	machine  *scatter.Machine
+	machine  *trace.Machine
 	started  time.Time
 	jobs     map[query.AttemptID]*job
 	finished bool
@@ -100,7 +101,7 @@
 	f := &flight{
 		entry: e, request: req, version: m.Version, started: e.driver.Loop.Now(), recorded: recorded,
 		admitted: admits, ticket: ticket,
-		jobs: map[query.AttemptID]*job{}, machine: scatter.New(e.machineConfig(req, m)),
+		jobs: map[query.AttemptID]*job{}, machine: trace.NewMachine(e.machineConfig(req, m), recorder),
 	}
 	f.perform(f.machine.Start(e.driver.Loop.Now()))
 }
--- a/emulator/measure/limits.go
+++ b/emulator/measure/limits.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/control/share"
 )
 
@@ -77,7 +78,7 @@
 
 // limitHolder is one instance with its stream of requests.
 type limitHolder struct {
-	holder      *share.Holder
+	holder      *trace.Holder
 	pausedUntil time.Time
 	cutUntil    time.Time
 	lost        bool
@@ -88,9 +89,11 @@
 	static  bool
 	loop    *Loop
 	source  *rand.Rand
-	lender  *share.Lender // nil while there is none
+	lender  *trace.Lender // nil while there is none
 	epoch   uint64
 	holders []*limitHolder
+	// recorder is nil for the baseline, whose loans no lender lent.
+	recorder *trace.Recorder
 
 	admittedAt []time.Time
 	refused    int
@@ -100,10 +103,14 @@
 
 func newLimitRun(c limitCase, seed uint64, static bool) *limitRun {
 	r := &limitRun{c: c, static: static, loop: NewLoop(), source: rand.New(rand.NewPCG(seed, 1)), epoch: 1}
+	if !static {
+		r.recorder = recorder
+	}
 	limit := share.Amount{Rate: limitRate, Concurrency: limitSlots}
-	r.lender = share.NewLender(limit, r.epoch, r.loop.Now(), false)
+	r.lender = trace.NewLender(c.name, limit, r.epoch, r.loop.Now(), false, r.recorder)
 	for i := range limitHolders {
-		h := &limitHolder{holder: share.NewHolder(string(rune('a'+i)), limit, limitHolders, r.loop.Now())}
+		name := string(rune('a' + i))
+		h := &limitHolder{holder: trace.NewHolder(c.name, name, limit, limitHolders, r.loop.Now(), r.recorder)}
 		r.holders = append(r.holders, h)
 	}
 	return r
@@ -227,7 +234,7 @@
 	r.loop.After(leaseTime, func() {
 		r.epoch++
 		limit := share.Amount{Rate: limitRate, Concurrency: limitSlots}
-		r.lender = share.NewLender(limit, r.epoch, r.loop.Now(), true)
+		r.lender = trace.NewLender(r.c.name, limit, r.epoch, r.loop.Now(), true, r.recorder)
 	})
 }
 
--- /dev/null
+++ b/emulator/replay/difference.go
@@ -0,0 +1,161 @@
+package replay
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"hyssopcroft.example/adapter/wire/tracepb"
+	"hyssopcroft.example/query/scatter"
+)
+
+// rateTolerance is the difference up to which two rates are equal, in requests a second below a rate of
+// 1 and relative above it. A lender adds the rates of its holders in the order of a map, so that the
+// last bits of a sum vary: a replay of limit-bound had 1.1e-13 in place of 0.
+const rateTolerance = 1e-9
+
+// Difference is the first event of a decision at which the replay left the trace.
+type Difference struct {
+	// Decision names the query, edit, lender or holder.
+	Decision string `json:"decision"`
+	// Event is the position among the events of the decision, from 0.
+	Event int `json:"event"`
+	// What says which event that was and when, from the start of the recording.
+	What string `json:"what"`
+	// Field is the path of the first value that differs.
+	Field    string `json:"field"`
+	Expected string `json:"expected"`
+	Actual   string `json:"actual"`
+}
+
+// String returns the difference in one line.
+func (d Difference) String() string {
+	return fmt.Sprintf("%s: event %d, %s: %s: expected %s, actual %s",
+		d.Decision, d.Event, d.What, d.Field, d.Expected, d.Actual)
+}
+
+// field is a value that differs.
+type field struct{ path, expected, actual string }
+
+// firstDifference returns the first field, in the order of the message's definition, that differs.
+func firstDifference(path string, want, got protoreflect.Message) (field, bool) {
+	fields := want.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		at := strings.TrimPrefix(path+"."+string(f.Name()), ".")
+		if d, differs := compareField(at, f, want, got); differs {
+			return d, true
+		}
+	}
+	return field{}, false
+}
+
+func compareField(path string, f protoreflect.FieldDescriptor, want, got protoreflect.Message) (field, bool) {
+	switch {
+	case f.IsList():
+		return compareLists(path, f, want.Get(f).List(), got.Get(f).List())
+	case f.Kind() == protoreflect.MessageKind:
+		if want.Has(f) != got.Has(f) {
+			return field{path, presence(f, want), presence(f, got)}, true
+		}
+		if !want.Has(f) {
+			return field{}, false
+		}
+		return firstDifference(path, want.Get(f).Message(), got.Get(f).Message())
+	case !equal(f, want.Get(f), got.Get(f)):
+		return field{path, text(f, want.Get(f)), text(f, got.Get(f))}, true
+	}
+	return field{}, false
+}
+
+func compareLists(path string, f protoreflect.FieldDescriptor, want, got protoreflect.List) (field, bool) {
+	for i := range max(want.Len(), got.Len()) {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		switch {
+		case i >= want.Len():
+			return field{at, "none", text(f, got.Get(i))}, true
+		case i >= got.Len():
+			return field{at, text(f, want.Get(i)), "none"}, true
+		case f.Kind() != protoreflect.MessageKind:
+			if !equal(f, want.Get(i), got.Get(i)) {
+				return field{at, text(f, want.Get(i)), text(f, got.Get(i))}, true
+			}
+		default:
+			if _, differs := firstDifference(at, want.Get(i).Message(), got.Get(i).Message()); differs {
+				return field{at, text(f, want.Get(i)), text(f, got.Get(i))}, true
+			}
+		}
+	}
+	return field{}, false
+}
+
+func equal(f protoreflect.FieldDescriptor, a, b protoreflect.Value) bool {
+	if f.Kind() != protoreflect.DoubleKind {
+		return a.Equal(b)
+	}
+	x, y := a.Float(), b.Float()
+	return x == y || math.Abs(x-y) <= rateTolerance*max(1, math.Abs(x), math.Abs(y))
+}
+
+func presence(f protoreflect.FieldDescriptor, m protoreflect.Message) string {
+	if !m.Has(f) {
+		return "none"
+	}
+	return text(f, m.Get(f))
+}
+
+// text formats a value for a reader.
+func text(f protoreflect.FieldDescriptor, v protoreflect.Value) string {
+	switch f.Kind() {
+	case protoreflect.MessageKind:
+		return messageText(v.Message())
+	case protoreflect.BytesKind:
+		return string(v.Bytes())
+	case protoreflect.StringKind:
+		return fmt.Sprintf("%q", v.String())
+	case protoreflect.Int64Kind:
+		if isDuration(f.Name()) {
+			return time.Duration(v.Int()).String()
+		}
+	}
+	return fmt.Sprint(v.Interface())
+}
+
+func isDuration(name protoreflect.Name) bool {
+	switch name {
+	case "at", "next_wake", "time_left", "hedge_after", "way_back", "retry_after", "time", "held_for", "sent":
+		return true
+	}
+	return false
+}
+
+// kindNames holds the names of scatter.ActionKind.
+var kindNames = map[scatter.ActionKind]string{scatter.Send: "send", scatter.Cancel: "cancel", scatter.Finish: "finish"}
+
+func messageText(m protoreflect.Message) string {
+	if a, ok := m.Interface().(*tracepb.Action); ok {
+		kind := kindNames[scatter.ActionKind(a.GetKind())]
+		if kind == "finish" {
+			return kind
+		}
+		return fmt.Sprintf("%s attempt %d for shard %d at %s with %s left",
+			kind, a.GetAttempt(), a.GetShard(), a.GetTarget(), time.Duration(a.GetTimeLeft()))
+	}
+	var parts []string
+	fields := m.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		if !m.Has(f) {
+			continue
+		}
+		if f.IsList() {
+			parts = append(parts, fmt.Sprintf("%s: %d values", f.Name(), m.Get(f).List().Len()))
+			continue
+		}
+		parts = append(parts, fmt.Sprintf("%s: %s", f.Name(), text(f, m.Get(f))))
+	}
+	return "{" + strings.Join(parts, ", ") + "}"
+}
--- /dev/null
+++ b/emulator/replay/outcomes.go
@@ -0,0 +1,168 @@
+package replay
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/wire/tracepb"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/replica"
+	"hyssopcroft.example/query/scatter"
+)
+
+// ErrOutcomes says that a file of stated outcomes cannot be decoded.
+var ErrOutcomes = errors.New("the stated outcomes do not decode")
+
+// Outcomes are what a trace led to. A file of them beside the trace states what it has to lead to; a
+// list that the file lacks is not checked.
+type Outcomes struct {
+	// Queries are in the order in which they ended.
+	Queries []QueryOutcome `json:"queries,omitempty"`
+	// Edits are in the order in which they ended.
+	Edits []EditOutcome `json:"edits,omitempty"`
+	// Sequences holds the sequence number of the configuration in force at the end, by instance.
+	Sequences map[string]uint64 `json:"sequences,omitempty"`
+	// Plans are in the order of their names.
+	Plans []PlanOutcome `json:"plans,omitempty"`
+}
+
+// QueryOutcome is the outcome of one query.
+type QueryOutcome struct {
+	Request  string               `json:"request"`
+	Answered bool                 `json:"answered"`
+	Snapshot uint64               `json:"snapshot"`
+	Included []uint32             `json:"included"`
+	Missing  []query.MissingShard `json:"missing"`
+	Attempts int                  `json:"attempts"`
+	Hedges   int                  `json:"hedges"`
+	// Dropped counts the replies that were dropped by reason.
+	Dropped map[string]int64 `json:"dropped,omitempty"`
+}
+
+// EditOutcome is the outcome of one edit.
+type EditOutcome struct {
+	Edit     string `json:"edit"`
+	Verdict  string `json:"verdict"`
+	Revision uint64 `json:"revision,omitempty"`
+	// Writes is the number of conditional writes.
+	Writes int `json:"writes"`
+}
+
+// PlanOutcome says what the holders of one plan admitted.
+type PlanOutcome struct {
+	Plan             string  `json:"plan"`
+	LimitRate        float64 `json:"limit_rate"` // requests a second
+	LimitConcurrency int     `json:"limit_concurrency"`
+	Holders          int     `json:"holders"`
+	// Requests is the number of requests, admitted or refused, first attempts and retries.
+	Requests int `json:"requests"`
+	// WithinLimit is set if neither what the holders might use nor what they admitted in any second
+	// exceeded the limit.
+	WithinLimit bool `json:"within_limit"`
+}
+
+// OutcomesFile returns the name of the file of outcomes that belongs to a trace.
+func OutcomesFile(path string) string {
+	return strings.TrimSuffix(path, ".trace.gz") + ".outcomes.json"
+}
+
+func readOutcomes(path string) (stated Outcomes, found bool, err error) {
+	raw, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return Outcomes{}, false, nil
+	}
+	if err != nil {
+		return Outcomes{}, false, errors.Wrap(err, "read outcomes")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&stated); err != nil {
+		return Outcomes{}, false, errors.Wrapf(ErrOutcomes, "%s: %s", path, err)
+	}
+	return stated, true, nil
+}
+
+func (o *Outcomes) sequence(subject string, inForce uint64) {
+	if o.Sequences == nil {
+		o.Sequences = map[string]uint64{}
+	}
+	o.Sequences[subject] = inForce
+}
+
+// compare returns a line for each stated outcome that was not found, and for each list of another
+// length.
+func (o Outcomes) compare(found Outcomes) []string {
+	wrong := compareList("query", o.Queries, found.Queries)
+	wrong = append(wrong, compareList("edit", o.Edits, found.Edits)...)
+	wrong = append(wrong, compareList("plan", o.Plans, found.Plans)...)
+	if o.Sequences != nil && !reflect.DeepEqual(o.Sequences, found.Sequences) {
+		wrong = append(wrong, fmt.Sprintf("sequences in force: stated %v, found %v", o.Sequences, found.Sequences))
+	}
+	return wrong
+}
+
+func compareList[T any](what string, stated, found []T) []string {
+	if stated == nil {
+		return nil
+	}
+	var wrong []string
+	if len(stated) != len(found) {
+		wrong = append(wrong, fmt.Sprintf("%s: %d are stated, %d found", what, len(stated), len(found)))
+	}
+	for i := range min(len(stated), len(found)) {
+		if want, got := asJSON(stated[i]), asJSON(found[i]); want != got {
+			wrong = append(wrong, fmt.Sprintf("%s %d: stated %s, found %s", what, i, want, got))
+		}
+	}
+	return wrong
+}
+
+func asJSON(v any) string {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(errors.Wrap(err, "encode outcome"))
+	}
+	return string(raw)
+}
+
+// outcomeOf returns the outcome of a query whose replay agrees with the trace.
+func outcomeOf(q *tracepb.Query) QueryOutcome {
+	o := QueryOutcome{
+		Request: query.RequestID(q.GetRequest()).String(), Answered: q.GetAnswer() != nil,
+		Snapshot: q.GetAnswer().GetSnapshot(), Included: slices.Clone(q.GetAnswer().GetIncluded()),
+		Missing: []query.MissingShard{},
+	}
+	if o.Included == nil {
+		o.Included = []uint32{}
+	}
+	for _, m := range q.GetAnswer().GetMissing() {
+		o.Missing = append(o.Missing, query.MissingShard{Shard: query.Shard(m.GetShard()), Cause: query.Cause(m.GetCause())})
+	}
+	for _, step := range q.GetSteps() {
+		for _, a := range step.GetActions() {
+			if scatter.ActionKind(a.GetKind()) == scatter.Send {
+				o.Attempts++
+			}
+		}
+		for _, c := range step.GetChoices() {
+			if replica.Use(c.GetUse()) == replica.Hedge && replica.Verdict(c.GetVerdict()) == replica.Chosen {
+				o.Hedges++
+			}
+		}
+	}
+	for _, d := range q.GetAnswer().GetDropped() {
+		if o.Dropped == nil {
+			o.Dropped = map[string]int64{}
+		}
+		o.Dropped[d.GetReason()] = d.GetReplies()
+	}
+	return o
+}
--- /dev/null
+++ b/emulator/replay/query.go
@@ -0,0 +1,182 @@
+package replay
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"hyssopcroft.example/adapter/trace"
+	"hyssopcroft.example/adapter/wire/tracepb"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/replica"
+	"hyssopcroft.example/query/scatter"
+)
+
+// script is a policy that gives the recorded answers.
+type script struct {
+	choices  []*tracepb.Choice // of the present step
+	attempts []uint64
+	last     uint64
+}
+
+// Choose implements scatter.Policy. Questions beyond the recorded ones are refused; they show as a
+// difference.
+func (s *script) Choose(time.Time, scatter.Want) (scatter.Grant, replica.Verdict) {
+	if len(s.choices) == 0 {
+		return scatter.Grant{}, replica.Final
+	}
+	c := s.choices[0]
+	s.choices = s.choices[1:]
+	return scatter.Grant{
+		Target: query.TargetID(c.GetTarget()), Class: replica.Class(c.GetClass()),
+		HedgeAfter: time.Duration(c.GetHedgeAfter()), Return: time.Duration(c.GetWayBack()),
+	}, replica.Verdict(c.GetVerdict())
+}
+
+// Overdue implements scatter.Policy.
+func (*script) Overdue(query.TargetID, time.Time) {}
+
+// End implements scatter.Policy.
+func (*script) End(time.Time, replica.End) {}
+
+func (s *script) nextAttempt() query.AttemptID {
+	s.last++
+	if len(s.attempts) > 0 {
+		s.last, s.attempts = s.attempts[0], s.attempts[1:]
+	}
+	return query.AttemptID(s.last)
+}
+
+func (r *run) replayQuery(want *tracepb.Query) {
+	name := "query " + query.RequestID(want.GetRequest()).String()
+	policy := &script{}
+	machine := trace.NewMachine(scatter.Config{
+		Request: r.request(want), Map: query.Map{Version: query.Version(want.GetSnapshot()), Shards: shards(want.GetShards())},
+		Policy: policy, NextAttempt: policy.nextAttempt,
+	}, r.recorder)
+	r.got = nil
+	for i, step := range want.GetSteps() {
+		policy.choices, policy.attempts = step.GetChoices(), step.GetAttempts()
+		panicked := guard(func() { r.feed(machine, step) })
+		what := when(strings.ToLower(strings.TrimPrefix(step.GetEvent().String(), "QUERY_EVENT_")), step.GetAt())
+		var got proto.Message = (*tracepb.QueryStep)(nil)
+		if panicked == "" {
+			got = machine.LastStep()
+		}
+		if !r.compare(name, i, what, panicked, step, got) {
+			return
+		}
+	}
+	if want.GetAnswer() != nil {
+		panicked := guard(func() { machine.Answer() })
+		if panicked == "" && r.got == nil {
+			panicked = "no record of the answer"
+		}
+		if !r.compare(name, len(want.GetSteps()), "answer", panicked, want.GetAnswer(), r.got.GetQuery().GetAnswer()) {
+			return
+		}
+	}
+	r.checkQuery(name, want)
+	r.report.Found.Queries = append(r.report.Found.Queries, outcomeOf(want))
+}
+
+func (r *run) feed(m *trace.Machine, step *tracepb.QueryStep) {
+	now := r.at(step.GetAt())
+	switch step.GetEvent() {
+	case tracepb.QueryEvent_QUERY_EVENT_START:
+		m.Start(now)
+	case tracepb.QueryEvent_QUERY_EVENT_REPLY:
+		m.OnReply(now, query.AttemptID(step.GetReply().GetSent()), replyOf(step.GetReply()))
+	case tracepb.QueryEvent_QUERY_EVENT_WAKE:
+		m.OnWake(now)
+	case tracepb.QueryEvent_QUERY_EVENT_ABANDON:
+		m.Abandon(now)
+	}
+}
+
+func (r *run) request(q *tracepb.Query) query.Request {
+	return query.Request{
+		ID: query.RequestID(q.GetRequest()), Plan: q.GetPlan(), Index: q.GetIndex(), Limit: int(q.GetLimit()),
+		Deadline: r.start.Add(time.Duration(q.GetDeadline())), Priority: query.Priority(q.GetPriority()),
+		PreferCoverage: q.GetPreferCoverage(),
+	}
+}
+
+// checkQuery checks a query whose replay agrees with the trace: the answer covers each shard of the
+// map once, and all that it includes comes from replies to this request at this snapshot (I1 to I3).
+func (r *run) checkQuery(name string, q *tracepb.Query) {
+	a := q.GetAnswer()
+	if a == nil {
+		return
+	}
+	covered := slices.Clone(a.GetIncluded())
+	for _, m := range a.GetMissing() {
+		covered = append(covered, m.GetShard())
+	}
+	slices.Sort(covered)
+	all := slices.Clone(q.GetShards())
+	slices.Sort(all)
+	if !slices.Equal(covered, all) {
+		r.violate("%s: the coverage names the shards %v, the map has %v", name, covered, all)
+	}
+	if a.GetSnapshot() != q.GetSnapshot() {
+		r.violate("%s: the answer is of snapshot %d, the query of %d", name, a.GetSnapshot(), q.GetSnapshot())
+	}
+	answered, hits := repliesTo(q)
+	for _, shard := range a.GetIncluded() {
+		if !answered[shard] {
+			r.violate("%s: mixed answer: no reply to it covers shard %d", name, shard)
+		}
+	}
+	for _, h := range a.GetHits() {
+		if !hits[h.GetId()] {
+			r.violate("%s: mixed answer: no reply to it holds hit %q", name, h.GetId())
+		}
+	}
+}
+
+// repliesTo returns the shards that were answered and the hits in the answers, from the replies that
+// belong to their attempt, the request and the snapshot.
+func repliesTo(q *tracepb.Query) (answered map[uint32]bool, hits map[string]bool) {
+	answered, hits = map[uint32]bool{}, map[string]bool{}
+	sentFor := map[uint64]uint32{}
+	for _, step := range q.GetSteps() {
+		for _, a := range step.GetActions() {
+			if scatter.ActionKind(a.GetKind()) == scatter.Send {
+				sentFor[a.GetAttempt()] = a.GetShard()
+			}
+		}
+		p := step.GetReply()
+		shard, sent := sentFor[p.GetSent()]
+		if !sent || query.Outcome(p.GetOutcome()) != query.OutcomeAnswered || p.GetAttempt() != p.GetSent() ||
+			p.GetRequest() != q.GetRequest() || p.GetSnapshot() != q.GetSnapshot() || p.GetShard() != shard {
+			continue
+		}
+		answered[shard] = true
+		for _, h := range p.GetHits() {
+			hits[h.GetId()] = true
+		}
+	}
+	return answered, hits
+}
+
+func replyOf(p *tracepb.Reply) query.Reply {
+	r := query.Reply{
+		Attempt: query.AttemptID(p.GetAttempt()), Request: query.RequestID(p.GetRequest()), Shard: query.Shard(p.GetShard()),
+		Snapshot: query.Version(p.GetSnapshot()), Outcome: query.Outcome(p.GetOutcome()), Cold: p.GetCold(),
+	}
+	for _, h := range p.GetHits() {
+		r.Hits = append(r.Hits, query.Hit{ID: h.GetId(), Score: h.GetScore()})
+	}
+	return r
+}
+
+func shards(numbers []uint32) []query.Shard {
+	list := make([]query.Shard, len(numbers))
+	for i, n := range numbers {
+		list[i] = query.Shard(n)
+	}
+	return list
+}
--- /dev/null
+++ b/emulator/replay/replay.go
@@ -0,0 +1,144 @@
+// Package replay feeds the events and times of recorded traces to the present decisions, compares
+// the actions, and checks the outcomes that are stated beside a trace.
+package replay
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"hyssopcroft.example/adapter/trace"
+	"hyssopcroft.example/adapter/wire/tracepb"
+)
+
+// Report is the result of the replay of one trace.
+type Report struct {
+	File    string `json:"file"`
+	Source  string `json:"source"`
+	Records int    `json:"records"`
+	// Differences holds the first difference of each decision that took another course.
+	Differences []Difference `json:"differences"`
+	// Violations lists what contradicts an invariant or a stated outcome.
+	Violations []string `json:"violations"`
+	// Stated is set if a file of stated outcomes lies beside the trace.
+	Stated bool `json:"stated"`
+	// Admitted is the number of requests that were admitted, by plan.
+	Admitted map[string]int `json:"admitted"`
+	// Found holds the outcomes of the replay.
+	Found Outcomes `json:"found"`
+}
+
+// Pass reports whether the replay found neither a difference nor a violation.
+func (r Report) Pass() bool { return len(r.Differences) == 0 && len(r.Violations) == 0 }
+
+// File replays a trace and checks the outcomes stated beside it, if there are any. It fails with
+// trace.ErrMalformed, trace.ErrCut, a *trace.VersionError, ErrOutcomes or an error of the file system.
+func File(path string) (Report, error) {
+	in, err := os.Open(path)
+	if err != nil {
+		return Report{}, errors.Wrap(err, "open trace")
+	}
+	defer in.Close()
+	t, err := trace.Read(in)
+	if err != nil {
+		return Report{}, errors.Wrap(err, path)
+	}
+	report := Run(t)
+	report.File = path
+	stated, found, err := readOutcomes(OutcomesFile(path))
+	if err != nil {
+		return Report{}, err
+	}
+	if found {
+		report.Stated = true
+		report.Violations = append(report.Violations, stated.compare(report.Found)...)
+	}
+	return report, nil
+}
+
+// Run replays a trace and checks the invariants.
+func Run(t trace.Trace) Report {
+	r := &run{
+		start: time.Unix(0, t.Header.GetStartUnixNano()), states: map[string]*states{},
+		lenders: map[lenderKey]*lenderRun{}, plans: map[string]*planRun{},
+		report: Report{Source: t.Header.GetSource(), Records: len(t.Records), Admitted: map[string]int{}},
+	}
+	r.recorder = trace.NewCollector(r.start, func() time.Time { return r.now }, func(record *tracepb.Record) { r.got = record })
+	for _, record := range t.Records {
+		r.replay(record)
+	}
+	r.finishShares()
+	return r.report
+}
+
+// run is the replay of one trace.
+type run struct {
+	start    time.Time
+	now      time.Time
+	recorder *trace.Recorder
+	got      *tracepb.Record // what the replayed decision recorded last
+	report   Report
+
+	states  map[string]*states
+	lenders map[lenderKey]*lenderRun
+	plans   map[string]*planRun
+}
+
+func (r *run) replay(record *tracepb.Record) {
+	switch x := record.GetRecord().(type) {
+	case *tracepb.Record_Query:
+		r.replayQuery(x.Query)
+	case *tracepb.Record_Offer:
+		r.replayOffer(x.Offer)
+	case *tracepb.Record_Operation:
+		r.replayOperation(x.Operation)
+	case *tracepb.Record_Lender:
+		r.replayLender(x.Lender)
+	case *tracepb.Record_Holder:
+		r.replayHolder(x.Holder)
+	}
+}
+
+// at returns the time of an event and makes it the present one.
+func (r *run) at(nanos int64) time.Time {
+	r.now = r.start.Add(time.Duration(nanos))
+	return r.now
+}
+
+// guard runs f. A panic of the decision is returned as text.
+func guard(f func()) (panicked string) {
+	defer func() {
+		if p := recover(); p != nil {
+			panicked = fmt.Sprint("panic: ", p)
+		}
+	}()
+	f()
+	return ""
+}
+
+// compare adds a difference if the messages of an event differ or the decision has panicked. It
+// reports whether they agree.
+func (r *run) compare(decision string, event int, what string, panicked string, want, got proto.Message) bool {
+	d := Difference{Decision: decision, Event: event, What: what}
+	if panicked != "" {
+		d.Field, d.Expected, d.Actual = "event", messageText(want.ProtoReflect()), panicked
+	} else {
+		f, differs := firstDifference("", want.ProtoReflect(), got.ProtoReflect())
+		if !differs {
+			return true
+		}
+		d.Field, d.Expected, d.Actual = f.path, f.expected, f.actual
+	}
+	r.report.Differences = append(r.report.Differences, d)
+	return false
+}
+
+func (r *run) violate(format string, args ...any) {
+	r.report.Violations = append(r.report.Violations, fmt.Sprintf(format, args...))
+}
+
+// when formats an event and its time.
+func when(event string, nanos int64) string { return event + " at " + time.Duration(nanos).String() }
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -41,6 +41,7 @@
 	server      *http.Server
 	connections *connections
 	listener    net.Listener
+	closeTrace  func() error
 }
 
 // New assembles an instance and binds its address. Nothing is served before Start.
@@ -54,6 +55,11 @@
 	k := kernel.New()
 	c := counters.NewSet()
 	ring := timeline.NewRing(s.Instance, s.TimelineEvents, hlc.New(time.Now))
+	recorder, closeTrace, err := openRecorder(s, c)
+	if err != nil {
+		_ = listener.Close() // The first error is reported.
+		return nil, err
+	}
 	client := platform.NewClient(s.Platform, http.DefaultTransport, func(p platform.Purpose) {
 		c.Counter("platform_calls_" + string(p)).Add(1)
 	})
@@ -71,12 +77,15 @@
 	e.UseClaims(cl)
 	li := limits.New(limits.Config{
 		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: peer.NewTransport(nil),
-		Ring: ring, Log: log, Counters: c,
+		Ring: ring, Log: log, Counters: c, Recorder: recorder,
 	})
 	e.UseLimits(li)
 	e.UseMembers(m)
+	e.UseRecorder(recorder)
+	cfg.UseRecorder(recorder, s.Instance)
 	rel := relay.New(e, c)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
+	op.UseRecorder(recorder)
 	op.RequireReady(li.Ready)
 	// At 20 connections a second, the first queries of an unconnected instance would miss their deadlines.
 	op.RequireReady(e.Connected)
@@ -94,7 +103,7 @@
 		}
 	})
 	rel.UseDrain(d.start, d.end)
-	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), listener: listener}
+	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), listener: listener, closeTrace: closeTrace}
 	a.server = newServer(op, d, c,
 		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)),
 		route(peer.LendingHandler(li)), route(peer.RelayHandler(rel)))
@@ -172,6 +181,9 @@
 	if stopErr := a.kernel.Stop(ctx); err == nil {
 		err = stopErr
 	}
+	if traceErr := a.closeTrace(); err == nil {
+		err = traceErr
+	}
 	a.log.Info("instance stopped", "requests_cut", a.drain.cut())
 	return errors.Wrap(err, "stop instance")
 }
--- /dev/null
+++ b/instance/app/record.go
@@ -0,0 +1,36 @@
+package app
+
+import (
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/trace"
+	"hyssopcroft.example/kernel/counters"
+)
+
+// openRecorder returns a recorder to the trace file of the settings and a function that closes it. The
+// recorder is nil if the settings name no file. An earlier trace is overwritten.
+func openRecorder(s Settings, c *counters.Set) (*trace.Recorder, func() error, error) {
+	if s.TraceFile == "" {
+		return nil, func() error { return nil }, nil
+	}
+	file, err := os.Create(s.TraceFile)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "open trace file")
+	}
+	r, err := trace.NewRecorder(file, s.Instance, trace.DefaultMaxBytes, time.Now)
+	if err != nil {
+		_ = file.Close() // The first error is reported.
+		return nil, nil, err
+	}
+	c.Func("trace_records_dropped", func() any { return r.Dropped() })
+	return r, func() error {
+		err := r.Close()
+		if closeErr := file.Close(); err == nil {
+			err = errors.Wrap(closeErr, "close trace file")
+		}
+		return err
+	}, nil
+}
--- a/instance/app/settings.go
+++ b/instance/app/settings.go
@@ -31,6 +31,8 @@
 	// BalancerLag is the time that the balancer takes to notice that the instance is not ready.
 	BalancerLag    settings.Duration `json:"balancer_lag"`
 	TimelineEvents int               `json:"timeline_events"`
+	// TraceFile is the file that decisions are recorded to, "" for none.
+	TraceFile string `json:"trace_file"`
 }
 
 // LoadSettings reads and checks a settings file. A *settings.FaultsError lists all faults.
--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/kernel"
@@ -90,7 +91,7 @@
 	announcing sync.Mutex // keeps events in the order of the revisions; taken before mu
 
 	mu          sync.Mutex // guards the fields below
-	state       config.State
+	state       trace.State
 	holdings    config.Holdings
 	ready       bool
 	watching    context.CancelFunc // ends the watches; nil if the instance does not watch
@@ -105,6 +106,10 @@
 	return &Service{client: client, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel}
 }
 
+// UseRecorder sets what records the versions offered. subject is the id of this instance. It must be
+// called before Start.
+func (s *Service) UseRecorder(r *trace.Recorder, subject string) { s.state.RecordTo(r, subject) }
+
 // Bind sets the membership. It must be called before Start.
 func (s *Service) Bind(f Fleet) { s.fleet = f }
 
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -7,6 +7,7 @@
 
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/scatter"
 	"hyssopcroft.example/query/snapshot"
@@ -19,7 +20,7 @@
 	request query.Request
 	version query.Version
 	restart *snapshot.Restart
-	machine *scatter.Machine
+	machine *trace.Machine
 	replies chan sentReply
 	cancels map[query.AttemptID]context.CancelFunc
 }
@@ -65,7 +66,7 @@
 	cfg := scatter.Config{Request: req, Map: shardMap, Policy: ix.at(shardMap.Version), NextAttempt: s.nextAttempt}
 	return &run{
 		service: s, index: ix, request: req, version: shardMap.Version, restart: restart,
-		machine: scatter.New(cfg),
+		machine: trace.NewMachine(cfg, s.recorder),
 		replies: make(chan sentReply, len(shardMap.Shards)),
 		cancels: make(map[query.AttemptID]context.CancelFunc, len(shardMap.Shards)),
 	}
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -14,6 +14,7 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/configsync"
@@ -44,6 +45,7 @@
 	bus           *kernel.Bus
 	log           *slog.Logger
 	counters      *counters.Set
+	recorder      *trace.Recorder // nil if nothing is recorded
 
 	relays      *peer.RelayClient
 	members     Members // nil if unused
@@ -91,6 +93,9 @@
 // UseLimits sets what admits requests. It must be called before Start.
 func (s *Service) UseLimits(l Limits) { s.limits = l }
 
+// UseRecorder sets what records the decisions of queries. It must be called before Start.
+func (s *Service) UseRecorder(r *trace.Recorder) { s.recorder = r }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
--- a/instance/limits/holder.go
+++ b/instance/limits/holder.go
@@ -8,13 +8,14 @@
 	"time"
 
 	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/control/share"
 )
 
 // planHolder is the share.Holder of one plan.
 type planHolder struct {
 	mu      sync.Mutex // guards the fields below
-	holder  *share.Holder
+	holder  *trace.Holder
 	waiting int
 	loaned  chan struct{} // closed and replaced when a loan arrives
 }
@@ -129,7 +130,7 @@
 		limit, _ := s.limitOf(plan)
 		live, _ := s.live()
 		h = &planHolder{
-			holder: share.NewHolder(s.cfg.Instance, limit, max(1, len(live)), time.Now()),
+			holder: trace.NewHolder(plan, s.cfg.Instance, limit, max(1, len(live)), time.Now(), s.cfg.Recorder),
 			loaned: make(chan struct{}),
 		}
 		s.holders[plan] = h
--- a/instance/limits/lease.go
+++ b/instance/limits/lease.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/control/share"
 )
 
@@ -61,7 +62,7 @@
 	silentSince time.Time
 	// lostUntil is the time until which loans from before the loss of the lease may be in use.
 	lostUntil time.Time
-	lenders   map[string]*share.Lender
+	lenders   map[string]*trace.Lender
 }
 
 // lend returns a loan if this instance lends the bucket now.
@@ -75,7 +76,7 @@
 	l, ok := b.lenders[plan]
 	if !ok {
 		ownLoans := now.Before(b.lostUntil)
-		l = share.NewLender(limit, b.epoch, now, !b.created || ownLoans)
+		l = trace.NewLender(plan, limit, b.epoch, now, !b.created || ownLoans, b.cfg.Recorder)
 		b.lenders[plan] = l
 	}
 	l.SetLimit(limit)
--- a/instance/limits/service.go
+++ b/instance/limits/service.go
@@ -13,6 +13,7 @@
 
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/adapter/wire/sharepb"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/membership"
@@ -65,6 +66,7 @@
 	Ring     *timeline.Ring
 	Log      *slog.Logger
 	Counters *counters.Set
+	Recorder *trace.Recorder // nil if nothing is recorded
 }
 
 // Service is safe for concurrent use.
@@ -84,7 +86,7 @@
 func New(cfg Config) *Service {
 	s := &Service{cfg: cfg, kick: make(chan struct{}, 1), holders: map[string]*planHolder{}}
 	for i := range s.buckets {
-		s.buckets[i] = &lenderBucket{number: i, cfg: cfg, lenders: map[string]*share.Lender{}}
+		s.buckets[i] = &lenderBucket{number: i, cfg: cfg, lenders: map[string]*trace.Lender{}}
 	}
 	return s
 }
--- a/instance/operator/edit.go
+++ b/instance/operator/edit.go
@@ -12,6 +12,7 @@
 	"hyssopcroft.example/adapter/admin"
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/instance/configsync"
 )
@@ -25,17 +26,13 @@
 	longestPause = 500 * time.Millisecond
 )
 
-type change func(config.Lists, config.Edit) (config.Lists, error)
-
 // edit applies a change to the newest lists and writes them conditionally. After a lost answer or a
 // lost race it reads the lists again; an edit that took effect is found there by its id.
-func (s *Service) edit(ctx context.Context, e admin.Edit, apply change) (admin.Accepted, *problem.Problem) {
+func (s *Service) edit(ctx context.Context, e admin.Edit, c trace.Change) (admin.Accepted, *problem.Problem) {
 	ctx, cancel := context.WithTimeout(ctx, editTimeout)
 	defer cancel()
 	inForce, _ := s.config.InForce()
-	op := config.NewOperation(e.ID, inForce.Sequence, func(l config.Lists) (config.Lists, error) {
-		return apply(l, config.Edit{ID: e.ID, Expected: e.Expected})
-	})
+	op := trace.NewOperation(config.Edit{ID: e.ID, Expected: e.Expected}, inForce.Sequence, c, s.recorder)
 	step := config.Step{}
 	for wait := firstPause; step.Verdict == 0; {
 		if step.Write != nil {
@@ -55,7 +52,7 @@
 	return s.finish(step, e)
 }
 
-func (s *Service) readStep(ctx context.Context, op *config.Operation) config.Step {
+func (s *Service) readStep(ctx context.Context, op *trace.Operation) config.Step {
 	lists, version, err := s.read(ctx)
 	if err != nil {
 		return op.OnReadFailed(err)
--- a/instance/operator/service.go
+++ b/instance/operator/service.go
@@ -11,6 +11,8 @@
 	"hyssopcroft.example/adapter/admin"
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/adapter/trace"
+	"hyssopcroft.example/adapter/wire/tracepb"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/members"
@@ -30,6 +32,7 @@
 	members  *members.Service
 	ring     *timeline.Ring
 	counters *counters.Set
+	recorder *trace.Recorder // nil if nothing is recorded
 
 	ready []func() bool
 }
@@ -42,6 +45,9 @@
 	}
 }
 
+// UseRecorder sets what records edits. It must be called before Start.
+func (s *Service) UseRecorder(r *trace.Recorder) { s.recorder = r }
+
 // RequireReady adds a condition for the instance to be ready. It must be called before Start.
 func (s *Service) RequireReady(f func() bool) { s.ready = append(s.ready, f) }
 
@@ -68,22 +74,22 @@
 
 // PutPlan adds or replaces a plan.
 func (s *Service) PutPlan(ctx context.Context, p config.Plan, e admin.Edit) (admin.Accepted, *problem.Problem) {
-	return s.edit(ctx, e, func(l config.Lists, e config.Edit) (config.Lists, error) { return l.PutPlan(p, e) })
+	return s.edit(ctx, e, trace.Change{Kind: tracepb.ChangeKind_CHANGE_KIND_PUT_PLAN, Plan: p})
 }
 
 // DeletePlan removes a plan and its limit.
 func (s *Service) DeletePlan(ctx context.Context, name string, e admin.Edit) (admin.Accepted, *problem.Problem) {
-	return s.edit(ctx, e, func(l config.Lists, e config.Edit) (config.Lists, error) { return l.DeletePlan(name, e) })
+	return s.edit(ctx, e, trace.Change{Kind: tracepb.ChangeKind_CHANGE_KIND_DELETE_PLAN, Name: name})
 }
 
 // PutLimit adds or replaces the limit of a plan.
 func (s *Service) PutLimit(ctx context.Context, limit config.Limit, e admin.Edit) (admin.Accepted, *problem.Problem) {
-	return s.edit(ctx, e, func(l config.Lists, e config.Edit) (config.Lists, error) { return l.PutLimit(limit, e) })
+	return s.edit(ctx, e, trace.Change{Kind: tracepb.ChangeKind_CHANGE_KIND_PUT_LIMIT, Limit: limit})
 }
 
 // DeleteLimit removes the limit of a plan.
 func (s *Service) DeleteLimit(ctx context.Context, plan string, e admin.Edit) (admin.Accepted, *problem.Problem) {
-	return s.edit(ctx, e, func(l config.Lists, e config.Edit) (config.Lists, error) { return l.DeleteLimit(plan, e) })
+	return s.edit(ctx, e, trace.Change{Kind: tracepb.ChangeKind_CHANGE_KIND_DELETE_LIMIT, Name: plan})
 }
 
 func (s *Service) read(ctx context.Context) (config.Lists, platform.Version, error) {
