--- a/emulator/fleet/fleet_test.go
+++ b/emulator/fleet/fleet_test.go
@@ -46,6 +46,11 @@
 
 // start runs stand-ins and two instances that are ready and know each other.
 func start(t *testing.T) (*fleet.Fleet, []*app.App) {
+	return startWith(t, func(*app.Settings) {})
+}
+
+// startWith changes the settings of each instance first.
+func startWith(t *testing.T, change func(*app.Settings)) (*fleet.Fleet, []*app.App) {
 	t.Helper()
 	f, err := fleet.Start(fleet.Deployment{
 		Host: "127.0.0.1", FailureDomains: []string{"caernarfon", "llandrindod"}, Lists: testLists(), Seed: 1,
@@ -56,10 +61,12 @@
 	var apps []*app.App
 	var list []platform.Instance
 	for _, id := range []string{"entry-1", "entry-2"} {
-		a, err := app.New(app.Settings{
+		s := app.Settings{
 			Instance: id, FailureDomain: "caernarfon", Region: "wales", Listen: "127.0.0.1:0", Platform: f.PlatformURL(),
 			BalancerLag: settings.Duration(time.Millisecond), // no balancer sends requests here
-		}, slog.New(slog.DiscardHandler))
+		}
+		change(&s)
+		a, err := app.New(s, slog.New(slog.DiscardHandler))
 		require.NoError(t, err)
 		apps = append(apps, a)
 		list = append(list, platform.Instance{ID: id, Address: a.Address(), FailureDomain: "caernarfon", State: platform.InstanceLive})
