Stamp calls between processes and record slow queries over both levels

Cause: only exchanges and pushes carried clock stamps, and the timeline showed nothing of a slow query.

Change: calls for groups, claims and loans and calls of targets carry hybrid logical clock stamps in an HTTP header, which receivers observe.

The cost of the stamps has not been measured yet.

Conclusion: one command shows a slow query over both levels down to the searcher that held it.

--- /dev/null
+++ b/adapter/stamp/stamp_test.go
@@ -0,0 +1,77 @@
+package stamp_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/stamp"
+	"hyssopcroft.example/kernel/hlc"
+	"hyssopcroft.example/kernel/timeline"
+)
+
+// process has a clock that is off by a fixed time.
+func process(name string, off time.Duration) *timeline.Ring {
+	return timeline.NewRing(name, 16, hlc.New(func() time.Time { return time.Now().Add(off) }))
+}
+
+type direct struct{ handler http.Handler }
+
+func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	d.handler.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// Guards against effects that come before their causes in the timeline, over three processes whose
+// clocks are minutes apart in either direction.
+func TestCausePrecedesEffectOverDifferentClocks(t *testing.T) {
+	for _, off := range [][3]time.Duration{
+		{0, -5 * time.Minute, -10 * time.Minute}, {0, 5 * time.Minute, 10 * time.Minute}, {3 * time.Minute, 0, 6 * time.Minute},
+	} {
+		entry, relay, searcher := process("entry", off[0]), process("relay", off[1]), process("searcher", off[2])
+		last := stamp.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			searcher.Add("ran", "", "")
+			w.WriteHeader(http.StatusOK)
+		}), searcher.Clock())
+		middle := stamp.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			relay.Add("took", "", "")
+			get(t, stamp.Transport(direct{last}, relay.Clock()))
+			relay.Add("answered", "", "")
+			_, _ = w.Write([]byte("done"))
+		}), relay.Clock())
+		entry.Add("sent", "", "")
+		get(t, stamp.Transport(direct{middle}, entry.Clock()))
+		entry.Add("got", "", "")
+
+		e, r, s := entry.Events(), relay.Events(), searcher.Events()
+		chain := []timeline.Event{e[0], r[0], s[0], r[1], e[1]}
+		for i := range chain[1:] {
+			require.Negative(t, chain[i].At.Compare(chain[i+1].At), "%s before %s, clocks %v", chain[i].Kind, chain[i+1].Kind, off)
+		}
+	}
+}
+
+func get(t *testing.T, transport http.RoundTripper) {
+	req, err := http.NewRequest(http.MethodGet, "http://peer/", nil)
+	require.NoError(t, err)
+	resp, err := transport.RoundTrip(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Empty(t, req.Header, "the request of the caller is changed")
+}
+
+// Guards against stamps that are no stamps and move the clock.
+func TestInvalidStampsAreIgnored(t *testing.T) {
+	require.Equal(t, http.CanonicalHeaderKey(stamp.Header), stamp.Header)
+	clock := hlc.New(func() time.Time { return time.Unix(0, 1000) })
+	for _, text := range []string{"", "x", "99999999", "99999999.", "99999999.x", "-5.1", "99999999.99999999999"} {
+		stamp.Observe(http.Header{stamp.Header: {text}}, clock)
+		require.EqualValues(t, 1000, clock.Now().Wall, text)
+	}
+	stamp.Observe(http.Header{stamp.Header: {"2000.3"}}, clock)
+	require.Equal(t, hlc.Timestamp{Wall: 2000, Logical: 5}, clock.Now())
+}
--- a/adapter/target/client.go
+++ b/adapter/target/client.go
@@ -14,7 +14,9 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"hyssopcroft.example/adapter/stamp"
 	"hyssopcroft.example/adapter/wire/targetpb"
+	"hyssopcroft.example/kernel/hlc"
 	"hyssopcroft.example/query"
 )
 
@@ -33,7 +35,8 @@
 
 // Client calls targets. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http  *http.Client
+	clock *hlc.Clock // nil if messages are not stamped
 }
 
 // NewClient returns a client that sends through the given transport.
@@ -41,6 +44,10 @@
 	return &Client{http: &http.Client{Transport: transport}}
 }
 
+// UseClock makes the client stamp requests and observe the stamps of answers. Targets need not answer
+// with a stamp. It must be called before the first request.
+func (c *Client) UseClock(clock *hlc.Clock) { c.clock = clock }
+
 // NewTransport returns a transport that keeps one unencrypted HTTP/2 connection to each target and
 // closes a connection that has been silent for pingAfter plus pingTimeout.
 func NewTransport(pingAfter, pingTimeout time.Duration) *http.Transport {
@@ -175,11 +182,13 @@
 	// resets, executes (I5) and searches beyond the retry budget (H4).
 	req.GetBody = nil
 	req.Header.Set("Content-Type", ContentType)
+	stamp.Set(req.Header, c.clock)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return t.outcome(err), errors.Wrap(err, "call target")
 	}
 	defer resp.Body.Close()
+	stamp.Observe(resp.Header, c.clock)
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return t.outcome(err), errors.Wrap(err, "read target response")
--- a/cmd/hyssopctl/main_test.go
+++ b/cmd/hyssopctl/main_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -132,6 +133,24 @@
 	}
 }
 
+// Guards against a page that needs other files, lacks events or lanes, or takes texts of events as markup.
+func TestTimelinePage(t *testing.T) {
+	address := instance(t, map[string]string{"/v1/timeline": `[
+		{"at":{"wall":2000000000},"process":"b","kind":"k2","subject":"<script>x</script>"},
+		{"at":{"wall":1000000000},"process":"a","kind":"k1","subject":"t1"}]`})
+	file := filepath.Join(t.TempDir(), "page.html")
+	code, _, stderr := capture(t, "timeline", "--html", file, address)
+	require.Zero(t, code, stderr)
+	raw, err := os.ReadFile(file)
+	require.NoError(t, err)
+	page := string(raw)
+	require.Equal(t, 2, strings.Count(page, "<circle"))
+	require.Equal(t, 2, strings.Count(page, "<line"))
+	require.NotContains(t, page, "<script")
+	require.NotRegexp(t, `(src|href)="[^#]`, page)
+	require.Less(t, strings.Index(page, "t1"), strings.Index(page, "k2"))
+}
+
 // Guards against a subcommand whose help shows no example.
 func TestEverySubcommandHasExamples(t *testing.T) {
 	for _, leaf := range newParser(&cli{}).Model.Leaves(false) {
--- a/cmd/hyssopctl/timeline.go
+++ b/cmd/hyssopctl/timeline.go
@@ -24,6 +24,7 @@
 	Kind      []string `help:"Only events of these kinds, for example config_in_force."`
 	Since     string   `help:"Only events from this time on: RFC 3339, or a duration such as 5m for that long ago."`
 	Until     string   `help:"Only events up to this time, in the same forms."`
+	HTML      string   `name:"html" type:"path" help:"Write a page with a lane for each process to this file instead."`
 }
 
 // Help implements kong.HelpProvider.
@@ -32,10 +33,18 @@
 The address of the stand-in for the platform adds the events of all stand-ins. With --json each event
 is one line. A process that does not answer is left out and makes the exit code 6.
 
+A query that took longer than slow_query or lacks shards is recorded by its entry instance (query_slow,
+query_incomplete), by the relays of its slow parts (relay_slow, relay_incomplete) and by the stand-ins
+that ran it late (target_late). --request with the id from the answer shows them together.
+
 Examples:
 
     hyssopctl timeline 127.0.0.1:7101 127.0.0.1:7102 127.0.0.1:7000
 
+    hyssopctl timeline --request 0123456789abcdef 127.0.0.1:7101 127.0.0.1:7102 127.0.0.1:7000
+
+    hyssopctl timeline --html /tmp/timeline.html 127.0.0.1:7101 127.0.0.1:7000
+
     hyssopctl timeline --target returns-counter-3-1 --since 5m 127.0.0.1:7101 127.0.0.1:7000
 
     hyssopctl --json timeline --kind config_in_force --kind member_changed 127.0.0.1:7101`
@@ -52,6 +61,12 @@
 	slices.SortStableFunc(all, func(a, b timeline.Event) int {
 		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Process, b.Process))
 	})
+	if t.HTML != "" {
+		if err := writePage(t.HTML, all); err != nil {
+			return err
+		}
+		return failed
+	}
 	lines := json.NewEncoder(os.Stdout)
 	for _, ev := range all {
 		if !c.JSON {
--- /dev/null
+++ b/emulator/target/late.go
@@ -0,0 +1,44 @@
+package target
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"hyssopcroft.example/adapter/wire/targetpb"
+	"hyssopcroft.example/query"
+)
+
+// lateAfter is the time from arrival to answer after which a search is recorded as late: half of the
+// time in which 99 of 100 answers are to reach their callers.
+const lateAfter = 50 * time.Millisecond
+
+// Late is the timeline event of a search that a searcher ran late or gave up late.
+type Late struct {
+	Request query.RequestID
+	Attempt query.AttemptID
+	Target  query.TargetID
+	Shard   query.Shard
+	Outcome targetpb.Outcome
+	Took    time.Duration
+}
+
+// Topic is the kind of the event.
+func (Late) Topic() string { return "target_late" }
+
+// Detail describes the event in one line.
+func (e Late) Detail() string {
+	return fmt.Sprintf("target=%s shard=%d attempt=%d took=%s outcome=%s", e.Target, e.Shard, e.Attempt,
+		e.Took.Round(time.Microsecond), strings.ToLower(strings.TrimPrefix(e.Outcome.String(), "OUTCOME_")))
+}
+
+func (s *Searcher) noteLate(req *targetpb.SearchRequest, o targetpb.Outcome, took time.Duration) {
+	if s.cfg.Ring == nil || took <= lateAfter {
+		return
+	}
+	e := Late{
+		Request: query.RequestID(req.RequestId), Attempt: query.AttemptID(req.AttemptId), Target: s.cfg.Target.ID,
+		Shard: query.Shard(req.Shard), Outcome: o, Took: took,
+	}
+	s.cfg.Ring.Add(e.Topic(), e.Request.String(), e.Detail())
+}
--- a/emulator/target/searcher.go
+++ b/emulator/target/searcher.go
@@ -122,6 +122,7 @@
 
 // Search runs one sub-request. It returns when the request has run or was refused.
 func (s *Searcher) Search(ctx context.Context, req *targetpb.SearchRequest) *targetpb.SearchResponse {
+	start := time.Now()
 	s.vars.Counter("requests").Add(1)
 	resp := &targetpb.SearchResponse{
 		RequestId: req.RequestId, AttemptId: req.AttemptId, Shard: req.Shard, Snapshot: req.Snapshot,
@@ -137,6 +138,7 @@
 		s.holdBack(ctx)
 		resp = s.crossSearch(resp)
 	}
+	s.noteLate(req, r.outcome, time.Since(start))
 	return resp
 }
 
--- a/emulator/target/server.go
+++ b/emulator/target/server.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/adapter/stamp"
 	api "hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/adapter/wire/targetpb"
 	"hyssopcroft.example/emulator/fault"
@@ -22,6 +23,9 @@
 
 func handler(s *Searcher, h *Host) http.Handler {
 	r := chi.NewRouter()
+	if s.cfg.Ring != nil {
+		r.Use(func(next http.Handler) http.Handler { return stamp.Handler(next, s.cfg.Ring.Clock()) })
+	}
 	r.Post(api.PathSearch, func(w http.ResponseWriter, req *http.Request) {
 		var in targetpb.SearchRequest
 		if decode(w, req, &in) {
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -15,6 +15,7 @@
 	"hyssopcroft.example/adapter/caller"
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/adapter/stamp"
 	"hyssopcroft.example/control/drain"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/claims"
@@ -71,17 +72,18 @@
 	m := members.New(self, client, cfg, k.Bus(), ring, log, c)
 	e := entry.New(s.Instance, s.FailureDomain, cfg, k.Bus(), log, c)
 	cl := claims.New(claims.Config{
-		Instance: s.Instance, Client: client, Members: m, Targets: e, Peers: peer.NewTransport(nil),
+		Instance: s.Instance, Client: client, Members: m, Targets: e, Peers: stamp.Transport(peer.NewTransport(nil), ring.Clock()),
 		Bus: k.Bus(), Log: log, Counters: c,
 	})
 	e.UseClaims(cl)
 	li := limits.New(limits.Config{
-		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: peer.NewTransport(nil),
+		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: stamp.Transport(peer.NewTransport(nil), ring.Clock()),
 		Ring: ring, Log: log, Counters: c, Recorder: recorder,
 	})
 	e.UseLimits(li)
 	e.UseMembers(m)
 	e.UseRecorder(recorder)
+	e.UseTimeline(ring, time.Duration(s.SlowQuery))
 	cfg.UseRecorder(recorder, s.Instance)
 	rel := relay.New(e, c)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
@@ -105,8 +107,8 @@
 	rel.UseDrain(d.start, d.end)
 	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), listener: listener, closeTrace: closeTrace}
 	a.server = newServer(op, d, c,
-		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)),
-		route(peer.LendingHandler(li)), route(peer.RelayHandler(rel)))
+		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)).stamped(ring),
+		route(peer.LendingHandler(li)).stamped(ring), route(peer.RelayHandler(rel)).stamped(ring))
 	a.server.ConnState = a.connections.follow
 	a.server.ConnContext = peer.ConnContext(m.Traffic())
 	return a, nil
@@ -120,6 +122,11 @@
 
 func route(prefix string, handler http.Handler) peerRoute { return peerRoute{prefix, handler} }
 
+// stamped carries the stamps of the ring's clock. Exchanges and pushes carry them in their messages.
+func (p peerRoute) stamped(ring *timeline.Ring) peerRoute {
+	return peerRoute{p.prefix, stamp.Handler(p.handler, ring.Clock())}
+}
+
 func newServer(operators admin.Backend, callers *drainer, c *counters.Set, peers ...peerRoute) *http.Server {
 	r := chi.NewRouter()
 	r.Group(func(r chi.Router) {
--- a/instance/app/settings.go
+++ b/instance/app/settings.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"time"
 
+	"hyssopcroft.example/instance/entry"
 	"hyssopcroft.example/kernel/settings"
 )
 
@@ -31,6 +32,8 @@
 	// BalancerLag is the time that the balancer takes to notice that the instance is not ready.
 	BalancerLag    settings.Duration `json:"balancer_lag"`
 	TimelineEvents int               `json:"timeline_events"`
+	// SlowQuery is the time after which a query is recorded in the timeline.
+	SlowQuery settings.Duration `json:"slow_query"`
 	// TraceFile is the file that decisions are recorded to, "" for none.
 	TraceFile string `json:"trace_file"`
 }
@@ -48,6 +51,9 @@
 	if s.BalancerLag == 0 {
 		s.BalancerLag = settings.Duration(defaultBalancerLag)
 	}
+	if s.SlowQuery == 0 {
+		s.SlowQuery = settings.Duration(entry.DefaultSlowQuery)
+	}
 	if s.TimelineEvents == 0 {
 		s.TimelineEvents = defaultTimelineEvents
 	}
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -19,6 +19,8 @@
 	index   *index
 	request query.Request
 	version query.Version
+	start   time.Time // of the query
+	relayed bool      // the query is part of another instance's
 	restart *snapshot.Restart
 	machine *trace.Machine
 	replies chan sentReply
@@ -40,7 +42,7 @@
 	}
 	restart := snapshot.NewRestart(shardMap.Version, req.Deadline)
 	for {
-		answer, other, again := s.runOnce(ctx, ix, req, shardMap, restart)
+		answer, other, again := s.runOnce(ctx, ix, req, shardMap, restart, start)
 		if !again {
 			if answer.Coverage.Complete() {
 				ix.recordLatency(time.Since(start))
@@ -53,19 +55,20 @@
 }
 
 // runOnce asks at one snapshot, over one level or two.
-func (s *Service) runOnce(ctx context.Context, ix *index, req query.Request, m query.Map, restart *snapshot.Restart) (query.Answer, query.Map, bool) {
+func (s *Service) runOnce(ctx context.Context, ix *index, req query.Request, m query.Map, restart *snapshot.Restart, start time.Time) (query.Answer, query.Map, bool) {
 	if place, twoLevels := ix.placed(); twoLevels {
-		return s.newGroupRun(ix, place, req, m, restart).loop(ctx)
+		return s.newGroupRun(ix, place, req, m, restart, start).loop(ctx)
 	}
-	return s.newRun(ix, req, m, restart).loop(ctx)
+	return s.newRun(ix, req, m, restart, start).loop(ctx)
 }
 
 // newRun returns a run over the targets that this instance holds. restart is nil at a relay, which
 // does not restart a query.
-func (s *Service) newRun(ix *index, req query.Request, shardMap query.Map, restart *snapshot.Restart) *run {
+func (s *Service) newRun(ix *index, req query.Request, shardMap query.Map, restart *snapshot.Restart, start time.Time) *run {
 	cfg := scatter.Config{Request: req, Map: shardMap, Policy: ix.at(shardMap.Version), NextAttempt: s.nextAttempt}
 	return &run{
 		service: s, index: ix, request: req, version: shardMap.Version, restart: restart,
+		start: start, relayed: restart == nil,
 		machine: trace.NewMachine(cfg, s.recorder),
 		replies: make(chan sentReply, len(shardMap.Shards)),
 		cancels: make(map[query.AttemptID]context.CancelFunc, len(shardMap.Shards)),
@@ -97,6 +100,9 @@
 	}
 	answer := r.machine.Answer()
 	other, again := r.index.restartOnFinish(r.restart, answer.Coverage)
+	if !again {
+		r.service.noteSlow(caller, r.request, r.start, r.relayed, answer.Coverage, r.slowest)
+	}
 	return answer, other, again
 }
 
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -21,6 +21,7 @@
 	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
+	"hyssopcroft.example/kernel/timeline"
 	"hyssopcroft.example/query"
 )
 
@@ -46,6 +47,8 @@
 	log           *slog.Logger
 	counters      *counters.Set
 	recorder      *trace.Recorder // nil if nothing is recorded
+	ring          *timeline.Ring  // nil if slow queries are not recorded
+	slowAfter     time.Duration
 
 	relays      *peer.RelayClient
 	members     Members // nil if unused
--- /dev/null
+++ b/instance/entry/slow.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/adapter/stamp"
+	"hyssopcroft.example/kernel/timeline"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/group"
+)
+
+// DefaultSlowQuery is the time after which a query counts as slow: 99 of 100 are to take less.
+const DefaultSlowQuery = 99 * time.Millisecond
+
+// SlowQuery is the timeline event of a query, or of a relay's part of one, that took longer than the
+// threshold or whose answer lacks shards.
+type SlowQuery struct {
+	Request query.RequestID
+	Plan    string
+	Index   string
+	Took    time.Duration
+	// Relayed is set for the part of a query that this instance runs for another.
+	Relayed  bool
+	Included int
+	Missing  []query.MissingShard
+	Slowest  slowest
+}
+
+// slowest is what a query waited for longest: a shard at a target, or a group at a relay.
+type slowest struct {
+	shard    query.Shard
+	target   query.TargetID // or
+	relay    string
+	attempts int
+	hedged   bool
+	cause    query.Cause
+}
+
+// Topic is the kind of the event.
+func (e SlowQuery) Topic() string {
+	switch {
+	case e.Relayed && len(e.Missing) > 0:
+		return "relay_incomplete"
+	case e.Relayed:
+		return "relay_slow"
+	case len(e.Missing) > 0:
+		return "query_incomplete"
+	}
+	return "query_slow"
+}
+
+// Detail describes the event in one line.
+func (e SlowQuery) Detail() string {
+	s := e.Slowest
+	where := "target=" + string(s.target)
+	if s.relay != "" {
+		where = "relay=" + s.relay
+	}
+	text := fmt.Sprintf("plan=%s index=%s took=%s shard=%d %s attempts=%d hedged=%t", e.Plan, e.Index,
+		e.Took.Round(time.Microsecond), s.shard, where, s.attempts, s.hedged)
+	if len(e.Missing) > 0 {
+		return fmt.Sprintf("%s missing=%d of %d cause=%s", text, len(e.Missing), len(e.Missing)+e.Included, e.Missing[0].Cause)
+	}
+	if s.cause != "" {
+		text += " cause=" + string(s.cause)
+	}
+	return text
+}
+
+// UseTimeline sets where slow queries are recorded and the time after which a query is slow. Messages
+// to targets and relays carry the stamps of its clock. It must be called before Start.
+func (s *Service) UseTimeline(ring *timeline.Ring, slowAfter time.Duration) {
+	s.ring, s.slowAfter = ring, slowAfter
+	s.targets.UseClock(ring.Clock())
+	s.relays = peer.NewRelayClient(stamp.Transport(s.peerPool, ring.Clock()))
+}
+
+// noteSlow records a query that ended slow or incomplete. find is called for those only. A query that
+// its caller gave up lacks shards for that reason alone, and counts only if it is slow.
+func (s *Service) noteSlow(ctx context.Context, req query.Request, start time.Time, relayed bool, c query.Coverage, find func() slowest) {
+	took := time.Since(start)
+	givenUp := errors.Is(ctx.Err(), context.Canceled)
+	if s.ring == nil || took <= s.slowAfter && (c.Complete() || givenUp) {
+		return
+	}
+	e := SlowQuery{
+		Request: req.ID, Plan: req.Plan, Index: req.Index, Took: took, Relayed: relayed, Included: len(c.Included),
+		Missing: c.Missing, Slowest: find(),
+	}
+	s.ring.Add(e.Topic(), e.Request.String(), e.Detail())
+}
+
+// slowest returns what the query at the targets waited for longest.
+func (r *run) slowest() slowest {
+	m := r.machine.Slowest()
+	return slowest{shard: m.Shard, target: m.Target, attempts: m.Attempts, hedged: m.Hedges > 0, cause: m.Cause}
+}
+
+// slowest returns what the query at the relays waited for longest: the first group that is not covered
+// or, if all are, the one that was answered last.
+func (r *groupRun) slowest(c query.Coverage) slowest {
+	shard := r.lastShard
+	if len(c.Missing) > 0 {
+		shard = c.Missing[0].Shard
+	}
+	found := slowest{shard: shard}
+	for _, a := range r.sent {
+		if !containsShard(a, shard) {
+			continue
+		}
+		if found.attempts == 0 {
+			found.relay = a.Relay
+		}
+		found.attempts++
+	}
+	found.hedged = found.attempts > 1
+	return found
+}
+
+func containsShard(a group.Action, s query.Shard) bool {
+	for _, shard := range a.Shards {
+		if shard == s {
+			return true
+		}
+	}
+	return false
+}
--- a/instance/entry/two_level.go
+++ b/instance/entry/two_level.go
@@ -26,6 +26,10 @@
 	machine  *group.Machine
 	replies  chan sentPartial
 	cancels  map[query.AttemptID]context.CancelFunc
+	start    time.Time // of the query
+	sent     []group.Action
+	// lastShard belongs to the group that was answered last.
+	lastShard query.Shard
 }
 
 type sentPartial struct {
@@ -33,10 +37,10 @@
 	partial peer.Partial
 }
 
-func (s *Service) newGroupRun(ix *index, place *placement.Index, req query.Request, m query.Map, restart *snapshot.Restart) *groupRun {
+func (s *Service) newGroupRun(ix *index, place *placement.Index, req query.Request, m query.Map, restart *snapshot.Restart, start time.Time) *groupRun {
 	parts := group.Divide(place, m, func(id placement.GroupID) []string { return s.relaysOf(place, id) })
 	return &groupRun{
-		service: s, index: ix, request: req, priority: s.priorityOf(req.Plan), shardMap: m, restart: restart, place: place,
+		service: s, index: ix, request: req, priority: s.priorityOf(req.Plan), shardMap: m, restart: restart, place: place, start: start,
 		machine: group.New(group.Config{
 			Request: req, Map: m, Parts: parts, HedgeAfter: ix.hedgeAfter(), Budget: ix, NextAttempt: s.nextAttempt,
 		}),
@@ -46,8 +50,8 @@
 }
 
 // loop returns the answer, or true with the map that the query has to be asked at again.
-func (r *groupRun) loop(ctx context.Context) (query.Answer, query.Map, bool) {
-	ctx, cancel := context.WithCancel(ctx)
+func (r *groupRun) loop(caller context.Context) (query.Answer, query.Map, bool) {
+	ctx, cancel := context.WithCancel(caller)
 	defer cancel() // ends all attempts that are still in flight
 	defer r.countDropped()
 	finished := r.perform(ctx, r.machine.Start(time.Now()))
@@ -59,6 +63,7 @@
 			if other, again := r.index.restartOnPart(r.restart, p.partial.Answer.Coverage); again {
 				return query.Answer{}, other, true
 			}
+			r.noteReply(p.attempt)
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), p.attempt, p.partial.Reply))
 		case <-timer.C:
 			finished = r.perform(ctx, r.machine.OnWake(time.Now()))
@@ -69,9 +74,21 @@
 	}
 	answer := r.machine.Answer()
 	other, again := r.index.restartOnFinish(r.restart, answer.Coverage)
+	if !again {
+		r.service.noteSlow(caller, r.request, r.start, false, answer.Coverage, func() slowest { return r.slowest(answer.Coverage) })
+	}
 	return answer, other, again
 }
 
+// noteReply remembers the group that was answered last.
+func (r *groupRun) noteReply(attempt query.AttemptID) {
+	for _, a := range r.sent {
+		if a.Attempt == attempt {
+			r.lastShard = a.Shards[0]
+		}
+	}
+}
+
 func (r *groupRun) countDropped() {
 	for reason, n := range r.machine.Dropped() {
 		r.service.counters.Counter(reason).Add(n)
@@ -97,6 +114,7 @@
 func (r *groupRun) send(ctx context.Context, a group.Action) {
 	ctx, cancel := context.WithDeadline(ctx, r.request.Deadline)
 	r.cancels[a.Attempt] = cancel
+	r.sent = append(r.sent, a)
 	call := peer.ScatterGroup{
 		Request: r.request.ID, Attempt: a.Attempt, Index: r.request.Index, Snapshot: r.shardMap.Version, Shards: a.Shards,
 		Query: r.request.Query, Limit: r.request.Limit, Plan: r.request.Plan, Priority: r.priority,
@@ -151,7 +169,7 @@
 		PreferCoverage: s.prefersCoverage(g.Plan),
 	}
 	asked := query.Map{Version: g.Snapshot, Shards: g.Shards}
-	p.Answer, _, _ = s.newRun(ix, req, asked, nil).loop(ctx)
+	p.Answer, _, _ = s.newRun(ix, req, asked, nil, start).loop(ctx)
 	p.Outcome = query.OutcomeAnswered
 	p.Versions = ix.report(asked)
 	p.Took = time.Since(start)
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -63,6 +63,7 @@
 	timers     timers
 	openShards int
 	finished   bool
+	latest     int32            // shard that was covered or given up last, -1 before the first
 	ran        bool             // a target may have run a part of the query
 	actions    []Action         // reused by every call
 	tried      []query.TargetID // scratch space
@@ -81,6 +82,7 @@
 		timers:     make(timers, 0, n+n/16+1),
 		actions:    make([]Action, 0, n+1),
 		openShards: n,
+		latest:     -1,
 	}
 	if m.policy == nil {
 		m.policy = single{chooser: cfg.Chooser}
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -33,6 +33,7 @@
 	latest   int32 // latest attempt, -1 before the first
 	round    int32 // latest attempt of the earlier rounds, -1 in the first round
 	holds    bool  // in this round an attempt ended otherwise than by "does not hold it"
+	hedges   int32 // attempts sent besides another one
 	free     bool  // the next retry replaces an attempt that certainly did not run
 	pause    time.Duration
 	wake     time.Time     // timer in force; others of the shard are out of date
@@ -82,6 +83,8 @@
 	sh.latest = int32(len(m.attempts) - 1)
 	if sh.inFlight == 0 {
 		sh.since = now
+	} else {
+		sh.hedges++
 	}
 	sh.inFlight++
 	m.actions = append(m.actions, Action{
@@ -219,6 +222,7 @@
 // closeShard ends the work for a shard that is covered, or that the answer will lack.
 func (m *Machine) closeShard(i int32) {
 	m.shards[i].open = false
+	m.latest = i
 	m.openShards--
 }
 
