--- a/cmd/hyssopctl/timeline_page.go
+++ b/cmd/hyssopctl/timeline_page.go
@@ -28,8 +28,8 @@
 // those of one query lie within milliseconds and the others minutes apart.
 type page struct {
 	Left, Width, Height int // Left is the start of the lanes
-	Lanes         []lane
-	Events        []mark
+	Lanes               []lane
+	Events              []mark
 }
 
 type lane struct {
