--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -183,7 +184,10 @@
 		return config.Limit{}, refusal(http.StatusForbidden, problem.UnknownPlan, "no plan is named "+plan)
 	}
 	limit, ok := lists.Limits[plan]
-	if !ok || entry.Value.Suspended || !contains(limit.Value.Indexes, index) {
+	if entry.Value.Suspended {
+		return config.Limit{}, refusal(http.StatusForbidden, problem.PlanRefused, "plan "+plan+" is suspended")
+	}
+	if !ok || !slices.Contains(limit.Value.Indexes, index) {
 		return config.Limit{}, refusal(http.StatusForbidden, problem.PlanRefused, "plan "+plan+" may not use index "+index)
 	}
 	return limit.Value, nil
@@ -206,15 +210,6 @@
 	return &problem.Problem{Status: status, Code: code, Message: message, Run: problem.NotRun}
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Service) random() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/instance/limits/lease.go
+++ b/instance/limits/lease.go
@@ -21,12 +21,12 @@
 	// kindLeases is the kind of the lease objects. The platform removes an expired lease.
 	kindLeases = "leases"
 	// leaseTime is the time for which a lender uses a lease without renewal.
-	leaseTime = 6 * time.Second
+	leaseTime = 4 * time.Second
 	// objectTime is the time after which the platform removes a lease that is not renewed. By then
 	// the last loan of its lender has ended, so a lender that finds no lease has no predecessor.
 	objectTime = leaseTime + share.LoanTime
 	// renewPeriod is the time between two renewals.
-	renewPeriod = 2 * time.Second
+	renewPeriod = time.Second
 	// takeoverDelay is the time without an answer from the store after which the chosen instance
 	// lends without a lease. Until then a predecessor may be lending.
 	takeoverDelay = objectTime
--- a/instance/limits/service.go
+++ b/instance/limits/service.go
@@ -128,20 +128,27 @@
 		case <-ctx.Done():
 			return
 		}
-		live, _ := s.live()
-		for _, b := range s.buckets {
-			if ctx.Err() != nil {
-				return
-			}
+		s.lookAtLeases(ctx)
+		s.ready.Store(true)
+		timer.Reset(leadTick)
+	}
+}
+
+// lookAtLeases looks at all buckets at the same time, because a store that does not answer delays
+// each of them by a call's timeout, which is half of the time of a lease.
+func (s *Service) lookAtLeases(ctx context.Context) {
+	live, _ := s.live()
+	var wait sync.WaitGroup
+	for _, b := range s.buckets {
+		wait.Go(func() {
 			if lenderOf(b.number, live) == s.cfg.Instance {
 				b.keep(ctx)
 			} else {
 				b.resign(ctx)
 			}
-		}
-		s.ready.Store(true)
-		timer.Reset(leadTick)
+		})
 	}
+	wait.Wait()
 }
 
 // live returns the ids of the live members and their addresses.
@@ -157,6 +164,9 @@
 	return ids, addresses
 }
 
+// LenderOf returns the instance that is to lend the limit of a plan, "" if none is live.
+func LenderOf(plan string, live []string) string { return lenderOf(bucketOf(plan), live) }
+
 func lenderOf(bucket int, live []string) string {
 	return rendezvous.Choose("share-"+strconv.Itoa(bucket), live)
 }
@@ -190,7 +200,7 @@
 			continue
 		}
 		if ask, ok := h.nextAsk(now, limit, max(1, len(live))); ok {
-			lender := lenderOf(bucketOf(plan), live)
+			lender := LenderOf(plan, live)
 			due[lender] = append(due[lender], peer.AskToWire(plan, ask))
 		}
 	}
