Try shedding replicas again in rounds that double their pause

Cause: paying for refusals of later rounds used up the retry tokens while a shard's only replica shed, so that shard-loss lost two answers of 12000 in one case. Change: such retries are free again, and the pause between rounds doubles up to 250 ms in place of 50 ms, which bounds them to about ten a second. Admission starts from a limit of 128 in place of 512, so that it settles sooner.

--- a/query/admission/controller.go
+++ b/query/admission/controller.go
@@ -11,7 +11,7 @@
 const (
 	// initialLimit is above what an instance uses without overload, so that nothing is refused before
 	// the lowest latency is known.
-	initialLimit = 512.0
+	initialLimit = 128.0
 	minLimit     = 4.0
 	maxLimit     = 4096.0
 	// congested is the ratio of the average latency to the lowest one above which the limit falls.
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -13,9 +13,10 @@
 	limitedWait = time.Millisecond
 	// tokenWait is the time after which a plan that prefers coverage asks for a token again.
 	tokenWait = 5 * time.Millisecond
-	// firstRound and longestRound bound the pause before all replicas of a shard are tried again.
+	// firstRound and longestRound bound the pause before all replicas of a shard are tried again. It
+	// doubles, so that replicas that shed are asked about ten times in a second.
 	firstRound   = 2 * time.Millisecond
-	longestRound = 50 * time.Millisecond
+	longestRound = 250 * time.Millisecond
 	// unlearntShare is the share of the time left after which a hedge is due while the class's
 	// latency is not known.
 	unlearntShare = 4
@@ -141,9 +142,8 @@
 // retry follows an attempt that brought no answer while no other is in flight.
 func (m *Machine) retry(now time.Time, i int32, free bool) {
 	sh := &m.shards[i]
-	// Refusals of later rounds are paid for, or shedding replicas would be asked again and again.
-	sh.free = free && sh.round < 0
-	switch m.send(now, i, replica.Retry, sh.free) {
+	sh.free = free
+	switch m.send(now, i, replica.Retry, free) {
 	case replica.Limited:
 		m.arm(now.Add(limitedWait), i)
 	case replica.NoToken:
