--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -15,12 +15,15 @@
 	"hyssopcroft.example/adapter/caller"
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/control/drain"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/claims"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/entry"
+	"hyssopcroft.example/instance/limits"
 	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/instance/operator"
+	"hyssopcroft.example/instance/relay"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
 	"hyssopcroft.example/kernel/hlc"
@@ -32,8 +35,12 @@
 	settings Settings
 	log      *slog.Logger
 	kernel   *kernel.Kernel
-	server   *http.Server
-	listener net.Listener
+	members  *members.Service
+	drain    *drainer
+
+	server      *http.Server
+	connections *connections
+	listener    net.Listener
 }
 
 // New assembles an instance and binds its address. Nothing is served before Start.
@@ -62,31 +69,61 @@
 		Bus: k.Bus(), Log: log, Counters: c,
 	})
 	e.UseClaims(cl)
+	li := limits.New(limits.Config{
+		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: peer.NewTransport(nil),
+		Ring: ring, Log: log, Counters: c,
+	})
+	e.UseLimits(li)
+	e.UseMembers(m)
+	rel := relay.New(e, c)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
-	for _, service := range []kernel.Service{e, cfg, m, cl, op} {
+	op.RequireReady(li.Ready)
+	// At 20 connections a second, the first queries of an unconnected instance would miss their deadlines.
+	op.RequireReady(e.Connected)
+	for _, service := range []kernel.Service{e, cfg, m, cl, li, op, rel} {
 		if err := k.Register(service); err != nil {
 			return nil, err
 		}
 	}
-	return &App{settings: s, log: log, kernel: k, server: newServer(e, op, m, cfg, cl, c), listener: listener}, nil
+	d := newDrainer(e, s, c, func(p drain.Phase) {
+		ev := DrainPhase{Instance: s.Instance, Phase: p.String()}
+		log.Info("drain phase changed", "phase", ev.Phase)
+		ring.Add(ev.Topic(), ev.Instance, ev.Phase)
+		if err := k.Bus().Publish(ev); err != nil {
+			log.Error("event not published", "topic", ev.Topic(), "error", err)
+		}
+	})
+	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), listener: listener}
+	a.server = newServer(op, d, c,
+		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)),
+		route(peer.LendingHandler(li)), route(peer.RelayHandler(rel)))
+	a.server.ConnState = a.connections.follow
+	a.server.ConnContext = peer.ConnContext(m.Traffic())
+	return a, nil
+}
+
+// peerRoute is the handler of one twirp service and the prefix of its paths.
+type peerRoute struct {
+	prefix  string
+	handler http.Handler
 }
 
-func newServer(e *entry.Service, op *operator.Service, m *members.Service, cfg *configsync.Service, cl *claims.Service, c *counters.Set) *http.Server {
+func route(prefix string, handler http.Handler) peerRoute { return peerRoute{prefix, handler} }
+
+func newServer(operators admin.Backend, callers *drainer, c *counters.Set, peers ...peerRoute) *http.Server {
 	r := chi.NewRouter()
-	caller.Routes(r, e)
-	admin.Routes(r, op, c)
-	prefix, handler := peer.MembershipHandler(m)
-	r.Handle(prefix+"*", handler)
-	prefix, handler = peer.DistributionHandler(cfg)
-	r.Handle(prefix+"*", handler)
-	prefix, handler = peer.ExecutionHandler(cl)
-	r.Handle(prefix+"*", handler)
+	r.Group(func(r chi.Router) {
+		r.Use(callers.closeWhileLeaving)
+		caller.Routes(r, callers)
+	})
+	admin.Routes(r, operators, c)
+	for _, p := range peers {
+		r.Handle(p.prefix+"*", p.handler)
+	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler: r, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout, ConnContext: peer.ConnContext(m.Traffic()),
-	}
+	return &http.Server{Handler: r, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout}
 }
 
 // readHeaderTimeout ends connections whose peer sends no complete request header.
@@ -118,14 +155,22 @@
 // Address returns the address on which the instance listens.
 func (a *App) Address() string { return a.listener.Addr().String() }
 
-// Stop finishes the requests in flight and stops the services, within the shutdown timeout.
+// Stop leaves the fleet gracefully: it announces that it is leaving, serves until the balancer has
+// noticed, refuses new work, finishes the work in flight and stops the services. It takes at most
+// the shutdown timeout.
 func (a *App) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(a.settings.ShutdownTimeout))
 	defer cancel()
-	err := a.server.Shutdown(ctx)
+	idle := a.drain.begin()
+	a.members.Leave()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+	err := a.connections.close(ctx, a.server)
 	if stopErr := a.kernel.Stop(ctx); err == nil {
 		err = stopErr
 	}
-	a.log.Info("instance stopped")
+	a.log.Info("instance stopped", "requests_cut", a.drain.cut())
 	return errors.Wrap(err, "stop instance")
 }
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -104,6 +104,16 @@
 	return nil
 }
 
+// Leave announces to the peers that the instance is leaving.
+func (s *Service) Leave() { s.Announce(membership.Leaving) }
+
+// Leaving reports whether the instance has announced that it is leaving.
+func (s *Service) Leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.Self().State == membership.Leaving
+}
+
 // Announce changes the state of the instance itself, for example to membership.Leaving, and tells
 // the peers at once.
 func (s *Service) Announce(state membership.State) {
--- a/instance/operator/service.go
+++ b/instance/operator/service.go
@@ -30,6 +30,8 @@
 	members  *members.Service
 	ring     *timeline.Ring
 	counters *counters.Set
+
+	ready []func() bool
 }
 
 // New returns a service for one instance.
@@ -40,6 +42,9 @@
 	}
 }
 
+// RequireReady adds a condition for the instance to be ready. It must be called before Start.
+func (s *Service) RequireReady(f func() bool) { s.ready = append(s.ready, f) }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
@@ -113,9 +118,14 @@
 	return status
 }
 
-// Ready reports whether the instance can take requests.
+// Ready reports whether the instance should be sent requests.
 func (s *Service) Ready() bool {
-	return s.config.Ready()
+	for _, ready := range s.ready {
+		if !ready() {
+			return false
+		}
+	}
+	return s.config.Ready() && !s.members.Leaving()
 }
 
 // Timeline returns the latest events of this instance.
