--- a/emulator/measure/churn_instance.go
+++ b/emulator/measure/churn_instance.go
@@ -161,8 +161,8 @@
 	return p.in.pool.Choose(now, w)
 }
 
-// End implements scatter.Policy.
-func (p churnPolicy) End(now time.Time, e replica.End) { p.in.pool.End(now, e) }
-
 // Overdue implements scatter.Policy.
 func (p churnPolicy) Overdue(id query.TargetID, sent time.Time) { p.in.pool.Overdue(id, sent) }
+
+// End implements scatter.Policy.
+func (p churnPolicy) End(now time.Time, e replica.End) { p.in.pool.End(now, e) }
