Keep up sums of loans and wants at the lender

Change: sums of reserved loans and wants are kept up by each ask and computed anew every 50 ms, together with the level of max-min fairness. Loans that have ended stay reserved until then, which lends less and never more.

--- a/control/share/lender.go
+++ b/control/share/lender.go
@@ -19,10 +19,19 @@
 	want     Amount
 }
 
+// sweepPeriod is the time between two looks at all accounts. The sums that they give are kept up
+// between them, because looking at all holders for each ask would cost a tenth of a core at the
+// size of the largest fleet. Until the next look, loans that have ended stay reserved.
+const sweepPeriod = 50 * time.Millisecond
+
 // Lender divides the lendable part of one plan's limit. It is not safe for concurrent use.
 type Lender struct {
 	limit    Amount
 	accounts map[string]*account
+	reserved Amount // sum over the accounts
+	wanted   Amount // sum over the accounts
+	level    level  // as of the latest sweep
+	swept    time.Time
 	last     LoanID
 	// growAfter is the time until which loans of a predecessor may be in use. Before it, a holder
 	// gets at most what it holds.
@@ -44,25 +53,27 @@
 
 // OnAsk returns the loan that the holder may use from now on.
 func (l *Lender) OnAsk(now time.Time, ask Ask) Loan {
-	l.expire(now)
+	if now.Sub(l.swept) >= sweepPeriod {
+		l.sweep(now)
+	}
 	a := l.accountOf(ask.Holder)
+	l.reserved, l.wanted = l.reserved.minus(a.reserved()), l.wanted.minus(a.want)
+	a.expire(now)
 	l.adopt(a, ask, now)
 	a.acknowledge(ask.Using)
 	a.want, a.inFlight = ask.Want, ask.InFlight
+	l.wanted = l.wanted.plus(a.want)
 	amount := l.amountFor(ask, now)
 	l.last.Number++
 	a.loans = append(a.loans, outstanding{id: l.last, amount: amount, expires: now.Add(LoanTime)})
+	l.reserved = l.reserved.plus(a.reserved())
 	return Loan{ID: l.last, Amount: amount, Time: LoanTime}
 }
 
 // Lent returns the sum of what holders may be using.
 func (l *Lender) Lent(now time.Time) Amount {
-	l.expire(now)
-	var sum Amount
-	for _, a := range l.accounts {
-		sum = sum.plus(a.reserved())
-	}
-	return sum
+	l.sweep(now)
+	return l.reserved
 }
 
 // adopt takes over a loan of the predecessor. The predecessor lent no more than the limit in all,
@@ -76,38 +87,27 @@
 	slices.SortFunc(a.loans, func(x, y outstanding) int { return x.id.Compare(y.id) })
 }
 
+// amountFor must be called while the reserved sum leaves the holder out.
 func (l *Lender) amountFor(ask Ask, now time.Time) Amount {
-	free := l.freeFor(ask.Holder)
+	free := Lendable(l.limit).minus(l.reserved).atLeastZero()
 	if now.Before(l.growAfter) {
 		return least(ask.Held, free)
 	}
 	return least(l.fairPart(ask.Want), free)
 }
 
-// freeFor returns the lendable amount less what the other holders may be using.
-func (l *Lender) freeFor(holder string) Amount {
-	free := Lendable(l.limit)
-	for name, a := range l.accounts {
-		if name != holder {
-			free = free.minus(a.reserved())
-		}
-	}
-	return free.atLeastZero()
-}
+// level is the amount at which wants are cut if they exceed what can be lent.
+type level struct{ rate, concurrency float64 }
 
 // fairPart returns a want, cut by max-min fairness if the wants exceed what can be lent, or with a
 // part of the slack if they do not, so that growing demand finds room before the next ask.
 func (l *Lender) fairPart(want Amount) Amount {
 	lendable := Lendable(l.limit)
-	rates := make([]float64, 0, len(l.accounts))
-	slots := make([]float64, 0, len(l.accounts))
-	for _, a := range l.accounts {
-		rates = append(rates, a.want.Rate)
-		slots = append(slots, float64(a.want.Concurrency))
-	}
+	holders := len(l.accounts)
 	return Amount{
-		Rate:        fair(want.Rate, rates, lendable.Rate),
-		Concurrency: int(fair(float64(want.Concurrency), slots, float64(lendable.Concurrency))),
+		Rate: fair(want.Rate, l.wanted.Rate, lendable.Rate, l.level.rate, holders),
+		Concurrency: int(fair(float64(want.Concurrency), float64(l.wanted.Concurrency),
+			float64(lendable.Concurrency), l.level.concurrency, holders)),
 	}
 }
 
@@ -123,31 +123,29 @@
 // fair divides half of the slack equally, for holders whose demand begins, and half in proportion
 // to the wants, because random demand varies more where it is larger. No holder gets more slack
 // than it wants, since slack that is lent stays out of reach of the others until the next ask.
-func fair(want float64, wants []float64, total float64) float64 {
-	sum := 0.0
-	for _, w := range wants {
-		sum += w
-	}
+func fair(want, sum, total, level float64, holders int) float64 {
 	if sum > total {
-		return min(want, waterLevel(wants, total))
+		return min(want, level)
 	}
 	slack := max(0, total*(1-keptShare)-sum)
-	part := 1 / float64(len(wants))
+	part := 1 / float64(holders)
 	if sum > 0 {
 		part = (part + want/sum) / 2
 	}
 	return want + min(slack*part, max(want, total*leastSlackShare))
 }
 
-// waterLevel returns the level at which the wants, each cut to it, add up to the total.
+// waterLevel returns the level at which the wants, each cut to it, add up to the total. It returns
+// the total if there are no wants or they add up to less.
 func waterLevel(wants []float64, total float64) float64 {
 	slices.Sort(wants)
+	left := total
 	for i, w := range wants {
-		level := total / float64(len(wants)-i)
+		level := left / float64(len(wants)-i)
 		if w > level {
 			return level
 		}
-		total -= w
+		left -= w
 	}
 	return total
 }
@@ -161,13 +159,28 @@
 	return a
 }
 
-func (l *Lender) expire(now time.Time) {
+// sweep ends loans whose time is over, and computes the sums and the level anew.
+func (l *Lender) sweep(now time.Time) {
+	l.swept = now
+	l.reserved, l.wanted = Amount{}, Amount{}
+	rates := make([]float64, 0, len(l.accounts))
+	slots := make([]float64, 0, len(l.accounts))
 	for name, a := range l.accounts {
-		a.loans = slices.DeleteFunc(a.loans, func(o outstanding) bool { return !now.Before(o.expires) })
+		a.expire(now)
 		if len(a.loans) == 0 {
 			delete(l.accounts, name)
+			continue
 		}
+		l.reserved, l.wanted = l.reserved.plus(a.reserved()), l.wanted.plus(a.want)
+		rates, slots = append(rates, a.want.Rate), append(slots, float64(a.want.Concurrency))
 	}
+	lendable := Lendable(l.limit)
+	l.level = level{rate: waterLevel(rates, lendable.Rate), concurrency: waterLevel(slots, float64(lendable.Concurrency))}
+}
+
+// expire forgets the loans whose time is over.
+func (a *account) expire(now time.Time) {
+	a.loans = slices.DeleteFunc(a.loans, func(o outstanding) bool { return !now.Before(o.expires) })
 }
 
 // acknowledge forgets the loans that were replaced by the one in use.
--- /dev/null
+++ b/control/share/lender_bench_test.go
@@ -0,0 +1,32 @@
+package share
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkOnAsk gives the processor time of an ask at the lender of a plan that is in use at every
+// instance, for sizes of the fleet up to the target.
+func BenchmarkOnAsk(b *testing.B) {
+	for _, holders := range []int{8, 64, 780} {
+		b.Run(fmt.Sprint(holders), func(b *testing.B) {
+			now := start()
+			l := NewLender(Amount{Rate: 130_000, Concurrency: 13_000}, 1, now, false)
+			names := make([]string, holders)
+			using := make([]Loan, holders)
+			for i := range names {
+				names[i] = fmt.Sprintf("instance-%d", i)
+			}
+			// Each holder asks once in AskPeriod.
+			step := AskPeriod / time.Duration(holders)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(step)
+				h := i % holders
+				want := Amount{Rate: float64(100 + i%100), Concurrency: 10 + i%10}
+				using[h] = l.OnAsk(now, Ask{Holder: names[h], Using: using[h].ID, Held: using[h].Amount, HeldFor: time.Second, Want: want})
+			}
+		})
+	}
+}
