Test that an execute given to a holder is not repeated by the transport

Cause: after a stream reset with PROTOCOL_ERROR, net/http sends a request again if its body can be read again, without an end; an earlier form of the test did not show it.

Change: a test peer that takes requests and resets them with this code.

Conclusion: the transport cannot repeat a claimed request.

--- a/adapter/peer/execution_test.go
+++ b/adapter/peer/execution_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
@@ -42,8 +43,37 @@
 	require.False(t, NotDelivered(errors.New("deadline exceeded")))
 }
 
-// Guards against a claimed request that the transport sends a second time after a peer took it and
-// went away, and against a refused connection that counts as delivered.
+// resetStreams speaks enough HTTP/2 to take requests and to end each with the reset code PROTOCOL_ERROR,
+// after which net/http sends a request again if it can. It counts the requests.
+func resetStreams(c net.Conn, taken *atomic.Int64) {
+	const (
+		frameData, frameReset, frameSettings = 0x0, 0x3, 0x4
+		flagEndStream                        = 0x1
+	)
+	defer c.Close()
+	if _, err := io.ReadFull(c, make([]byte, len("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"))); err != nil {
+		return
+	}
+	_, _ = c.Write([]byte{0, 0, 0, frameSettings, 0, 0, 0, 0, 0}) // the client notices a lost frame
+	header := make([]byte, 9)
+	for {
+		if _, err := io.ReadFull(c, header); err != nil {
+			return
+		}
+		length := int64(header[0])<<16 | int64(header[1])<<8 | int64(header[2])
+		if _, err := io.CopyN(io.Discard, c, length); err != nil {
+			return
+		}
+		if header[3] == frameData && header[4]&flagEndStream != 0 {
+			taken.Add(1)
+			reset := append([]byte{0, 0, 4, frameReset, 0}, header[5:9]...)
+			_, _ = c.Write(append(reset, 0, 0, 0, 1)) // as above
+		}
+	}
+}
+
+// Guards against a claimed request that the transport sends a second time after a peer took it, and
+// against a refused connection that counts as delivered.
 func TestSendExecuteIsDeliveredAtMostOnce(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -54,20 +84,19 @@
 			if err != nil {
 				return
 			}
-			if n, _ := io.ReadAtLeast(c, make([]byte, 1<<16), 24); n > 0 { // the preface of HTTP/2
-				taken.Add(1)
-			}
-			_ = c.Close() // the peer goes away
+			go resetStreams(c, &taken)
 		}
 	}()
 	transport := NewTransport(nil)
-	defer transport.CloseIdleConnections()
 	client := SendExecuteClient(l.Addr().String(), transport)
-	_, err = client.SendExecute(context.Background(), &executepb.SendExecuteRequest{Key: "k"})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second) // ends a transport that repeats itself
+	defer cancel()
+	_, err = client.SendExecute(ctx, &executepb.SendExecuteRequest{Key: "k"})
 	require.Error(t, err)
 	require.False(t, NotDelivered(err))
 	require.Equal(t, int64(1), taken.Load())
+	transport.CloseIdleConnections()
 	require.NoError(t, l.Close())
-	_, err = client.SendExecute(context.Background(), &executepb.SendExecuteRequest{Key: "k"})
+	_, err = SendExecuteClient(l.Addr().String(), NewTransport(nil)).SendExecute(t.Context(), &executepb.SendExecuteRequest{Key: "k"})
 	require.True(t, NotDelivered(err), "%v", err)
 }
