--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -13,9 +13,10 @@
 	limitedWait = time.Millisecond
 	// tokenWait is the time after which a plan that prefers coverage asks for a token again.
 	tokenWait = 5 * time.Millisecond
-	// firstRound and longestRound bound the pause before all replicas of a shard are tried again.
+	// firstRound and longestRound bound the pause before all replicas of a shard are tried again. It
+	// doubles, so that replicas that shed are asked about ten times in a second.
 	firstRound   = 2 * time.Millisecond
-	longestRound = 50 * time.Millisecond
+	longestRound = 250 * time.Millisecond
 	// unlearntShare is the share of the time left after which a hedge is due while the class's
 	// latency is not known.
 	unlearntShare = 4
@@ -32,6 +33,7 @@
 	inFlight int32
 	latest   int32 // latest attempt, -1 before the first
 	round    int32 // latest attempt of the earlier rounds, -1 in the first round
+	holds    bool  // in this round an attempt ended otherwise than by "does not hold it"
 	free     bool  // the next retry replaces an attempt that certainly did not run
 	pause    time.Duration
 	wake     time.Time     // timer in force; others of the shard are out of date
@@ -161,11 +163,11 @@
 // is of no use where the replicas answered that they do not hold the snapshot or the shard.
 func (m *Machine) nextRound(now time.Time, i int32) {
 	sh := &m.shards[i]
-	if !m.cfg.Request.PreferCoverage || sh.cause == query.CauseSnapshotGone {
+	if !m.cfg.Request.PreferCoverage || sh.latest > sh.round && !sh.holds {
 		m.closeShard(i)
 		return
 	}
-	sh.round = sh.latest
+	sh.round, sh.holds = sh.latest, false
 	sh.pause = min(max(2*sh.pause, firstRound), longestRound)
 	m.arm(now.Add(sh.pause), i)
 }
