Hold back requests that crash targets

Cause: a request that crashes each target that runs it was sent to all shards, retried on other replicas, and sent again by its caller through other instances. Change: query/quarantine lists suspected and confirmed fingerprints and the shapes that have succeeded. The entry asks one target first (a canary) for an unseen shape or a suspect; scatter.Machine sends nothing more after a crash until another target has answered. Relays send nothing of a held request. Suspicions travel by twirp to four peers and on. Conclusion: confirmed requests travel with the suspicions; the object quarantine/current is not written yet, so an instance that starts later learns of them by its own canaries.

--- a/adapter/peer/relay.go
+++ b/adapter/peer/relay.go
@@ -29,6 +29,10 @@
 	Plan     string
 	// Priority is the name of the plan's priority.
 	Priority string
+	// Canary asks the only shard at one target, without hedges and retries.
+	Canary bool
+	// Cleared says that a target has answered this request before.
+	Cleared bool
 }
 
 // Partial is what a relay returns for a group.
--- a/adapter/peer/relay_test.go
+++ b/adapter/peer/relay_test.go
@@ -30,9 +30,13 @@
 	return r.answer(req), nil
 }
 
+func (r relay) Suspect(context.Context, *relaypb.SuspectRequest) (*relaypb.SuspectResponse, error) {
+	return &relaypb.SuspectResponse{}, nil
+}
+
 var call = peer.ScatterGroup{
 	Request: 1, Attempt: 2, Index: "ledger", Snapshot: 3, Shards: []query.Shard{4, 5}, Query: "jars", Limit: 6,
-	TimeLeft: 7 * time.Millisecond, Plan: "counter", Priority: "high",
+	TimeLeft: 7 * time.Millisecond, Plan: "counter", Priority: "high", Canary: true, Cleared: true,
 }
 
 // Guards against a field of a group or of a partial answer that is lost or changed on its way.
--- a/adapter/peer/relay_wire.go
+++ b/adapter/peer/relay_wire.go
@@ -14,6 +14,7 @@
 		RequestId: uint64(s.Request), AttemptId: uint64(s.Attempt), Index: s.Index, Snapshot: uint64(s.Snapshot),
 		Shards: numbers[uint32](s.Shards), Query: s.Query, Limit: uint32(s.Limit),
 		TimeLeftUs: uint32(max(0, s.TimeLeft.Microseconds())), Plan: s.Plan, Priority: s.Priority,
+		Canary: s.Canary, Cleared: s.Cleared,
 	}
 }
 
@@ -23,6 +24,7 @@
 		Request: query.RequestID(r.RequestId), Attempt: query.AttemptID(r.AttemptId), Index: r.Index,
 		Snapshot: query.Version(r.Snapshot), Shards: numbers[query.Shard](r.Shards), Query: r.Query, Limit: int(r.Limit),
 		TimeLeft: time.Duration(r.TimeLeftUs) * time.Microsecond, Plan: r.Plan, Priority: r.Priority,
+		Canary: r.Canary, Cleared: r.Cleared,
 	}
 }
 
--- /dev/null
+++ b/instance/entry/canary.go
@@ -0,0 +1,160 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/adapter/target"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/group"
+	"hyssopcroft.example/query/quarantine"
+)
+
+const (
+	// canaryPoll is the pause between two looks at the canary of another request with the same text. It
+	// is below the mean service time.
+	canaryPoll = time.Millisecond
+	// canaryPlaces is the number of targets that are asked for a canary one after the other, if they do
+	// not take it.
+	canaryPlaces = 4
+	// canaryShare is the share of the time left after which a canary without an answer is given up.
+	canaryShare = 4
+)
+
+// runCanary asks one target and, if that does not take the request, one of another shard. It returns
+// true if the list has to be asked again: the canary was answered or crashed its target. Without
+// either, an unseen request may run on all shards, since silence and refusals are no crash, and a
+// suspect is refused.
+func (g *guard) runCanary(ctx context.Context, m query.Map) (*problem.Problem, bool) {
+	s := g.service
+	s.counters.Counter("canaries_sent").Add(1)
+	defer s.suspects.do(func(l *quarantine.List) { l.EndCanary(g.fingerprint) })
+	var avoid []query.Shard
+	s.suspects.do(func(l *quarantine.List) { avoid = l.Avoid(time.Now(), g.fingerprint) })
+	places := quarantine.Places(g.fingerprint, m, g.index.allTargets(), avoid)
+	for _, at := range places[:min(canaryPlaces, len(places))] {
+		outcome := g.askCanary(ctx, m.Version, at)
+		g.sent = g.sent || !outcome.CertainlyNotRun()
+		switch outcome {
+		case query.OutcomeAnswered:
+			s.suspects.answered(g)
+			g.request.Cleared = true
+			return nil, true
+		case query.OutcomeCrashed:
+			g.crashedCanary(at)
+			return nil, true
+		}
+		if !outcome.CertainlyNotRun() {
+			break // It may still run there, and a canary runs alone.
+		}
+	}
+	if s.suspects.heldBack(g.fingerprint) {
+		return g.refuse(), false
+	}
+	return nil, false
+}
+
+// askCanary asks one shard at one target, directly or through a relay that holds the target.
+func (g *guard) askCanary(ctx context.Context, v query.Version, at quarantine.Crash) query.Outcome {
+	left := time.Until(g.request.Deadline) / canaryShare
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	place, twoLevels := g.index.placed()
+	if !twoLevels {
+		return g.searchOnce(ctx, v, at, left)
+	}
+	call := peer.ScatterGroup{
+		Request: g.request.ID, Attempt: g.service.nextAttempt(), Index: g.request.Index, Snapshot: v,
+		Shards: []query.Shard{at.Shard}, Query: g.request.Query, Limit: g.request.Limit, Plan: g.request.Plan,
+		TimeLeft: left, Canary: true,
+	}
+	of, known := place.GroupOf(at.Shard)
+	if !known {
+		return query.OutcomeNotRun
+	}
+	for _, relay := range g.service.relaysOf(place, of.ID) {
+		var p peer.Partial
+		if relay == g.service.instance {
+			p = g.service.RunGroup(ctx, call)
+		} else if address, ok := g.service.peerAddress(relay); ok {
+			p = g.service.relays.Scatter(ctx, address, call)
+		} else {
+			continue
+		}
+		if !p.Outcome.CertainlyNotRun() {
+			return canaryOutcome(call, p)
+		}
+	}
+	return query.OutcomeNotRun
+}
+
+// canaryOutcome reads the partial answer of a relay that ran a canary.
+func canaryOutcome(call peer.ScatterGroup, p peer.Partial) query.Outcome {
+	c := p.Answer.Coverage
+	switch {
+	case p.Outcome != query.OutcomeAnswered || p.Attempt != call.Attempt:
+		return query.OutcomeUnknown
+	case len(c.Included) == 1 && c.Included[0] == call.Shards[0]:
+		return query.OutcomeAnswered
+	case len(c.Missing) != 1 || c.Missing[0].Shard != call.Shards[0]:
+		return query.OutcomeUnknown
+	}
+	switch c.Missing[0].Cause {
+	case query.CauseCrashed:
+		return query.OutcomeCrashed
+	case query.CauseShed, query.CauseSnapshotGone, query.CauseNoReplica:
+		return query.OutcomeNotRun
+	}
+	return query.OutcomeUnknown
+}
+
+// searchOnce sends one attempt to one target. A reply to something else proves nothing.
+func (g *guard) searchOnce(ctx context.Context, v query.Version, at quarantine.Crash, left time.Duration) query.Outcome {
+	attempt := g.service.nextAttempt()
+	r := g.service.targets.Search(ctx, target.Search{
+		Address: g.index.address(at.Target), Request: g.request.ID, Attempt: attempt, Index: g.request.Index,
+		Shard: at.Shard, Snapshot: v, Query: g.request.Query, Limit: g.request.Limit, TimeLeft: left,
+	})
+	if r.Attempt != attempt || r.Request != g.request.ID || r.Shard != at.Shard || r.Snapshot != v {
+		return query.OutcomeUnknown
+	}
+	return r.Outcome
+}
+
+// relayCanary runs a canary that another instance sent to this one. The target follows from the
+// fingerprint, so that it is the one that the sender has in mind.
+func (g *guard) relayCanary(ctx context.Context, call peer.ScatterGroup) peer.Partial {
+	p := peer.Partial{Reply: group.Reply{Attempt: call.Attempt, Outcome: query.OutcomeWrongShard}}
+	m := query.Map{Version: call.Snapshot, Shards: call.Shards}
+	places := quarantine.Places(g.fingerprint, m, g.index.allTargets(), nil)
+	if len(places) != 1 {
+		return p
+	}
+	p.Answer = query.Answer{Request: call.Request, Index: call.Index, Snapshot: call.Snapshot}
+	p.Outcome = query.OutcomeAnswered
+	cover := &p.Answer.Coverage
+	switch o := g.searchOnce(ctx, call.Snapshot, places[0], call.TimeLeft); {
+	case o == query.OutcomeAnswered:
+		cover.Included = call.Shards
+	case o == query.OutcomeCrashed:
+		g.crashedCanary(places[0])
+		cover.Missing = []query.MissingShard{{Shard: call.Shards[0], Cause: query.CauseCrashed}}
+	case o.CertainlyNotRun():
+		cover.Missing = []query.MissingShard{{Shard: call.Shards[0], Cause: query.CauseShed}}
+	default:
+		cover.Missing = []query.MissingShard{{Shard: call.Shards[0], Cause: query.CauseUnreachable}}
+	}
+	return p
+}
+
+// heldBack is the partial answer of a relay that sends nothing of a request.
+func heldBack(call peer.ScatterGroup) peer.Partial {
+	p := peer.Partial{Reply: group.Reply{Attempt: call.Attempt, Outcome: query.OutcomeAnswered}}
+	p.Answer = query.Answer{Request: call.Request, Index: call.Index, Snapshot: call.Snapshot}
+	for _, shard := range call.Shards {
+		p.Answer.Coverage.Missing = append(p.Answer.Coverage.Missing, query.MissingShard{Shard: shard, Cause: query.CauseQuarantined})
+	}
+	return p
+}
--- a/instance/entry/index.go
+++ b/instance/entry/index.go
@@ -114,6 +114,13 @@
 	return ix.pool.Peek(time.Now(), s)
 }
 
+// allTargets returns the known targets. The caller does not change them.
+func (ix *index) allTargets() []query.Target {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	return ix.targets
+}
+
 // size returns the number of known targets.
 func (ix *index) size() int {
 	ix.mu.Lock()
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -8,6 +8,7 @@
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/quarantine"
 	"hyssopcroft.example/query/scatter"
 	"hyssopcroft.example/query/snapshot"
 )
@@ -17,6 +18,7 @@
 	service *Service
 	index   *index
 	request query.Request
+	guard   *guard
 	version query.Version
 	restart *snapshot.Restart
 	machine *scatter.Machine
@@ -26,6 +28,7 @@
 
 type sentReply struct {
 	attempt query.AttemptID
+	target  query.TargetID
 	shard   query.Shard
 	reply   query.Reply
 }
@@ -38,8 +41,15 @@
 		return query.Answer{}, refusal(http.StatusServiceUnavailable, problem.NotReady, "index "+req.Index+" has no snapshot yet")
 	}
 	restart := snapshot.NewRestart(shardMap.Version, req.Deadline)
+	g := s.newGuard(ix, req)
 	for {
-		answer, other, again := s.runOnce(ctx, ix, req, shardMap, restart)
+		if p := g.admit(ctx, shardMap); p != nil {
+			return query.Answer{}, p
+		}
+		answer, other, again := s.runOnce(ctx, ix, g.request, shardMap, restart)
+		if !again && g.finish(answer) {
+			continue
+		}
 		if !again {
 			if answer.Coverage.Complete() {
 				ix.recordLatency(time.Since(start))
@@ -64,7 +74,7 @@
 func (s *Service) newRun(ix *index, req query.Request, shardMap query.Map, restart *snapshot.Restart) *run {
 	cfg := scatter.Config{Request: req, Map: shardMap, Policy: ix.at(shardMap.Version), NextAttempt: s.nextAttempt}
 	return &run{
-		service: s, index: ix, request: req, version: shardMap.Version, restart: restart,
+		service: s, index: ix, request: req, guard: s.newGuard(ix, req), version: shardMap.Version, restart: restart,
 		machine: scatter.New(cfg),
 		replies: make(chan sentReply, len(shardMap.Shards)),
 		cancels: make(map[query.AttemptID]context.CancelFunc, len(shardMap.Shards)),
@@ -86,6 +96,7 @@
 			if other, again := r.index.restartOnReply(r.restart, s.shard, s.reply.Outcome); again {
 				return query.Answer{}, other, true
 			}
+			r.suspect(s)
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), s.attempt, s.reply))
 		case <-timer.C:
 			finished = r.perform(ctx, r.machine.OnWake(time.Now()))
@@ -99,6 +110,21 @@
 	return answer, other, again
 }
 
+// suspect notes the crash of a target while no target has answered the query.
+func (r *run) suspect(s sentReply) {
+	if s.reply.Attempt != s.attempt {
+		return
+	}
+	switch s.reply.Outcome {
+	case query.OutcomeAnswered:
+		r.guard.request.Cleared = true
+	case query.OutcomeCrashed:
+		if !r.guard.request.Cleared {
+			r.guard.crashed(quarantine.Crash{Shard: s.shard, Target: s.target})
+		}
+	}
+}
+
 // abandon reports the attempts of an unfinished query as ended.
 func (r *run) abandon() { r.machine.Abandon(time.Now()) }
 
@@ -140,7 +166,7 @@
 			r.index.observe(a.Target, reply.Held)
 		}
 		select {
-		case r.replies <- sentReply{attempt: a.Attempt, shard: a.Shard, reply: reply}:
+		case r.replies <- sentReply{attempt: a.Attempt, target: a.Target, shard: a.Shard, reply: reply}:
 		case <-ctx.Done():
 		}
 	}()
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -45,6 +45,7 @@
 	log           *slog.Logger
 	counters      *counters.Set
 
+	suspects    *suspects
 	relays      *peer.RelayClient
 	members     Members // nil if unused
 	pool        *target.Pool
@@ -75,7 +76,7 @@
 	s := &Service{
 		instance: instance, failureDomain: failureDomain, config: cfg, targets: target.NewClient(pool),
 		bus: bus, log: log, counters: c, relays: peer.NewRelayClient(peerPool), pool: pool, peerPool: peerPool,
-		placeWanted: make(chan struct{}, 1), peers: map[string]membership.Member{},
+		suspects: newSuspects(), placeWanted: make(chan struct{}, 1), peers: map[string]membership.Member{},
 		indexes: map[string]*index{}, source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	s.lastAttempt.Store(rand.Uint64())
--- a/instance/entry/two_level.go
+++ b/instance/entry/two_level.go
@@ -100,6 +100,7 @@
 	call := peer.ScatterGroup{
 		Request: r.request.ID, Attempt: a.Attempt, Index: r.request.Index, Snapshot: r.shardMap.Version, Shards: a.Shards,
 		Query: r.request.Query, Limit: r.request.Limit, Plan: r.request.Plan, Priority: r.priority,
+		Cleared: r.request.Cleared,
 	}
 	r.service.counters.Counter("groups_sent").Add(1)
 	go func() {
@@ -148,7 +149,16 @@
 	}
 	req := query.Request{
 		ID: g.Request, Plan: g.Plan, Index: g.Index, Query: g.Query, Limit: g.Limit, Deadline: start.Add(g.TimeLeft),
-		PreferCoverage: s.prefersCoverage(g.Plan),
+		PreferCoverage: s.prefersCoverage(g.Plan), Cleared: g.Cleared,
+	}
+	held := s.newGuard(ix, req)
+	switch {
+	case g.Canary:
+		return held.relayCanary(ctx, g)
+	case g.Cleared:
+		s.suspects.answered(held)
+	case s.suspects.heldBack(held.fingerprint):
+		return heldBack(g)
 	}
 	asked := query.Map{Version: g.Snapshot, Shards: g.Shards}
 	p.Answer, _, _ = s.newRun(ix, req, asked, nil).loop(ctx)
--- a/instance/relay/service.go
+++ b/instance/relay/service.go
@@ -20,6 +20,8 @@
 type Backend interface {
 	// RunGroup returns the partial answer, or an outcome that says that nothing was sent.
 	RunGroup(ctx context.Context, g peer.ScatterGroup) peer.Partial
+	// Suspect takes a suspicion of another instance.
+	Suspect(s peer.Suspicion)
 }
 
 // Service implements relaypb.Relay. It is safe for concurrent use.
@@ -48,6 +50,12 @@
 	return peer.PartialToWire(p), nil
 }
 
+// Suspect implements relaypb.Relay.
+func (s *Service) Suspect(_ context.Context, req *relaypb.SuspectRequest) (*relaypb.SuspectResponse, error) {
+	s.backend.Suspect(peer.SuspicionFromWire(req))
+	return &relaypb.SuspectResponse{}, nil
+}
+
 func (s *Service) run(ctx context.Context, g peer.ScatterGroup) peer.Partial {
 	if !s.start() {
 		return peer.Partial{Reply: group.Reply{Attempt: g.Attempt, Outcome: query.OutcomeDraining}}
--- /dev/null
+++ b/query/quarantine/canary.go
@@ -0,0 +1,43 @@
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hyssopcroft.example/query"
+)
+
+// Places returns the targets on which a canary may run, in the order in which they are to be tried: one
+// replica of each shard of the map that is not to be avoided. The order depends on the fingerprint alone,
+// so that instances that run the same request at the same time use the same target, which can crash only
+// once. A target that does not take the canary is followed by one of another shard.
+func Places(f Fingerprint, m query.Map, targets []query.Target, avoid []query.Shard) []Crash {
+	best := map[query.Shard]query.TargetID{}
+	for _, t := range targets {
+		if t.Leaving {
+			continue
+		}
+		for _, s := range t.Shards {
+			if old, known := best[s]; !known || rank(f, string(t.ID)) > rank(f, string(old)) {
+				best[s] = t.ID
+			}
+		}
+	}
+	var places []Crash
+	for _, s := range m.Shards {
+		if id, known := best[s]; known && !slices.Contains(avoid, s) {
+			places = append(places, Crash{Shard: s, Target: id})
+		}
+	}
+	slices.SortFunc(places, func(a, b Crash) int {
+		return cmp.Compare(rank(f, string(a.Target)), rank(f, string(b.Target)))
+	})
+	return places
+}
+
+func rank(f Fingerprint, id string) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(id), uint64(f)))
+}
--- a/query/query.go
+++ b/query/query.go
@@ -71,6 +71,8 @@
 	// PreferCoverage is set for plans that try other replicas until the deadline before they answer
 	// short. Other plans answer short as soon as nothing is left to wait for.
 	PreferCoverage bool
+	// Cleared is set once a target has answered the request, so that it does not crash every target.
+	Cleared bool
 }
 
 // Hit is one result of a search.
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -63,6 +63,7 @@
 	timers     timers
 	openShards int
 	finished   bool
+	suspect    suspicion
 	ran        bool             // a target may have run a part of the query
 	actions    []Action         // reused by every call
 	tried      []query.TargetID // scratch space
@@ -81,6 +82,7 @@
 		timers:     make(timers, 0, n+n/16+1),
 		actions:    make([]Action, 0, n+1),
 		openShards: n,
+		suspect:    suspicion{answered: cfg.Request.Cleared},
 	}
 	if m.policy == nil {
 		m.policy = single{chooser: cfg.Chooser}
@@ -97,7 +99,7 @@
 	for i := range m.shards {
 		m.first(now, int32(i))
 	}
-	m.finishIfDone()
+	m.finishIfDone(now)
 	return m.actions
 }
 
@@ -123,7 +125,7 @@
 	} else {
 		m.fail(now, a, r.Outcome)
 	}
-	m.finishIfDone()
+	m.finishIfDone(now)
 	return m.actions
 }
 
@@ -133,6 +135,7 @@
 		m.fail(now, a, query.OutcomeUnknown)
 		return
 	}
+	m.suspect.answer()
 	m.closeShard(a.shard)
 	if sh := &m.shards[a.shard]; sh.inFlight > 0 {
 		m.cancelShard(now, sh)
@@ -142,6 +145,9 @@
 func (m *Machine) fail(now time.Time, a attempt, o query.Outcome) {
 	sh := &m.shards[a.shard]
 	sh.cause = causeOf(o)
+	if o == query.OutcomeCrashed {
+		m.suspect.crash(a.target)
+	}
 	sh.holds = sh.holds || o != query.OutcomeSnapshotGone && o != query.OutcomeWrongShard
 	switch {
 	case sh.inFlight == 0:
@@ -181,7 +187,7 @@
 		m.shards[i].wake = time.Time{}
 		m.wakeShard(now, i)
 	}
-	m.finishIfDone()
+	m.finishIfDone(now)
 	return m.actions
 }
 
@@ -248,6 +254,7 @@
 	sh := &m.shards[a.shard]
 	a.ended = true
 	sh.inFlight--
+	m.suspect.inFlight--
 	e.Target, e.Elapsed, e.Overdue = a.target, now.Sub(a.sent), a.overdue
 	m.ran = m.ran || e.Cancelled || !e.Outcome.CertainlyNotRun()
 	m.policy.End(now, e)
@@ -280,10 +287,13 @@
 }
 
 // finishIfDone ends the query when no shard is open. An open shard is in flight or has a timer.
-func (m *Machine) finishIfDone() {
-	if m.finished || m.openShards > 0 {
+func (m *Machine) finishIfDone(now time.Time) {
+	if m.finished || m.openShards > 0 && !m.suspect.ends() {
 		return
 	}
+	if m.openShards > 0 {
+		m.giveUp(now)
+	}
 	m.finished = true
 	m.actions = append(m.actions, Action{Kind: Finish})
 }
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -63,6 +63,9 @@
 }
 
 func (m *Machine) choose(now time.Time, i int32, use replica.Use, free bool) (Grant, replica.Verdict) {
+	if m.suspect.holds() {
+		return Grant{}, replica.Limited
+	}
 	return m.policy.Choose(now, Want{
 		Plan: m.cfg.Request.Plan, Shard: m.cfg.Map.Shards[i], Use: use, Free: free,
 		From:  m.shards[i].from,
@@ -84,6 +87,7 @@
 		sh.since = now
 	}
 	sh.inFlight++
+	m.suspect.inFlight++
 	m.actions = append(m.actions, Action{
 		Kind: Send, Attempt: id, Shard: m.cfg.Map.Shards[i], Target: grant.Target,
 		TimeLeft: m.cfg.Request.Deadline.Sub(now) - grant.Return,
