--- a/emulator/measure/driver.go
+++ b/emulator/measure/driver.go
@@ -65,6 +65,7 @@
 	stats     stats
 	refused   map[query.RequestID]struct{} // told "not run"
 	started   int
+	crash     *crashRun // nil but in runs with requests that crash searchers
 	// tamper, if set, takes the place of the delivery of replies.
 	tamper func(f *flight, sent query.AttemptID, r query.Reply)
 	// onSend, if set, sees every attempt that is sent.
@@ -141,11 +142,17 @@
 		e = d.entries[d.source.IntN(len(d.entries))]
 	}
 	priority := d.priority()
-	e.start(query.Request{
+	req := query.Request{
 		ID: query.RequestID(d.source.Uint64()), Plan: planNames[priority], Index: d.index.Name,
 		Limit: len(d.shardMap.Shards), Deadline: d.Loop.Now().Add(d.scenario.Deadline),
 		PreferCoverage: d.scenario.PreferCoverage, Priority: priority,
-	}, d.shardMap, d.started > d.scenario.WarmUp)
+	}
+	if recorded := d.started > d.scenario.WarmUp; d.crash != nil {
+		req.Query = d.crash.text()
+		d.crash.begin(e, req, recorded)
+	} else {
+		e.start(req, d.shardMap, recorded)
+	}
 	sc := d.scenario
 	if sc.WarmUpUtilisation > 0 && d.started <= sc.WarmUp/2 {
 		sc.Utilisation = sc.WarmUpUtilisation
@@ -192,6 +199,9 @@
 		d.tamper(f, a.Attempt, r)
 		return
 	}
+	if f.observe != nil && !f.finished {
+		f.observe(a, o)
+	}
 	f.receive(a.Attempt, r)
 }
 
@@ -206,9 +216,13 @@
 	if answer.Coverage.Complete() && !d.stats.began.IsZero() && d.stats.ended.IsZero() {
 		d.stats.complete++
 	}
-	if !f.recorded {
-		return
+	if f.recorded {
+		d.record(f, answer)
 	}
+}
+
+// record adds the answer of a query to the figures.
+func (d *Driver) record(f *flight, answer query.Answer) {
 	took := d.Loop.Now().Sub(f.started) + 2*d.scenario.Deployment.ToClients
 	_ = d.stats.latency.RecordValue(took.Microseconds()) // Deadlines lie below the longest value.
 	if f.request.Priority == query.PriorityHigh {
--- a/emulator/measure/entry.go
+++ b/emulator/measure/entry.go
@@ -51,8 +51,10 @@
 	finished bool
 	admitted bool // by the admission controller
 	ticket   admission.Ticket
-	recorded bool      // counts in the figures
-	wake     time.Time // earliest wake-up that is scheduled; zero if none
+	recorded bool                                    // counts in the figures
+	observe  func(a scatter.Action, o query.Outcome) // if set, sees every outcome before the machine
+	then     func(query.Answer)                      // if set, takes the place of the record at the end
+	wake     time.Time                               // earliest wake-up that is scheduled; zero if none
 }
 
 func newEntry(d *Driver, domain int) *entry {
@@ -124,6 +126,10 @@
 		}
 	}
 	if f.finished {
+		if f.then != nil {
+			f.then(f.machine.Answer())
+			return
+		}
 		f.entry.driver.finish(f)
 		return
 	}
@@ -190,7 +196,7 @@
 
 func (f *flight) dispatch(a scatter.Action, s *searcher, delay time.Duration) {
 	e, d := f.entry, f.entry.driver
-	j := &job{}
+	j := &job{crashes: d.crash != nil && f.request.Query == d.crash.poison}
 	f.jobs[a.Attempt] = j
 	back := d.delay(e.domain, s.domain)
 	j.reply = func(o query.Outcome, cold bool) {
--- a/emulator/measure/searcher.go
+++ b/emulator/measure/searcher.go
@@ -68,6 +68,7 @@
 	cancelled bool
 	ended     bool
 	running   bool
+	crashes   bool // the searcher that completes it
 	reply     func(o query.Outcome, cold bool)
 }
 
@@ -80,7 +81,9 @@
 	factor  float64 // multiplies every service time; above 1 for a slow replica
 	slots   int
 	health  health
-	toWarm  int // answers until the searcher is warm
+	lost    query.Outcome // of the requests that a crash ends
+	crashed func()        // set where requests crash searchers
+	toWarm  int           // answers until the searcher is warm
 	busy    int
 	queue   []*job
 	present []*job // queued or running, in the order of arrival
@@ -128,6 +131,10 @@
 	if j.ended {
 		return
 	}
+	if j.crashes {
+		s.crashed()
+		return
+	}
 	cold := s.toWarm > 0
 	s.toWarm = max(0, s.toWarm-1)
 	s.release(j)
@@ -150,7 +157,7 @@
 	s.queue, s.present, s.busy = nil, nil, 0
 	for _, j := range present {
 		j.running = false
-		j.end(query.OutcomeUnknown, false)
+		j.end(s.lost, false)
 	}
 }
 
--- a/instance/entry/canary.go
+++ b/instance/entry/canary.go
@@ -49,6 +49,9 @@
 		if !outcome.CertainlyNotRun() {
 			break // It may still run there, and a canary runs alone.
 		}
+		if outcome == query.OutcomeNotRun && g.crashedElsewhere(ctx) {
+			return nil, true
+		}
 	}
 	if s.suspects.heldBack(g.fingerprint) {
 		return g.refuse(), false
@@ -56,6 +59,15 @@
 	return nil, false
 }
 
+// crashedElsewhere waits for suspicions on their way, because the target that could not be reached may
+// have crashed on the same request through another instance. Without the wait, the canary would go on to
+// a third target.
+func (g *guard) crashedElsewhere(ctx context.Context) bool {
+	before := g.service.suspects.crashes(g.fingerprint)
+	pause(ctx, suspectWait)
+	return g.service.suspects.crashes(g.fingerprint) != before
+}
+
 // askCanary asks one shard at one target, directly or through a relay that holds the target.
 func (g *guard) askCanary(ctx context.Context, v query.Version, at quarantine.Crash) query.Outcome {
 	left := time.Until(g.request.Deadline) / canaryShare
@@ -104,8 +116,10 @@
 	switch c.Missing[0].Cause {
 	case query.CauseCrashed:
 		return query.OutcomeCrashed
-	case query.CauseShed, query.CauseSnapshotGone, query.CauseNoReplica:
+	case query.CauseNoReplica:
 		return query.OutcomeNotRun
+	case query.CauseShed:
+		return query.OutcomeShed
 	}
 	return query.OutcomeUnknown
 }
@@ -141,6 +155,8 @@
 	case o == query.OutcomeCrashed:
 		g.crashedCanary(places[0])
 		cover.Missing = []query.MissingShard{{Shard: call.Shards[0], Cause: query.CauseCrashed}}
+	case o == query.OutcomeNotRun:
+		cover.Missing = []query.MissingShard{{Shard: call.Shards[0], Cause: query.CauseNoReplica}}
 	case o.CertainlyNotRun():
 		cover.Missing = []query.MissingShard{{Shard: call.Shards[0], Cause: query.CauseShed}}
 	default:
--- a/instance/entry/quarantine.go
+++ b/instance/entry/quarantine.go
@@ -23,7 +23,8 @@
 	// suspectTimeout bounds the call to one peer.
 	suspectTimeout = time.Second
 	// suspectWait bounds the wait for the peers' answers before a crashed canary is followed by another
-	// one. Without it, a resend through a peer could run on a third target meanwhile.
+	// one. Without it, a resend through a peer could run on a third target meanwhile. It is twice the
+	// way there and back between regions.
 	suspectWait = 50 * time.Millisecond
 )
 
@@ -55,6 +56,11 @@
 	return held
 }
 
+func (s *suspects) crashes(f quarantine.Fingerprint) (n int) {
+	s.do(func(l *quarantine.List) { n = l.Crashes(f) })
+	return n
+}
+
 // guard follows one request from its admission to its answer.
 type guard struct {
 	service     *Service
--- a/query/quarantine/list.go
+++ b/query/quarantine/list.go
@@ -105,10 +105,17 @@
 	return shards
 }
 
+// Crashes returns the number of targets that are known to have crashed on the request, at most 2.
+func (l *List) Crashes(f Fingerprint) int {
+	if e, known := l.entries.get(f); known {
+		return len(e.crashes)
+	}
+	return 0
+}
+
 // HeldBack reports whether the request may run only as a canary, or not at all.
 func (l *List) HeldBack(f Fingerprint) bool {
-	e, known := l.entries.get(f)
-	return known && len(e.crashes) > 0
+	return l.Crashes(f) > 0
 }
 
 // RetryAfter returns the time until a held request is released.
