Share confirmed requests through the platform

Cause: an instance that starts later knew nothing of confirmed requests, so each restart allowed two more crashes within the hold. Change: the instance that confirms a request adds it to the object quarantine/current by conditional update, at most one write a second; configsync distributes it as the other objects. Holds are clamped to 10 minutes whatever the writer's clock. Each watcher holds one watch more and a cold start makes one read more. Conclusion: suspicions stay with the peers, confirmed requests with the platform.

--- a/emulator/fleet/quarantine_test.go
+++ b/emulator/fleet/quarantine_test.go
@@ -1,8 +1,11 @@
 package fleet_test
 
 import (
+	"context"
+	"log/slog"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -11,6 +14,8 @@
 	"hyssopcroft.example/emulator/fleet"
 	"hyssopcroft.example/emulator/target"
 	"hyssopcroft.example/instance/app"
+	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/kernel/settings"
 )
 
 // resends is the number of times that a caller sends the request through each instance.
@@ -43,6 +48,33 @@
 	}
 }
 
+// Guards against an instance that starts later and runs a canary of a confirmed request.
+func TestLaterInstanceKnowsQuarantinedRequests(t *testing.T) {
+	f, apps := start(t)
+	for _, s := range f.Searchers {
+		require.NoError(t, s.SetFaults(target.Faults{CrashOn: "poison", RestartAfter: settings.Duration(time.Millisecond)}))
+	}
+	body := caller.Search{Plan: "counter", Index: "ledger", Query: "poison: jar 7"}
+	require.Equal(t, http.StatusServiceUnavailable, do(t, http.MethodPost, apps[0], "/v1/search", nil, body, nil))
+	require.Eventually(t, func() bool {
+		_, written := f.Store.Get(configsync.KindQuarantine, configsync.NameCurrent)
+		return written && crashes(t, f) == 2 // A host counts a crash once its connections are closed.
+	}, settleTimeout, settlePoll)
+	a, err := app.New(app.Settings{
+		Instance: "entry-3", FailureDomain: "llandrindod", Region: "wales", Listen: "127.0.0.1:0", Platform: f.PlatformURL(),
+		BalancerLag: settings.Duration(time.Millisecond), // no balancer sends requests here
+	}, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	require.NoError(t, a.Start(t.Context()))
+	t.Cleanup(func() { require.NoError(t, a.Stop(context.Background())) })
+	require.Eventually(t, func() bool { return completeAt(t, a, 1) }, settleTimeout, settlePoll)
+	var got struct{ Error problem.Problem }
+	require.Equal(t, http.StatusServiceUnavailable, do(t, http.MethodPost, a, "/v1/search", nil, body, &got))
+	require.Equal(t, problem.Quarantined, got.Error.Code)
+	require.Equal(t, problem.NotRun, got.Error.Run)
+	require.Equal(t, int64(2), crashes(t, f))
+}
+
 // crashes returns the crashes of all targets, and fails if two replicas of a shard have crashed.
 func crashes(t *testing.T, f *fleet.Fleet) int64 {
 	var all int64
--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -33,10 +33,12 @@
 	NameCurrent   = "current"
 	KindSnapshots = "snapshots"
 	KindTargets   = "targets"
+	// KindQuarantine holds the confirmed requests that crash targets, under NameCurrent.
+	KindQuarantine = "quarantine"
 )
 
 // kinds lists the kinds of objects that every instance holds.
-var kinds = []string{KindConfig, KindSnapshots, KindTargets}
+var kinds = []string{KindConfig, KindSnapshots, KindTargets, KindQuarantine}
 
 // InForce is published when a newer configuration is in force.
 type InForce struct {
@@ -87,6 +89,8 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
+	confirmations confirmations
+
 	announcing sync.Mutex // keeps events in the order of the revisions; taken before mu
 
 	mu          sync.Mutex // guards the fields below
@@ -209,6 +213,10 @@
 		err := json.Unmarshal(o.Data, &ev.Targets)
 		ev.Targets = slices.Clip(ev.Targets)
 		return ev, o.Name, err
+	case KindQuarantine:
+		var ev QuarantineChanged
+		err := json.Unmarshal(o.Data, &ev.Confirmed)
+		return ev, o.Name, err
 	}
 	return nil, "", errors.Errorf("kind %q is not held by instances", o.Kind)
 }
--- a/instance/entry/quarantine.go
+++ b/instance/entry/quarantine.go
@@ -61,6 +61,14 @@
 	return n
 }
 
+func (s *suspects) learn(confirmed []quarantine.Confirmed) {
+	s.do(func(l *quarantine.List) {
+		for _, c := range confirmed {
+			l.Learn(time.Now(), c)
+		}
+	})
+}
+
 // guard follows one request from its admission to its answer.
 type guard struct {
 	service     *Service
@@ -113,9 +121,12 @@
 // crashed takes a crash of a target on a request that no target has answered, and tells the peers. The
 // channel is closed once they have answered.
 func (g *guard) crashed(c quarantine.Crash) <-chan struct{} {
-	var news bool
+	var news, confirmed bool
+	var shared quarantine.Confirmed
 	g.service.suspects.do(func(l *quarantine.List) {
-		news = l.Crashed(time.Now(), g.fingerprint, g.shape, c)
+		now := time.Now()
+		news = l.Crashed(now, g.fingerprint, g.shape, c)
+		shared, confirmed = l.Confirmed(now, g.fingerprint, g.shape)
 	})
 	if !news {
 		told := make(chan struct{})
@@ -123,6 +134,10 @@
 		return told
 	}
 	g.service.counters.Counter("crashes_suspected").Add(1)
+	if confirmed {
+		g.service.counters.Counter("requests_quarantined").Add(1)
+		g.service.config.Confirm(shared)
+	}
 	return g.service.tellSuspicion(peer.Suspicion{
 		Fingerprint: g.fingerprint, Shape: g.shape, Crashes: []quarantine.Crash{c}, Hops: suspectHops,
 	})
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -116,6 +116,10 @@
 	if err != nil {
 		return err
 	}
+	err = kernel.Subscribe(ctx, s.bus, func(ev configsync.QuarantineChanged) { s.suspects.learn(ev.Confirmed) })
+	if err != nil {
+		return err
+	}
 	s.background.Go(func() { s.placeLoop(ctx) })
 	return kernel.Subscribe(ctx, s.bus, func(members.Changed) { s.placeAgain() })
 }
--- a/query/quarantine/list.go
+++ b/query/quarantine/list.go
@@ -39,8 +39,8 @@
 
 // Crash is one target that ended while it ran the request. Target is empty if only the shard is known.
 type Crash struct {
-	Shard  query.Shard
-	Target query.TargetID
+	Shard  query.Shard    `json:"shard"`
+	Target query.TargetID `json:"target,omitempty"`
 }
 
 // same reports whether two reports are of the same crash. The entry of a query over two levels learns
@@ -51,10 +51,9 @@
 
 // entry is what is known of one fingerprint that is suspected, confirmed or has a canary in flight.
 type entry struct {
-	fingerprint Fingerprint
-	crashes     []Crash // distinct targets, at most confirmingCrashes
-	held        time.Time
-	inFlight    bool // a canary of this instance
+	crashes  []Crash // distinct targets, at most confirmingCrashes
+	held     time.Time
+	inFlight bool // a canary of this instance
 }
 
 func (e *entry) confirmed() bool { return len(e.crashes) >= confirmingCrashes }
@@ -78,7 +77,7 @@
 		if _, succeeded := l.shapes.get(s); succeeded {
 			return Run
 		}
-		l.entries.put(f, &entry{fingerprint: f, inFlight: true})
+		l.entries.put(f, &entry{inFlight: true})
 		return Canary
 	}
 	switch {
@@ -153,7 +152,7 @@
 	l.shapes.remove(s)
 	e, known := l.entries.get(f)
 	if !known {
-		e = &entry{fingerprint: f}
+		e = &entry{}
 		l.entries.put(f, e)
 	}
 	if !now.Before(e.held.Add(Hold)) && e.confirmed() {
@@ -169,12 +168,6 @@
 	return true
 }
 
-// Confirmed reports whether a request is refused at the time.
-func (l *List) Confirmed(now time.Time, f Fingerprint) bool {
-	e, known := l.entries.get(f)
-	return known && e.confirmed() && now.Before(e.held.Add(Hold))
-}
-
 // recent is a map that forgets the key that was not used for the longest time when it is full.
 type recent[K comparable, V any] struct {
 	most  int
--- a/query/quarantine/list_test.go
+++ b/query/quarantine/list_test.go
@@ -84,6 +84,35 @@
 	}
 }
 
+// Guards against a confirmed request that an instance which reads the store does not refuse, or that is
+// held for longer than the hold because of a wrong clock.
+func TestConfirmedIsShared(t *testing.T) {
+	first := quarantine.NewList()
+	first.Crashed(start, text, shape, crashA)
+	_, confirmed := first.Confirmed(start, text, shape)
+	require.False(t, confirmed)
+	first.Crashed(start, text, shape, crashB)
+	c, confirmed := first.Confirmed(start, text, shape)
+	require.True(t, confirmed)
+	shared, added := quarantine.Add(start, nil, []quarantine.Confirmed{c})
+	require.True(t, added)
+	_, added = quarantine.Add(start, shared, []quarantine.Confirmed{c})
+	require.False(t, added)
+	rest, _ := quarantine.Add(start.Add(quarantine.Hold), shared, nil)
+	require.Empty(t, rest)
+	for name, now := range map[string]time.Time{"same clock": start, "clock behind": start.Add(-time.Hour)} {
+		t.Run(name, func(t *testing.T) {
+			l := quarantine.NewList()
+			l.Learn(now, shared[0])
+			require.Equal(t, quarantine.Refuse, l.Admit(now.Add(quarantine.Hold-1), text, shape))
+			require.Equal(t, quarantine.Canary, l.Admit(now.Add(quarantine.Hold), text, shape))
+		})
+	}
+	l := quarantine.NewList()
+	l.Learn(start.Add(quarantine.Hold), shared[0])
+	require.False(t, l.HeldBack(text))
+}
+
 // Guards against texts of different forms that share a standing, and words that do not.
 func TestShapes(t *testing.T) {
 	_, same := quarantine.Identify("ledger", "lid 34")
