--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -46,6 +46,7 @@
 	log           *slog.Logger
 	counters      *counters.Set
 
+	suspects    *suspects
 	relays      *peer.RelayClient
 	members     Members // nil if unused
 	pool        *target.Pool
@@ -76,7 +77,7 @@
 	s := &Service{
 		instance: instance, failureDomain: failureDomain, config: cfg, targets: target.NewClient(pool),
 		bus: bus, log: log, counters: c, relays: peer.NewRelayClient(peerPool), pool: pool, peerPool: peerPool,
-		placeWanted: make(chan struct{}, 1), peers: map[string]membership.Member{},
+		suspects: newSuspects(), placeWanted: make(chan struct{}, 1), peers: map[string]membership.Member{},
 		indexes: map[string]*index{}, source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	s.lastAttempt.Store(rand.Uint64())
@@ -115,6 +116,10 @@
 	if err != nil {
 		return err
 	}
+	err = kernel.Subscribe(ctx, s.bus, func(ev configsync.QuarantineChanged) { s.suspects.learn(ev.Confirmed) })
+	if err != nil {
+		return err
+	}
 	s.background.Go(func() { s.placeLoop(ctx) })
 	return kernel.Subscribe(ctx, s.bus, func(members.Changed) { s.placeAgain() })
 }
