--- a/emulator/measure/crash_entry.go
+++ b/emulator/measure/crash_entry.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/quarantine"
 	"hyssopcroft.example/query/scatter"
@@ -147,7 +148,7 @@
 func (q *crashRequest) flight(req query.Request, cfg scatter.Config) *flight {
 	return &flight{
 		entry: q.entry, request: req, version: version, started: q.started, recorded: q.recorded,
-		jobs: map[query.AttemptID]*job{}, machine: scatter.New(cfg),
+		jobs: map[query.AttemptID]*job{}, machine: trace.NewMachine(cfg, recorder),
 	}
 }
 
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -15,6 +15,7 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/configsync"
@@ -45,6 +46,7 @@
 	bus           *kernel.Bus
 	log           *slog.Logger
 	counters      *counters.Set
+	recorder      *trace.Recorder // nil if nothing is recorded
 
 	suspects    *suspects
 	relays      *peer.RelayClient
@@ -93,6 +95,9 @@
 // UseLimits sets what admits requests. It must be called before Start.
 func (s *Service) UseLimits(l Limits) { s.limits = l }
 
+// UseRecorder sets what records the decisions of queries. It must be called before Start.
+func (s *Service) UseRecorder(r *trace.Recorder) { s.recorder = r }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
