--- a/adapter/trace/machine.go
+++ b/adapter/trace/machine.go
@@ -45,7 +45,7 @@
 	req := cfg.Request
 	return &tracepb.Query{
 		Request: uint64(req.ID), Plan: req.Plan, Index: req.Index, Limit: uint32(req.Limit),
-		Deadline: r.since(req.Deadline), Priority: uint32(req.Priority), PreferCoverage: req.PreferCoverage,
+		Deadline: r.since(req.Deadline), Priority: uint32(req.Priority), PreferCoverage: req.PreferCoverage, Cleared: req.Cleared,
 		Snapshot: uint64(cfg.Map.Version), Shards: numbers(cfg.Map.Shards),
 	}
 }
--- a/emulator/replay/query.go
+++ b/emulator/replay/query.go
@@ -100,7 +100,7 @@
 	return query.Request{
 		ID: query.RequestID(q.GetRequest()), Plan: q.GetPlan(), Index: q.GetIndex(), Limit: int(q.GetLimit()),
 		Deadline: r.start.Add(time.Duration(q.GetDeadline())), Priority: query.Priority(q.GetPriority()),
-		PreferCoverage: q.GetPreferCoverage(),
+		PreferCoverage: q.GetPreferCoverage(), Cleared: q.GetCleared(),
 	}
 }
 
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,7 @@
 	ring          *timeline.Ring  // nil if slow queries are not recorded
 	slowAfter     time.Duration
 
+	suspects    *suspects
 	relays      *peer.RelayClient
 	members     Members // nil if unused
 	pool        *target.Pool
@@ -80,7 +82,7 @@
 	s := &Service{
 		instance: instance, failureDomain: failureDomain, config: cfg, targets: target.NewClient(pool),
 		bus: bus, log: log, counters: c, relays: peer.NewRelayClient(peerPool), pool: pool, peerPool: peerPool,
-		placeWanted: make(chan struct{}, 1), peers: map[string]membership.Member{},
+		suspects: newSuspects(), placeWanted: make(chan struct{}, 1), peers: map[string]membership.Member{},
 		indexes: map[string]*index{}, source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	s.lastAttempt.Store(rand.Uint64())
@@ -122,6 +124,10 @@
 	if err != nil {
 		return err
 	}
+	err = kernel.Subscribe(ctx, s.bus, func(ev configsync.QuarantineChanged) { s.suspects.learn(ev.Confirmed) })
+	if err != nil {
+		return err
+	}
 	s.background.Go(func() { s.placeLoop(ctx) })
 	return kernel.Subscribe(ctx, s.bus, func(members.Changed) { s.placeAgain() })
 }
@@ -191,7 +197,10 @@
 		return config.Limit{}, refusal(http.StatusForbidden, problem.UnknownPlan, "no plan is named "+plan)
 	}
 	limit, ok := lists.Limits[plan]
-	if !ok || entry.Value.Suspended || !contains(limit.Value.Indexes, index) {
+	if entry.Value.Suspended {
+		return config.Limit{}, refusal(http.StatusForbidden, problem.PlanRefused, "plan "+plan+" is suspended")
+	}
+	if !ok || !slices.Contains(limit.Value.Indexes, index) {
 		return config.Limit{}, refusal(http.StatusForbidden, problem.PlanRefused, "plan "+plan+" may not use index "+index)
 	}
 	return limit.Value, nil
@@ -214,15 +223,6 @@
 	return &problem.Problem{Status: status, Code: code, Message: message, Run: problem.NotRun}
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Service) random() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -63,7 +63,8 @@
 	timers     timers
 	openShards int
 	finished   bool
-	latest     int32            // shard that was covered or given up last, -1 before the first
+	latest     int32 // shard that was covered or given up last, -1 before the first
+	suspect    suspicion
 	ran        bool             // a target may have run a part of the query
 	actions    []Action         // reused by every call
 	tried      []query.TargetID // scratch space
@@ -83,6 +84,7 @@
 		actions:    make([]Action, 0, n+1),
 		openShards: n,
 		latest:     -1,
+		suspect:    suspicion{answered: cfg.Request.Cleared},
 	}
 	if m.policy == nil {
 		m.policy = single{chooser: cfg.Chooser}
@@ -99,7 +101,7 @@
 	for i := range m.shards {
 		m.first(now, int32(i))
 	}
-	m.finishIfDone()
+	m.finishIfDone(now)
 	return m.actions
 }
 
@@ -125,7 +127,7 @@
 	} else {
 		m.fail(now, a, r.Outcome)
 	}
-	m.finishIfDone()
+	m.finishIfDone(now)
 	return m.actions
 }
 
@@ -135,6 +137,7 @@
 		m.fail(now, a, query.OutcomeUnknown)
 		return
 	}
+	m.suspect.answer()
 	m.closeShard(a.shard)
 	if sh := &m.shards[a.shard]; sh.inFlight > 0 {
 		m.cancelShard(now, sh)
@@ -144,6 +147,9 @@
 func (m *Machine) fail(now time.Time, a attempt, o query.Outcome) {
 	sh := &m.shards[a.shard]
 	sh.cause = causeOf(o)
+	if o == query.OutcomeCrashed {
+		m.suspect.crash(a.target)
+	}
 	sh.holds = sh.holds || o != query.OutcomeSnapshotGone && o != query.OutcomeWrongShard
 	switch {
 	case sh.inFlight == 0:
@@ -183,7 +189,7 @@
 		m.shards[i].wake = time.Time{}
 		m.wakeShard(now, i)
 	}
-	m.finishIfDone()
+	m.finishIfDone(now)
 	return m.actions
 }
 
@@ -250,6 +256,7 @@
 	sh := &m.shards[a.shard]
 	a.ended = true
 	sh.inFlight--
+	m.suspect.inFlight--
 	e.Target, e.Elapsed, e.Overdue = a.target, now.Sub(a.sent), a.overdue
 	m.ran = m.ran || e.Cancelled || !e.Outcome.CertainlyNotRun()
 	m.policy.End(now, e)
@@ -282,10 +289,13 @@
 }
 
 // finishIfDone ends the query when no shard is open. An open shard is in flight or has a timer.
-func (m *Machine) finishIfDone() {
-	if m.finished || m.openShards > 0 {
+func (m *Machine) finishIfDone(now time.Time) {
+	if m.finished || m.openShards > 0 && !m.suspect.ends() {
 		return
 	}
+	if m.openShards > 0 {
+		m.giveUp(now)
+	}
 	m.finished = true
 	m.actions = append(m.actions, Action{Kind: Finish})
 }
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -13,9 +13,10 @@
 	limitedWait = time.Millisecond
 	// tokenWait is the time after which a plan that prefers coverage asks for a token again.
 	tokenWait = 5 * time.Millisecond
-	// firstRound and longestRound bound the pause before all replicas of a shard are tried again.
+	// firstRound and longestRound bound the pause before all replicas of a shard are tried again. It
+	// doubles, so that replicas that shed are asked about ten times in a second.
 	firstRound   = 2 * time.Millisecond
-	longestRound = 50 * time.Millisecond
+	longestRound = 250 * time.Millisecond
 	// unlearntShare is the share of the time left after which a hedge is due while the class's
 	// latency is not known.
 	unlearntShare = 4
@@ -64,6 +65,9 @@
 }
 
 func (m *Machine) choose(now time.Time, i int32, use replica.Use, free bool) (Grant, replica.Verdict) {
+	if m.suspect.holds() {
+		return Grant{}, replica.Limited
+	}
 	return m.policy.Choose(now, Want{
 		Plan: m.cfg.Request.Plan, Shard: m.cfg.Map.Shards[i], Use: use, Free: free,
 		From:  m.shards[i].from,
@@ -87,6 +91,7 @@
 		sh.hedges++
 	}
 	sh.inFlight++
+	m.suspect.inFlight++
 	m.actions = append(m.actions, Action{
 		Kind: Send, Attempt: id, Shard: m.cfg.Map.Shards[i], Target: grant.Target,
 		TimeLeft: m.cfg.Request.Deadline.Sub(now) - grant.Return,
@@ -144,9 +149,8 @@
 // retry follows an attempt that brought no answer while no other is in flight.
 func (m *Machine) retry(now time.Time, i int32, free bool) {
 	sh := &m.shards[i]
-	// Refusals of later rounds are paid for, or shedding replicas would be asked again and again.
-	sh.free = free && sh.round < 0
-	switch m.send(now, i, replica.Retry, sh.free) {
+	sh.free = free
+	switch m.send(now, i, replica.Retry, free) {
 	case replica.Limited:
 		m.arm(now.Add(limitedWait), i)
 	case replica.NoToken:
