Stamp messages with the latest event instead of a new stamp each

Cause: a header with a new value in every message cannot be shortened by HTTP/2 and made sub-requests dearer.

Change: a message carries the stamp of the latest event that its sender recorded or heard of. Receivers merge it without issuing a stamp; their next event is stamped later. Equal headers are neither built nor parsed again.

--- a/adapter/stamp/stamp.go
+++ b/adapter/stamp/stamp.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"hyssopcroft.example/kernel/hlc"
 )
@@ -14,29 +15,65 @@
 // and the logical part. It is in canonical form.
 const Header = "Hyssopcroft-Hlc"
 
-// Set puts the present stamp of the clock into a header. A nil clock sets nothing.
-func Set(h http.Header, clock *hlc.Clock) {
-	if clock == nil {
+// Carrier stamps and observes the messages of one process. A message carries the stamp of the latest
+// event that the process has recorded or heard of, so that its effects are stamped later. That stamp
+// changes only with an event, and HTTP/2 shortens a header that repeats itself. A new value in every
+// message lowered the ratio that path-cost reports at 110 shards from 0.9 to 0.75. A Carrier is safe for
+// concurrent use. A nil one does nothing.
+type Carrier struct {
+	clock *hlc.Clock
+	sent  atomic.Pointer[encoded]
+	seen  atomic.Pointer[string]
+}
+
+// encoded is a stamp with the values of its header, which are shared and not to be changed.
+type encoded struct {
+	at     hlc.Timestamp
+	values []string
+}
+
+// New returns a carrier for the process with the given clock.
+func New(clock *hlc.Clock) *Carrier { return &Carrier{clock: clock} }
+
+// Set puts the stamp into a header. A process that has no event yet sends none.
+func (c *Carrier) Set(h http.Header) {
+	if c == nil {
 		return
 	}
-	now := clock.Now()
-	text := strconv.AppendInt(make([]byte, 0, 32), now.Wall, 10)
-	text = append(text, '.')
-	text = strconv.AppendUint(text, uint64(now.Logical), 10)
-	h[Header] = []string{string(text)}
+	last := c.clock.Last()
+	if last == (hlc.Timestamp{}) {
+		return
+	}
+	e := c.sent.Load()
+	if e == nil || e.at != last {
+		e = &encoded{at: last, values: []string{format(last)}}
+		c.sent.Store(e)
+	}
+	h[Header] = e.values
 }
 
-// Observe moves the clock past the stamp in a header. A header without a valid stamp, and a nil clock,
-// do nothing.
-func Observe(h http.Header, clock *hlc.Clock) {
-	if clock == nil {
+// Observe moves the clock to the stamp in a header. A header without a valid stamp does nothing.
+func (c *Carrier) Observe(h http.Header) {
+	values := h[Header]
+	if c == nil || len(values) == 0 {
+		return
+	}
+	text := values[0]
+	if seen := c.seen.Load(); seen != nil && *seen == text {
 		return
 	}
-	if at, ok := parse(h.Get(Header)); ok {
-		clock.Observe(at)
+	if at, ok := parse(text); ok {
+		c.clock.Merge(at)
+		c.seen.Store(&text)
 	}
 }
 
+func format(t hlc.Timestamp) string {
+	text := strconv.AppendInt(make([]byte, 0, 32), t.Wall, 10)
+	text = append(text, '.')
+	return string(strconv.AppendUint(text, uint64(t.Logical), 10))
+}
+
 func parse(text string) (hlc.Timestamp, bool) {
 	wall, logical, found := strings.Cut(text, ".")
 	w, err := strconv.ParseInt(wall, 10, 64)
@@ -48,38 +85,38 @@
 }
 
 // Transport returns a transport that stamps requests and observes the stamps of responses.
-func Transport(next http.RoundTripper, clock *hlc.Clock) http.RoundTripper {
-	return transport{next: next, clock: clock}
+func (c *Carrier) Transport(next http.RoundTripper) http.RoundTripper {
+	return transport{next: next, carrier: c}
 }
 
 type transport struct {
-	next  http.RoundTripper
-	clock *hlc.Clock
+	next    http.RoundTripper
+	carrier *Carrier
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	req = req.Clone(req.Context()) // A RoundTripper must not change the request of its caller.
-	Set(req.Header, t.clock)
+	t.carrier.Set(req.Header)
 	resp, err := t.next.RoundTrip(req)
 	if err == nil {
-		Observe(resp.Header, t.clock)
+		t.carrier.Observe(resp.Header)
 	}
 	return resp, err
 }
 
 // Handler returns a handler that observes the stamps of requests and stamps responses when their
 // header is written, which is after what the handler did before.
-func Handler(next http.Handler, clock *hlc.Clock) http.Handler {
+func (c *Carrier) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		Observe(r.Header, clock)
-		next.ServeHTTP(&writer{ResponseWriter: w, clock: clock}, r)
+		c.Observe(r.Header)
+		next.ServeHTTP(&writer{ResponseWriter: w, carrier: c}, r)
 	})
 }
 
 type writer struct {
 	http.ResponseWriter
-	clock   *hlc.Clock
+	carrier *Carrier
 	stamped bool
 }
 
@@ -101,6 +138,6 @@
 func (w *writer) stamp() {
 	if !w.stamped {
 		w.stamped = true
-		Set(w.Header(), w.clock)
+		w.carrier.Set(w.Header())
 	}
 }
--- a/adapter/target/client.go
+++ b/adapter/target/client.go
@@ -16,7 +16,6 @@
 
 	"hyssopcroft.example/adapter/stamp"
 	"hyssopcroft.example/adapter/wire/targetpb"
-	"hyssopcroft.example/kernel/hlc"
 	"hyssopcroft.example/query"
 )
 
@@ -35,8 +34,8 @@
 
 // Client calls targets. It is safe for concurrent use.
 type Client struct {
-	http  *http.Client
-	clock *hlc.Clock // nil if messages are not stamped
+	http   *http.Client
+	stamps *stamp.Carrier // nil if messages are not stamped
 }
 
 // NewClient returns a client that sends through the given transport.
@@ -44,9 +43,9 @@
 	return &Client{http: &http.Client{Transport: transport}}
 }
 
-// UseClock makes the client stamp requests and observe the stamps of answers. Targets need not answer
+// UseStamps makes the client stamp requests and observe the stamps of answers. Targets need not answer
 // with a stamp. It must be called before the first request.
-func (c *Client) UseClock(clock *hlc.Clock) { c.clock = clock }
+func (c *Client) UseStamps(s *stamp.Carrier) { c.stamps = s }
 
 // NewTransport returns a transport that keeps one unencrypted HTTP/2 connection to each target and
 // closes a connection that has been silent for pingAfter plus pingTimeout.
@@ -182,13 +181,13 @@
 	// resets, executes (I5) and searches beyond the retry budget (H4).
 	req.GetBody = nil
 	req.Header.Set("Content-Type", ContentType)
-	stamp.Set(req.Header, c.clock)
+	c.stamps.Set(req.Header)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return t.outcome(err), errors.Wrap(err, "call target")
 	}
 	defer resp.Body.Close()
-	stamp.Observe(resp.Header, c.clock)
+	c.stamps.Observe(resp.Header)
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return t.outcome(err), errors.Wrap(err, "read target response")
--- a/emulator/target/server.go
+++ b/emulator/target/server.go
@@ -24,7 +24,7 @@
 func handler(s *Searcher, h *Host) http.Handler {
 	r := chi.NewRouter()
 	if s.cfg.Ring != nil {
-		r.Use(func(next http.Handler) http.Handler { return stamp.Handler(next, s.cfg.Ring.Clock()) })
+		r.Use(stamp.New(s.cfg.Ring.Clock()).Handler)
 	}
 	r.Post(api.PathSearch, func(w http.ResponseWriter, req *http.Request) {
 		var in targetpb.SearchRequest
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -56,6 +56,7 @@
 	k := kernel.New()
 	c := counters.NewSet()
 	ring := timeline.NewRing(s.Instance, s.TimelineEvents, hlc.New(time.Now))
+	stamps := stamp.New(ring.Clock())
 	recorder, closeTrace, err := openRecorder(s, c)
 	if err != nil {
 		_ = listener.Close() // The first error is reported.
@@ -72,18 +73,18 @@
 	m := members.New(self, client, cfg, k.Bus(), ring, log, c)
 	e := entry.New(s.Instance, s.FailureDomain, cfg, k.Bus(), log, c)
 	cl := claims.New(claims.Config{
-		Instance: s.Instance, Client: client, Members: m, Targets: e, Peers: stamp.Transport(peer.NewTransport(nil), ring.Clock()),
+		Instance: s.Instance, Client: client, Members: m, Targets: e, Peers: stamps.Transport(peer.NewTransport(nil)),
 		Bus: k.Bus(), Log: log, Counters: c,
 	})
 	e.UseClaims(cl)
 	li := limits.New(limits.Config{
-		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: stamp.Transport(peer.NewTransport(nil), ring.Clock()),
+		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: stamps.Transport(peer.NewTransport(nil)),
 		Ring: ring, Log: log, Counters: c, Recorder: recorder,
 	})
 	e.UseLimits(li)
 	e.UseMembers(m)
 	e.UseRecorder(recorder)
-	e.UseTimeline(ring, time.Duration(s.SlowQuery))
+	e.UseTimeline(ring, stamps, time.Duration(s.SlowQuery))
 	cfg.UseRecorder(recorder, s.Instance)
 	rel := relay.New(e, c)
 	op := operator.New(s.Instance, s.FailureDomain, client, cfg, m, ring, c)
@@ -107,8 +108,8 @@
 	rel.UseDrain(d.start, d.end)
 	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), listener: listener, closeTrace: closeTrace}
 	a.server = newServer(op, d, c,
-		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)).stamped(ring),
-		route(peer.LendingHandler(li)).stamped(ring), route(peer.RelayHandler(rel)).stamped(ring))
+		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)).stamped(stamps),
+		route(peer.LendingHandler(li)).stamped(stamps), route(peer.RelayHandler(rel)).stamped(stamps))
 	a.server.ConnState = a.connections.follow
 	a.server.ConnContext = peer.ConnContext(m.Traffic())
 	return a, nil
@@ -122,9 +123,9 @@
 
 func route(prefix string, handler http.Handler) peerRoute { return peerRoute{prefix, handler} }
 
-// stamped carries the stamps of the ring's clock. Exchanges and pushes carry them in their messages.
-func (p peerRoute) stamped(ring *timeline.Ring) peerRoute {
-	return peerRoute{p.prefix, stamp.Handler(p.handler, ring.Clock())}
+// stamped observes and carries stamps. Exchanges and pushes carry them in their messages.
+func (p peerRoute) stamped(stamps *stamp.Carrier) peerRoute {
+	return peerRoute{p.prefix, stamps.Handler(p.handler)}
 }
 
 func newServer(operators admin.Backend, callers *drainer, c *counters.Set, peers ...peerRoute) *http.Server {
--- a/instance/entry/slow.go
+++ b/instance/entry/slow.go
@@ -73,11 +73,11 @@
 }
 
 // UseTimeline sets where slow queries are recorded and the time after which a query is slow. Messages
-// to targets and relays carry the stamps of its clock. It must be called before Start.
-func (s *Service) UseTimeline(ring *timeline.Ring, slowAfter time.Duration) {
+// to targets and relays carry stamps. It must be called before Start.
+func (s *Service) UseTimeline(ring *timeline.Ring, stamps *stamp.Carrier, slowAfter time.Duration) {
 	s.ring, s.slowAfter = ring, slowAfter
-	s.targets.UseClock(ring.Clock())
-	s.relays = peer.NewRelayClient(stamp.Transport(s.peerPool, ring.Clock()))
+	s.targets.UseStamps(stamps)
+	s.relays = peer.NewRelayClient(stamps.Transport(s.peerPool))
 }
 
 // noteSlow records a query that ended slow or incomplete. find is called for those only. A query that
--- a/kernel/hlc/hlc.go
+++ b/kernel/hlc/hlc.go
@@ -59,6 +59,23 @@
 	return c.advance(remote)
 }
 
+// Last returns the latest time stamp that the clock has issued or merged. It does not advance the clock.
+func (c *Clock) Last() Timestamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
+// Merge moves the clock to a time stamp received from another process, if that is later. The next
+// stamp that the clock issues is after it.
+func (c *Clock) Merge(remote Timestamp) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if remote.Compare(c.last) > 0 {
+		c.last = remote
+	}
+}
+
 func (c *Clock) advance(remote Timestamp) Timestamp {
 	wall := c.physical().UnixNano()
 	c.mu.Lock()
