Tell the other instances of a draining target

Cause: an instance learned of a draining target by its own refused attempt or by the platform's list.

The measure's entries tell each other with the delays of their failure domains.

Ruled out: a mark in the exchange between members, which would take up to a second for each hop.

--- a/adapter/peer/relay_test.go
+++ b/adapter/peer/relay_test.go
@@ -30,6 +30,10 @@
 	return r.answer(req), nil
 }
 
+func (r relay) Draining(context.Context, *relaypb.DrainingRequest) (*relaypb.DrainingResponse, error) {
+	return &relaypb.DrainingResponse{}, nil
+}
+
 func (r relay) Suspect(context.Context, *relaypb.SuspectRequest) (*relaypb.SuspectResponse, error) {
 	return &relaypb.SuspectResponse{}, nil
 }
--- /dev/null
+++ b/emulator/fleet/draining_test.go
@@ -0,0 +1,42 @@
+package fleet_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/caller"
+	"hyssopcroft.example/instance/app"
+)
+
+// searchAtOnce runs several searches side by side, so that both replicas of each shard are asked.
+func searchAtOnce(t *testing.T, a *app.App) {
+	const searches = 8
+	results := make([]caller.Result, searches)
+	codes := make([]int, searches)
+	var wait sync.WaitGroup
+	for i := range searches {
+		wait.Go(func() { codes[i] = do(t, http.MethodPost, a, "/v1/search", nil, searchBody, &results[i]) })
+	}
+	wait.Wait()
+	for i, code := range codes {
+		require.Equal(t, http.StatusOK, code)
+		require.True(t, results[i].Complete)
+	}
+}
+
+// Guards against an instance that goes on sending work to a draining target which another instance
+// has found out about and the platform's list does not mark.
+func TestDrainingTargetIsToldToTheOtherInstance(t *testing.T) {
+	f, apps := start(t)
+	f.Searchers["ledger-0-0"].SetDraining(true)
+	told := func() bool {
+		searchAtOnce(t, apps[0])
+		var vars map[string]any
+		do(t, http.MethodGet, apps[1], "/debug/vars", nil, nil, &vars)
+		return vars["draining_targets_told"] != nil
+	}
+	require.Eventually(t, told, settleTimeout, settlePoll)
+}
--- a/emulator/measure/entry.go
+++ b/emulator/measure/entry.go
@@ -83,6 +83,19 @@
 	e.pool.SetTargets(targets)
 }
 
+// drained tells the other entries of a draining target as instances tell each other, if it is news.
+func (e *entry) drained(id query.TargetID) {
+	d := e.driver
+	if d.scenario.Baseline || !e.pool.Drain(d.Loop.Now(), id) {
+		return
+	}
+	for _, other := range d.entries {
+		if other != e {
+			d.Loop.After(d.delay(e.domain, other.domain), func() { other.pool.Drain(d.Loop.Now(), id) })
+		}
+	}
+}
+
 func (e *entry) nextAttempt() query.AttemptID {
 	e.lastAttempt++
 	return e.lastAttempt
@@ -158,6 +171,9 @@
 		f.entry.driver.stats.late++
 		return
 	}
+	if j := f.jobs[sent]; j != nil && r.Attempt == sent && r.Outcome == query.OutcomeDraining {
+		f.entry.drained(j.target)
+	}
 	f.perform(f.machine.OnReply(f.entry.driver.Loop.Now(), sent, r))
 }
 
@@ -198,6 +214,7 @@
 func (f *flight) dispatch(a scatter.Action, s *searcher, delay time.Duration) {
 	e, d := f.entry, f.entry.driver
 	j := &job{crashes: d.crash != nil && f.request.Query == d.crash.poison}
+	j.target = a.Target
 	f.jobs[a.Attempt] = j
 	back := d.delay(e.domain, s.domain)
 	j.reply = func(o query.Outcome, cold bool) {
--- a/emulator/measure/searcher.go
+++ b/emulator/measure/searcher.go
@@ -64,6 +64,7 @@
 
 // job is one request at a searcher.
 type job struct {
+	target    query.TargetID
 	deadline  time.Time // the searcher stops at this time
 	cancelled bool
 	ended     bool
--- a/instance/entry/quarantine.go
+++ b/instance/entry/quarantine.go
@@ -193,6 +193,14 @@
 
 // tellSuspicion sends a suspicion to a few live peers. The channel is closed once all have answered.
 func (s *Service) tellSuspicion(m peer.Suspicion) <-chan struct{} {
+	return s.tellPeers("suspicions_lost", func(ctx context.Context, address string) error {
+		return s.relays.Suspect(ctx, address, m)
+	})
+}
+
+// tellPeers sends a message to a few live peers and counts those that did not take it. The channel
+// is closed once all have answered.
+func (s *Service) tellPeers(lost string, send func(ctx context.Context, address string) error) <-chan struct{} {
 	told := make(chan struct{})
 	if s.members == nil {
 		close(told)
@@ -210,8 +218,8 @@
 		calls.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
 			defer cancel()
-			if s.relays.Suspect(ctx, p.Address, m) != nil {
-				s.counters.Counter("suspicions_lost").Add(1)
+			if send(ctx, p.Address) != nil {
+				s.counters.Counter(lost).Add(1)
 			}
 		})
 	}
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -97,7 +97,7 @@
 			if other, again := r.index.restartOnReply(r.restart, s.shard, s.reply.Outcome); again {
 				return query.Answer{}, other, true
 			}
-			r.suspect(s)
+			r.note(s)
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), s.attempt, s.reply))
 		case <-timer.C:
 			finished = r.perform(ctx, r.machine.OnWake(time.Now()))
@@ -111,12 +111,15 @@
 	return answer, other, again
 }
 
-// suspect notes the crash of a target while no target has answered the query.
-func (r *run) suspect(s sentReply) {
+// note takes what a reply tells about its target: that it is draining, or that it crashed while no
+// target has answered the query.
+func (r *run) note(s sentReply) {
 	if s.reply.Attempt != s.attempt {
 		return
 	}
 	switch s.reply.Outcome {
+	case query.OutcomeDraining:
+		r.service.drained(r.index, s.target)
 	case query.OutcomeAnswered:
 		r.guard.request.Cleared = true
 	case query.OutcomeCrashed:
--- a/instance/relay/service.go
+++ b/instance/relay/service.go
@@ -22,6 +22,8 @@
 	RunGroup(ctx context.Context, g peer.ScatterGroup) peer.Partial
 	// Suspect takes a suspicion of another instance.
 	Suspect(s peer.Suspicion)
+	// Draining takes the news that a target is leaving.
+	Draining(d peer.Draining)
 }
 
 // Service implements relaypb.Relay. It is safe for concurrent use.
@@ -56,6 +58,12 @@
 	return &relaypb.SuspectResponse{}, nil
 }
 
+// Draining implements relaypb.Relay.
+func (s *Service) Draining(_ context.Context, req *relaypb.DrainingRequest) (*relaypb.DrainingResponse, error) {
+	s.backend.Draining(peer.DrainingFromWire(req))
+	return &relaypb.DrainingResponse{}, nil
+}
+
 func (s *Service) run(ctx context.Context, g peer.ScatterGroup) peer.Partial {
 	if !s.start() {
 		return peer.Partial{Reply: group.Reply{Attempt: g.Attempt, Outcome: query.OutcomeDraining}}
--- a/instance/relay/service_test.go
+++ b/instance/relay/service_test.go
@@ -21,6 +21,8 @@
 
 func (b *backend) Suspect(peer.Suspicion) {}
 
+func (b *backend) Draining(peer.Draining) {}
+
 // Guards against a group that a leaving instance runs although it refuses new work, and against a
 // refusal that does not say that nothing was run.
 func TestLeavingRelayRefusesGroups(t *testing.T) {
--- a/query/replica/chooser.go
+++ b/query/replica/chooser.go
@@ -237,6 +237,17 @@
 	return s.class, true
 }
 
+// Drain marks a target as draining on the word of another instance. It returns false if the target
+// is not known or marked already.
+func (c *Chooser) Drain(now time.Time, id query.TargetID) bool {
+	s := c.targets[id]
+	if s == nil || s.draining {
+		return false
+	}
+	s.draining, s.returning, s.drainedAt = true, false, now
+	return true
+}
+
 func (c *Chooser) learnTypical(class Class, latency time.Duration) {
 	t := &c.typical[class]
 	if *t == 0 {
--- a/query/scatter/pool.go
+++ b/query/scatter/pool.go
@@ -114,6 +114,9 @@
 // Overdue implements Policy.
 func (p *Pool) Overdue(target query.TargetID, sent time.Time) { p.chooser.Overdue(target, sent) }
 
+// Drain does what replica.Chooser.Drain does.
+func (p *Pool) Drain(now time.Time, target query.TargetID) bool { return p.chooser.Drain(now, target) }
+
 // End implements Policy.
 func (p *Pool) End(now time.Time, e replica.End) {
 	c, known := p.chooser.End(now, e)
