--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/kernel"
@@ -33,10 +34,12 @@
 	NameCurrent   = "current"
 	KindSnapshots = "snapshots"
 	KindTargets   = "targets"
+	// KindQuarantine holds the confirmed requests that crash targets, under NameCurrent.
+	KindQuarantine = "quarantine"
 )
 
 // kinds lists the kinds of objects that every instance holds.
-var kinds = []string{KindConfig, KindSnapshots, KindTargets}
+var kinds = []string{KindConfig, KindSnapshots, KindTargets, KindQuarantine}
 
 // InForce is published when a newer configuration is in force.
 type InForce struct {
@@ -87,10 +90,12 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
+	confirmations confirmations
+
 	announcing sync.Mutex // keeps events in the order of the revisions; taken before mu
 
 	mu          sync.Mutex // guards the fields below
-	state       config.State
+	state       trace.State
 	holdings    config.Holdings
 	ready       bool
 	watching    context.CancelFunc // ends the watches; nil if the instance does not watch
@@ -105,6 +110,10 @@
 	return &Service{client: client, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel}
 }
 
+// UseRecorder sets what records the versions offered. subject is the id of this instance. It must be
+// called before Start.
+func (s *Service) UseRecorder(r *trace.Recorder, subject string) { s.state.RecordTo(r, subject) }
+
 // Bind sets the membership. It must be called before Start.
 func (s *Service) Bind(f Fleet) { s.fleet = f }
 
@@ -209,6 +218,10 @@
 		err := json.Unmarshal(o.Data, &ev.Targets)
 		ev.Targets = slices.Clip(ev.Targets)
 		return ev, o.Name, err
+	case KindQuarantine:
+		var ev QuarantineChanged
+		err := json.Unmarshal(o.Data, &ev.Confirmed)
+		return ev, o.Name, err
 	}
 	return nil, "", errors.Errorf("kind %q is not held by instances", o.Kind)
 }
