--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -63,6 +63,7 @@
 	timers     timers
 	openShards int
 	finished   bool
+	latest     int32 // shard that was covered or given up last, -1 before the first
 	suspect    suspicion
 	ran        bool             // a target may have run a part of the query
 	actions    []Action         // reused by every call
@@ -82,6 +83,7 @@
 		timers:     make(timers, 0, n+n/16+1),
 		actions:    make([]Action, 0, n+1),
 		openShards: n,
+		latest:     -1,
 		suspect:    suspicion{answered: cfg.Request.Cleared},
 	}
 	if m.policy == nil {
