Refuse searches under overload and tell when none of a search has run

Cause: query/admission was measured but no instance used it, and coverage_short said "unknown" even when no sub-request had run.

Change: instance/entry asks a controller for each index before it sends anything and refuses with overloaded, "not run" and a retry-after. A relay has a second controller for groups of other instances and refuses as Shed, which counts as certainly not run. Priority comes from the plan, or with the message. scatter.Machine.MayHaveRun and the new group.Machine.MayHaveRun decide what coverage_short says. Answers that say nothing about load (caller gone, shard lost, deadline below the usual latency) no longer lower the limit, and an index that refuses all as too late tests its usual latency once a second.

Conclusion: admission acts on searches at both levels; executes are limited by their plan alone.

--- /dev/null
+++ b/instance/entry/admission_test.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/admission"
+)
+
+func missing(c query.Cause) query.Coverage {
+	return query.Coverage{Missing: []query.MissingShard{{Shard: 1, Cause: c}}}
+}
+
+// Guards against refusals at low load because of answers that say nothing about load, and against
+// requests that stay counted as in flight.
+func TestOnlyLoadLowersTheLimit(t *testing.T) {
+	const usual = 10 * time.Millisecond
+	cases := []struct {
+		name     string
+		took     time.Duration
+		finished bool
+		got      query.Coverage
+		refuses  bool
+	}{
+		{"complete answers", usual, true, query.Coverage{}, false},
+		{"slow answers", 10 * usual, true, query.Coverage{}, true},
+		{"timeouts", 10 * usual, true, missing(query.CauseTimeout), true},
+		{"timeouts below the usual latency", usual / 2, true, missing(query.CauseTimeout), false},
+		{"lost shard awaited until the deadline", 10 * usual, true, missing(query.CauseNoReplica), false},
+		{"caller gone", 10 * usual, false, query.Coverage{}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ix := newIndex("ledger", "caernarfon", rand.New(rand.NewPCG(1, 1)))
+				run := func(n int, took time.Duration, finished bool, got query.Coverage) {
+					for range n {
+						a, no := ix.admit(ix.admission, query.PriorityBatch, time.Second)
+						require.Nil(t, no)
+						time.Sleep(took)
+						a.end(finished, got)
+					}
+				}
+				run(500, usual, true, query.Coverage{})
+				run(500, c.took, c.finished, c.got)
+				var no *refused
+				for range 50 {
+					if _, no = ix.admit(ix.admission, query.PriorityBatch, time.Second); no != nil {
+						break
+					}
+				}
+				require.Equal(t, c.refuses, no != nil)
+				if c.refuses {
+					require.Equal(t, admission.Full, no.verdict)
+					require.Positive(t, no.retryAfter)
+				}
+				_, no = ix.admit(ix.relayed, query.PriorityBatch, time.Second)
+				require.Nil(t, no, "groups for other instances are judged by their own latency")
+			})
+		})
+	}
+}
--- a/instance/entry/index.go
+++ b/instance/entry/index.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/admission"
 	"hyssopcroft.example/query/latency"
 	"hyssopcroft.example/query/placement"
 	"hyssopcroft.example/query/scatter"
@@ -23,8 +24,10 @@
 	pool      *scatter.Pool
 	targets   []query.Target
 	addresses map[query.TargetID]string
-	place     *placement.Index     // nil until members are known
-	placedFor []placement.Instance // of the placement; nil if it has to be made again
+	admission *admission.Controller // of searches of callers
+	relayed   *admission.Controller // of groups for other instances, whose usual latency is another one
+	place     *placement.Index      // nil until members are known
+	placedFor []placement.Instance  // of the placement; nil if it has to be made again
 	groups    *groupTimes
 }
 
@@ -32,6 +35,7 @@
 	return &index{
 		name: name, latencies: latency.NewWindow(), pool: scatter.NewPool(failureDomain, source),
 		addresses: map[query.TargetID]string{}, groups: newGroupTimes(),
+		admission: admission.New(), relayed: admission.New(),
 	}
 }
 
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -30,29 +30,42 @@
 	reply   query.Reply
 }
 
-// scatter asks all shards of an index and returns the merged answer.
-func (s *Service) scatter(ctx context.Context, ix *index, req query.Request) (query.Answer, *problem.Problem) {
+// runResult is what one run at one snapshot came to.
+type runResult struct {
+	answer query.Answer
+	// ran is set if a target may have run a part of the query.
+	ran bool
+	// again is set if the query has to be asked again, at the map next; there is no answer then.
+	again bool
+	next  query.Map
+}
+
+// scatter asks all shards of an index and returns the merged answer, and whether a target may have
+// run a part of the query.
+func (s *Service) scatter(ctx context.Context, ix *index, req query.Request) (query.Answer, bool, *problem.Problem) {
 	start := time.Now()
 	shardMap, known := ix.chooseSnapshot()
 	if !known {
-		return query.Answer{}, refusal(http.StatusServiceUnavailable, problem.NotReady, "index "+req.Index+" has no snapshot yet")
+		return query.Answer{}, false, refusal(http.StatusServiceUnavailable, problem.NotReady, "index "+req.Index+" has no snapshot yet")
 	}
 	restart := snapshot.NewRestart(shardMap.Version, req.Deadline)
+	ran := false
 	for {
-		answer, other, again := s.runOnce(ctx, ix, req, shardMap, restart)
-		if !again {
-			if answer.Coverage.Complete() {
+		r := s.runOnce(ctx, ix, req, shardMap, restart)
+		ran = ran || r.ran
+		if !r.again {
+			if r.answer.Coverage.Complete() {
 				ix.recordLatency(time.Since(start))
 			}
-			return answer, nil
+			return r.answer, ran, nil
 		}
 		s.counters.Counter("search_restarts").Add(1)
-		shardMap = other
+		shardMap = r.next
 	}
 }
 
 // runOnce asks at one snapshot, over one level or two.
-func (s *Service) runOnce(ctx context.Context, ix *index, req query.Request, m query.Map, restart *snapshot.Restart) (query.Answer, query.Map, bool) {
+func (s *Service) runOnce(ctx context.Context, ix *index, req query.Request, m query.Map, restart *snapshot.Restart) runResult {
 	if place, twoLevels := ix.placed(); twoLevels {
 		return s.newGroupRun(ix, place, req, m, restart).loop(ctx)
 	}
@@ -71,12 +84,11 @@
 	}
 }
 
-// loop returns the answer, or true with the map that the query has to be asked at again.
-func (r *run) loop(caller context.Context) (query.Answer, query.Map, bool) {
+// loop performs the query until it is finished, has to be asked again, or the caller has gone.
+func (r *run) loop(caller context.Context) runResult {
 	ctx, cancel := context.WithCancel(caller)
 	defer cancel() // ends all attempts that are still in flight
 	defer r.countDropped()
-	defer r.abandon()
 	finished := r.perform(ctx, r.machine.Start(time.Now()))
 	timer := time.NewTimer(time.Until(r.machine.NextWake()))
 	defer timer.Stop()
@@ -84,7 +96,8 @@
 		select {
 		case s := <-r.replies:
 			if other, again := r.index.restartOnReply(r.restart, s.shard, s.reply.Outcome); again {
-				return query.Answer{}, other, true
+				r.abandon()
+				return runResult{ran: r.machine.MayHaveRun(), again: true, next: other}
 			}
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), s.attempt, s.reply))
 		case <-timer.C:
@@ -94,12 +107,13 @@
 		}
 		timer.Reset(time.Until(r.machine.NextWake()))
 	}
+	r.abandon()
 	answer := r.machine.Answer()
 	other, again := r.index.restartOnFinish(r.restart, answer.Coverage)
-	return answer, other, again
+	return runResult{answer: answer, ran: r.machine.MayHaveRun(), again: again, next: other}
 }
 
-// abandon reports the attempts of an unfinished query as ended.
+// abandon reports the attempts of an unfinished query as ended, which may have run.
 func (r *run) abandon() { r.machine.Abandon(time.Now()) }
 
 func (r *run) countDropped() {
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -149,23 +149,33 @@
 	req := query.Request{
 		ID: query.RequestID(s.random()), Plan: c.Plan, Index: c.Index, Query: c.Query, Limit: c.Limit,
 		Deadline: start.Add(deadlineOf(limit, c.DeadlineMillis)), PreferCoverage: s.prefersCoverage(c.Plan),
+		Priority: query.ParsePriority(s.priorityOf(c.Plan)),
 	}
-	answer, p := s.scatter(ctx, ix, req)
+	admitted, p := s.admitSearch(ix, req)
+	if p != nil {
+		s.counters.Counter("search_refused_" + string(p.Code)).Add(1)
+		return caller.Result{}, p
+	}
+	answer, ran, p := s.scatter(ctx, ix, req)
+	admitted.end(p == nil && ctx.Err() == nil, answer.Coverage)
 	if p != nil {
 		return caller.Result{}, p
 	}
 	s.counters.Counter("searches_answered").Add(1)
-	return s.result(answer, limit)
+	return s.result(answer, limit, ran)
 }
 
-func (s *Service) result(a query.Answer, limit config.Limit) (caller.Result, *problem.Problem) {
+// result returns the answer unless it covers less than the plan demands. mayHaveRun is false if
+// certainly no target ran a part of the search.
+func (s *Service) result(a query.Answer, limit config.Limit, mayHaveRun bool) (caller.Result, *problem.Problem) {
 	shards := len(a.Coverage.Included) + len(a.Coverage.Missing)
 	if float64(len(a.Coverage.Included)) < limit.LeastCoverage*float64(shards) {
 		s.counters.Counter("search_refused_" + string(problem.CoverageShort)).Add(1)
-		return caller.Result{}, &problem.Problem{
-			Status: http.StatusGatewayTimeout, Code: problem.CoverageShort, Run: problem.MayHaveRun,
-			Message: "the answer covers fewer shards than the plan demands",
+		p := refusal(http.StatusGatewayTimeout, problem.CoverageShort, "the answer covers fewer shards than the plan demands")
+		if mayHaveRun {
+			p.Run = problem.MayHaveRun
 		}
+		return caller.Result{}, p
 	}
 	return caller.Result{
 		Request: a.Request.String(), Instance: s.instance, Index: a.Index, Snapshot: a.Snapshot,
--- a/instance/entry/two_level.go
+++ b/instance/entry/two_level.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// loop returns the answer, or true with the map that the query has to be asked at again.
-func (r *groupRun) loop(ctx context.Context) (query.Answer, query.Map, bool) {
+// loop performs the query until it is finished, has to be asked again, or the caller has gone.
+func (r *groupRun) loop(ctx context.Context) runResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends all attempts that are still in flight
 	defer r.countDropped()
@@ -57,7 +57,7 @@
 		select {
 		case p := <-r.replies:
 			if other, again := r.index.restartOnPart(r.restart, p.partial.Answer.Coverage); again {
-				return query.Answer{}, other, true
+				return runResult{ran: true, again: true, next: other} // A relay has answered.
 			}
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), p.attempt, p.partial.Reply))
 		case <-timer.C:
@@ -69,7 +69,7 @@
 	}
 	answer := r.machine.Answer()
 	other, again := r.index.restartOnFinish(r.restart, answer.Coverage)
-	return answer, other, again
+	return runResult{answer: answer, ran: r.machine.MayHaveRun(), again: again, next: other}
 }
 
 func (r *groupRun) countDropped() {
@@ -148,10 +148,17 @@
 	}
 	req := query.Request{
 		ID: g.Request, Plan: g.Plan, Index: g.Index, Query: g.Query, Limit: g.Limit, Deadline: start.Add(g.TimeLeft),
-		PreferCoverage: s.prefersCoverage(g.Plan),
+		PreferCoverage: s.prefersCoverage(g.Plan), Priority: query.ParsePriority(g.Priority),
+	}
+	admitted, no := ix.admit(ix.relayed, req.Priority, g.TimeLeft)
+	if no != nil {
+		s.counters.Counter("relay_refused_" + req.Priority.String() + "_" + no.verdict.String()).Add(1)
+		p.Outcome = query.OutcomeShed
+		return p
 	}
 	asked := query.Map{Version: g.Snapshot, Shards: g.Shards}
-	p.Answer, _, _ = s.newRun(ix, req, asked, nil).loop(ctx)
+	p.Answer = s.newRun(ix, req, asked, nil).loop(ctx).answer
+	admitted.end(ctx.Err() == nil, p.Answer.Coverage)
 	p.Outcome = query.OutcomeAnswered
 	p.Versions = ix.report(asked)
 	p.Took = time.Since(start)
--- a/query/admission/controller.go
+++ b/query/admission/controller.go
@@ -27,6 +27,12 @@
 	// floorDriftPerSecond takes its place while the limit is at its lowest, since this instance's load
 	// is then not what makes answers slow.
 	floorDriftPerSecond = 0.02
+	// staleAfter is the time without an answer after which one request may test whether the usual
+	// latency has fallen. Otherwise an index that was slow at first would be refused for good.
+	staleAfter = time.Second
+	// firstRetryAfter is advised while no latency is known: a tenth of a second is about the time in
+	// which 99 of 100 answers are due.
+	firstRetryAfter = 100 * time.Millisecond
 	// leastAnswers is the number of answers after which the averages are used.
 	leastAnswers = 128
 )
@@ -62,6 +68,7 @@
 	lowest   time.Duration // lowest value of mean, rising slowly
 	drifted  time.Time
 	reduced  time.Time
+	checked  time.Time // latest answer, or latest request admitted to test the usual latency
 }
 
 // New returns a controller that has learnt nothing.
@@ -75,7 +82,7 @@
 // Admit decides on a request that arrives now. RetryAfter applies to refusals.
 func (c *Controller) Admit(now time.Time, p query.Priority, timeLeft time.Duration) (Ticket, Verdict) {
 	switch {
-	case c.answers >= leastAnswers && c.lowest > timeLeft:
+	case c.tooLate(now, timeLeft):
 		return Ticket{}, TooLate
 	case float64(c.inFlight) >= c.limit*share[p]:
 		return Ticket{}, Full
@@ -84,10 +91,28 @@
 	return Ticket{started: now}, Admitted
 }
 
+// tooLate reports whether the usual latency is known and exceeds the time left.
+func (c *Controller) tooLate(now time.Time, timeLeft time.Duration) bool {
+	if c.answers < leastAnswers || c.lowest <= timeLeft {
+		return false
+	}
+	if now.Sub(c.checked) < staleAfter {
+		return true
+	}
+	c.checked = now
+	return false
+}
+
 // RetryAfter returns the time after which a refused request may find room: the usual latency.
-func (c *Controller) RetryAfter() time.Duration { return c.mean }
+func (c *Controller) RetryAfter() time.Duration {
+	if c.answers == 0 {
+		return firstRetryAfter
+	}
+	return c.mean
+}
 
-// Abandon takes the end of an admitted request whose caller has gone.
+// Abandon takes the end of an admitted request that says nothing about load: its caller has gone, or
+// a shard is missing for another reason than the deadline.
 func (c *Controller) Abandon() { c.inFlight-- }
 
 // Done takes the end of an admitted request. timedOut is set if a shard is missing because of the
@@ -96,6 +121,10 @@
 	took := now.Sub(t.started)
 	busy := float64(c.inFlight) >= c.limit*share[query.PriorityBatch]
 	c.inFlight--
+	c.checked = now
+	if timedOut && took < c.lowest {
+		return // The deadline was shorter than the usual latency, so it shows no overload.
+	}
 	c.learn(now, took)
 	if c.answers < leastAnswers {
 		return
--- a/query/admission/controller_test.go
+++ b/query/admission/controller_test.go
@@ -73,6 +73,7 @@
 		{"slow answers", func(l *load) { l.run(200, 4*usual, false) }, true},
 		{"one straggler", func(l *load) { l.run(1, 20*usual, false) }, false},
 		{"timeouts", func(l *load) { l.run(100, usual, true) }, true},
+		{"timeouts shorter than the usual latency", func(l *load) { l.run(500, usual/2, true) }, false},
 		{"callers gone", func(l *load) {
 			for range 100 {
 				_, _ = l.Admit(l.now, query.PriorityHigh, time.Minute)
@@ -124,3 +125,24 @@
 	}
 	require.Greater(t, l.room(query.PriorityHigh), floor)
 }
+
+// Guards against an index that is refused for good because it was slow at first.
+func TestUsualLatencyIsTestedAgain(t *testing.T) {
+	l := newLoad(t)
+	l.now = l.now.Add(2 * time.Second)
+	ticket, v := l.Admit(l.now, query.PriorityBatch, usual/2)
+	require.Equal(t, admission.Admitted, v)
+	_, v = l.Admit(l.now, query.PriorityBatch, usual/2)
+	require.Equal(t, admission.TooLate, v)
+	l.Done(l.now.Add(usual/2), ticket, false)
+}
+
+// Guards against refusals just after the start, when no latency is known.
+func TestUnlearntControllerAdmits(t *testing.T) {
+	c := admission.New()
+	for range 64 {
+		_, v := c.Admit(time.Unix(1000, 0), query.PriorityBatch, time.Millisecond)
+		require.Equal(t, admission.Admitted, v)
+	}
+	require.Positive(t, c.RetryAfter())
+}
--- a/query/group/machine.go
+++ b/query/group/machine.go
@@ -94,6 +94,7 @@
 	open     int // number of parts that are not done
 	inFlight map[query.AttemptID]attempt
 	finished bool
+	ran      bool     // a relay may have sent a part of the query to a target
 	actions  []Action // reused by every call
 	dropped  map[string]int64
 }
@@ -138,6 +139,7 @@
 	}
 	delete(m.inFlight, sent)
 	a.part.inFlight--
+	m.ran = m.ran || r.Attempt != sent || !r.Outcome.CertainlyNotRun()
 	if r.Outcome == query.OutcomeAnswered {
 		m.take(a.part, sent, r)
 	} else {
@@ -235,6 +237,10 @@
 	})
 }
 
+// MayHaveRun reports whether a target may have run a part of the query. It is to be called after
+// Finish. Where it returns false, every relay that was asked certainly sent nothing to a target.
+func (m *Machine) MayHaveRun() bool { return m.ran || len(m.inFlight) > 0 }
+
 // Dropped returns how many replies were dropped, by reason.
 func (m *Machine) Dropped() map[string]int64 { return m.dropped }
 
@@ -271,6 +277,7 @@
 		if a.part == p {
 			m.actions = append(m.actions, Action{Kind: Cancel, Attempt: id, Relay: a.relay})
 			delete(m.inFlight, id)
+			m.ran = true
 		}
 	}
 	p.inFlight = 0
--- a/query/group/machine_test.go
+++ b/query/group/machine_test.go
@@ -154,3 +154,35 @@
 		require.Equal(t, query.CauseTimeout, missing.Cause)
 	}
 }
+
+// Guards against a refusal that promises "not run" although a relay may have asked a target.
+func TestMayHaveRun(t *testing.T) {
+	all := func(o query.Outcome) func(m *group.Machine) {
+		return func(m *group.Machine) {
+			for id := range query.AttemptID(4) { // a, d, b and c
+				m.OnReply(start, id+1, failed(id+1, o))
+			}
+		}
+	}
+	cases := []struct {
+		name string
+		do   func(m *group.Machine)
+		ran  bool
+	}{
+		{"all relays refuse", all(query.OutcomeShed), false},
+		{"all relays leave", all(query.OutcomeDraining), false},
+		{"a relay is silent", all(query.OutcomeUnknown), true},
+		{"a refusal of another attempt", func(m *group.Machine) { m.OnReply(start, 2, failed(9, query.OutcomeShed)) }, true},
+		{"a relay answers", func(m *group.Machine) { m.OnReply(start, 2, partial(2, 3)) }, true},
+		{"deadline", func(m *group.Machine) { m.OnWake(start.Add(deadline)) }, true},
+		{"caller gone", func(*group.Machine) {}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMachine(0)
+			m.Start(start)
+			c.do(m)
+			require.Equal(t, c.ran, m.MayHaveRun())
+		})
+	}
+}
--- a/query/query.go
+++ b/query/query.go
@@ -58,6 +58,19 @@
 	PriorityHigh
 )
 
+var priorityNames = [...]string{"batch", "normal", "high"}
+
+// String returns the name used in the list of plans and between instances.
+func (p Priority) String() string { return priorityNames[p] }
+
+// ParsePriority returns the priority of the given name, and PriorityNormal for any other name.
+func ParsePriority(name string) Priority {
+	if i := slices.Index(priorityNames[:], name); i >= 0 {
+		return Priority(i)
+	}
+	return PriorityNormal
+}
+
 // Request is a search over all shards of one index.
 type Request struct {
 	ID    RequestID
