--- a/emulator/measure/entry.go
+++ b/emulator/measure/entry.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/admission"
 	"hyssopcroft.example/query/replica"
@@ -45,14 +46,16 @@
 	entry    *entry
 	request  query.Request
 	version  query.Version
-	machine  *scatter.Machine
+	machine  *trace.Machine
 	started  time.Time
 	jobs     map[query.AttemptID]*job
 	finished bool
 	admitted bool // by the admission controller
 	ticket   admission.Ticket
-	recorded bool      // counts in the figures
-	wake     time.Time // earliest wake-up that is scheduled; zero if none
+	recorded bool                                    // counts in the figures
+	observe  func(a scatter.Action, o query.Outcome) // if set, sees every outcome before the machine
+	then     func(query.Answer)                      // if set, takes the place of the record at the end
+	wake     time.Time                               // earliest wake-up that is scheduled; zero if none
 }
 
 func newEntry(d *Driver, domain int) *entry {
@@ -100,7 +103,7 @@
 	f := &flight{
 		entry: e, request: req, version: m.Version, started: e.driver.Loop.Now(), recorded: recorded,
 		admitted: admits, ticket: ticket,
-		jobs: map[query.AttemptID]*job{}, machine: scatter.New(e.machineConfig(req, m)),
+		jobs: map[query.AttemptID]*job{}, machine: trace.NewMachine(e.machineConfig(req, m), recorder),
 	}
 	f.perform(f.machine.Start(e.driver.Loop.Now()))
 }
@@ -124,6 +127,10 @@
 		}
 	}
 	if f.finished {
+		if f.then != nil {
+			f.then(f.machine.Answer())
+			return
+		}
 		f.entry.driver.finish(f)
 		return
 	}
@@ -190,7 +197,7 @@
 
 func (f *flight) dispatch(a scatter.Action, s *searcher, delay time.Duration) {
 	e, d := f.entry, f.entry.driver
-	j := &job{}
+	j := &job{crashes: d.crash != nil && f.request.Query == d.crash.poison}
 	f.jobs[a.Attempt] = j
 	back := d.delay(e.domain, s.domain)
 	j.reply = func(o query.Outcome, cold bool) {
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -7,7 +7,9 @@
 
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/quarantine"
 	"hyssopcroft.example/query/scatter"
 	"hyssopcroft.example/query/snapshot"
 )
@@ -17,15 +19,17 @@
 	service *Service
 	index   *index
 	request query.Request
+	guard   *guard
 	version query.Version
 	restart *snapshot.Restart
-	machine *scatter.Machine
+	machine *trace.Machine
 	replies chan sentReply
 	cancels map[query.AttemptID]context.CancelFunc
 }
 
 type sentReply struct {
 	attempt query.AttemptID
+	target  query.TargetID
 	shard   query.Shard
 	reply   query.Reply
 }
@@ -49,15 +53,21 @@
 		return query.Answer{}, false, refusal(http.StatusServiceUnavailable, problem.NotReady, "index "+req.Index+" has no snapshot yet")
 	}
 	restart := snapshot.NewRestart(shardMap.Version, req.Deadline)
-	ran := false
+	g := s.newGuard(ix, req)
 	for {
-		r := s.runOnce(ctx, ix, req, shardMap, restart)
-		ran = ran || r.ran
+		if p := g.admit(ctx, shardMap); p != nil {
+			return query.Answer{}, g.sent, p
+		}
+		r := s.runOnce(ctx, ix, g.request, shardMap, restart)
+		g.sent = g.sent || r.ran
+		if !r.again && g.finish(r.answer) {
+			continue
+		}
 		if !r.again {
 			if r.answer.Coverage.Complete() {
 				ix.recordLatency(time.Since(start))
 			}
-			return r.answer, ran, nil
+			return r.answer, g.sent, nil
 		}
 		s.counters.Counter("search_restarts").Add(1)
 		shardMap = r.next
@@ -77,8 +87,8 @@
 func (s *Service) newRun(ix *index, req query.Request, shardMap query.Map, restart *snapshot.Restart) *run {
 	cfg := scatter.Config{Request: req, Map: shardMap, Policy: ix.at(shardMap.Version), NextAttempt: s.nextAttempt}
 	return &run{
-		service: s, index: ix, request: req, version: shardMap.Version, restart: restart,
-		machine: scatter.New(cfg),
+		service: s, index: ix, request: req, guard: s.newGuard(ix, req), version: shardMap.Version, restart: restart,
+		machine: trace.NewMachine(cfg, s.recorder),
 		replies: make(chan sentReply, len(shardMap.Shards)),
 		cancels: make(map[query.AttemptID]context.CancelFunc, len(shardMap.Shards)),
 	}
@@ -99,6 +109,7 @@
 				r.abandon()
 				return runResult{ran: r.machine.MayHaveRun(), again: true, next: other}
 			}
+			r.suspect(s)
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), s.attempt, s.reply))
 		case <-timer.C:
 			finished = r.perform(ctx, r.machine.OnWake(time.Now()))
@@ -113,6 +124,21 @@
 	return runResult{answer: answer, ran: r.machine.MayHaveRun(), again: again, next: other}
 }
 
+// suspect notes the crash of a target while no target has answered the query.
+func (r *run) suspect(s sentReply) {
+	if s.reply.Attempt != s.attempt {
+		return
+	}
+	switch s.reply.Outcome {
+	case query.OutcomeAnswered:
+		r.guard.request.Cleared = true
+	case query.OutcomeCrashed:
+		if !r.guard.request.Cleared {
+			r.guard.crashed(quarantine.Crash{Shard: s.shard, Target: s.target})
+		}
+	}
+}
+
 // abandon reports the attempts of an unfinished query as ended, which may have run.
 func (r *run) abandon() { r.machine.Abandon(time.Now()) }
 
@@ -154,7 +180,7 @@
 			r.index.observe(a.Target, reply.Held)
 		}
 		select {
-		case r.replies <- sentReply{attempt: a.Attempt, shard: a.Shard, reply: reply}:
+		case r.replies <- sentReply{attempt: a.Attempt, target: a.Target, shard: a.Shard, reply: reply}:
 		case <-ctx.Done():
 		}
 	}()
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -15,6 +15,7 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
+	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/configsync"
@@ -45,7 +46,9 @@
 	bus           *kernel.Bus
 	log           *slog.Logger
 	counters      *counters.Set
+	recorder      *trace.Recorder // nil if nothing is recorded
 
+	suspects    *suspects
 	relays      *peer.RelayClient
 	members     Members // nil if unused
 	pool        *target.Pool
@@ -76,7 +79,7 @@
 	s := &Service{
 		instance: instance, failureDomain: failureDomain, config: cfg, targets: target.NewClient(pool),
 		bus: bus, log: log, counters: c, relays: peer.NewRelayClient(peerPool), pool: pool, peerPool: peerPool,
-		placeWanted: make(chan struct{}, 1), peers: map[string]membership.Member{},
+		suspects: newSuspects(), placeWanted: make(chan struct{}, 1), peers: map[string]membership.Member{},
 		indexes: map[string]*index{}, source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	s.lastAttempt.Store(rand.Uint64())
@@ -92,6 +95,9 @@
 // UseLimits sets what admits requests. It must be called before Start.
 func (s *Service) UseLimits(l Limits) { s.limits = l }
 
+// UseRecorder sets what records the decisions of queries. It must be called before Start.
+func (s *Service) UseRecorder(r *trace.Recorder) { s.recorder = r }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
@@ -115,6 +121,10 @@
 	if err != nil {
 		return err
 	}
+	err = kernel.Subscribe(ctx, s.bus, func(ev configsync.QuarantineChanged) { s.suspects.learn(ev.Confirmed) })
+	if err != nil {
+		return err
+	}
 	s.background.Go(func() { s.placeLoop(ctx) })
 	return kernel.Subscribe(ctx, s.bus, func(members.Changed) { s.placeAgain() })
 }
