--- a/instance/entry/two_level.go
+++ b/instance/entry/two_level.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// loop returns the answer, or true with the map that the query has to be asked at again.
-func (r *groupRun) loop(caller context.Context) (query.Answer, query.Map, bool) {
+// loop performs the query until it is finished, has to be asked again, or the caller has gone.
+func (r *groupRun) loop(caller context.Context) runResult {
 	ctx, cancel := context.WithCancel(caller)
 	defer cancel() // ends all attempts that are still in flight
 	defer r.countDropped()
@@ -61,7 +61,7 @@
 		select {
 		case p := <-r.replies:
 			if other, again := r.index.restartOnPart(r.restart, p.partial.Answer.Coverage); again {
-				return query.Answer{}, other, true
+				return runResult{ran: true, again: true, next: other} // A relay has answered.
 			}
 			r.noteReply(p.attempt)
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), p.attempt, p.partial.Reply))
@@ -77,7 +77,7 @@
 	if !again {
 		r.service.noteSlow(caller, r.request, r.start, false, answer.Coverage, func() slowest { return r.slowest(answer.Coverage) })
 	}
-	return answer, other, again
+	return runResult{answer: answer, ran: r.machine.MayHaveRun(), again: again, next: other}
 }
 
 // noteReply remembers the group that was answered last.
@@ -167,7 +167,7 @@
 	}
 	req := query.Request{
 		ID: g.Request, Plan: g.Plan, Index: g.Index, Query: g.Query, Limit: g.Limit, Deadline: start.Add(g.TimeLeft),
-		PreferCoverage: s.prefersCoverage(g.Plan), Cleared: g.Cleared,
+		PreferCoverage: s.prefersCoverage(g.Plan), Priority: query.ParsePriority(g.Priority), Cleared: g.Cleared,
 	}
 	held := s.newGuard(ix, req)
 	switch {
@@ -178,8 +178,15 @@
 	case s.suspects.heldBack(held.fingerprint):
 		return heldBack(g)
 	}
+	admitted, no := ix.admit(ix.relayed, req.Priority, g.TimeLeft)
+	if no != nil {
+		s.counters.Counter("relay_refused_" + req.Priority.String() + "_" + no.verdict.String()).Add(1)
+		p.Outcome = query.OutcomeShed
+		return p
+	}
 	asked := query.Map{Version: g.Snapshot, Shards: g.Shards}
-	p.Answer, _, _ = s.newRun(ix, req, asked, nil, start).loop(ctx)
+	p.Answer = s.newRun(ix, req, asked, nil, start).loop(ctx).answer
+	admitted.end(ctx.Err() == nil, p.Answer.Coverage)
 	p.Outcome = query.OutcomeAnswered
 	p.Versions = ix.report(asked)
 	p.Took = time.Since(start)
