Keep queues at targets short under overload

Cause: targets serve first in, first out. Of the slow high-priority queries at twice capacity many had waited 10 to 34 ms in a searcher's queue behind lower priority, and others for a hedge whose delay was learnt from attempts of all priorities.

Change: under overload, which the admission ticket tells, a first attempt below high priority waits at the instance while the target has more in flight than rate times lowest latency. High priority takes the replica of the lowest cost of all, and learns its hedge delay from its own attempts. The congestion ratio is 2.6, because the average now includes the wait at the instance.

--- a/query/admission/controller.go
+++ b/query/admission/controller.go
@@ -15,8 +15,12 @@
 	minLimit     = 4.0
 	maxLimit     = 4096.0
 	// congested is the ratio of the average latency to the lowest one above which the limit falls.
-	// At 2 the targets are nearly fully used; a lower one leaves slots idle.
-	congested = 2.0
+	// It includes the wait of lower priority for a place at a target (Ticket.Overload); at 2.5, slots
+	// were idle at 1.5 times capacity.
+	congested = 2.6
+	// loaded is the ratio above which requests of lower priority make room at the targets. Beginning at
+	// the first refusal was too late: the queues that had formed by then lasted for seconds.
+	loaded = 1.1
 	// cut is the factor by which the limit falls, at most once in the time that an answer takes.
 	cut = 0.95
 	// smoothing is the weight of an answer in the average latency.
@@ -30,6 +34,9 @@
 	// staleAfter is the time without an answer after which one request may test whether the usual
 	// latency has fallen. Otherwise an index that was slow at first would be refused for good.
 	staleAfter = time.Second
+	// overloadMemory is the time after a refusal for which overload is taken to last. Refusals come
+	// many times a second under overload.
+	overloadMemory = time.Second
 	// firstRetryAfter is advised while no latency is known: a tenth of a second is about the time in
 	// which 99 of 100 answers are due.
 	firstRetryAfter = 100 * time.Millisecond
@@ -68,6 +75,7 @@
 	lowest   time.Duration // lowest value of mean, rising slowly
 	drifted  time.Time
 	reduced  time.Time
+	refused  time.Time // latest refusal for lack of room
 	checked  time.Time // latest answer, or latest request admitted to test the usual latency
 }
 
@@ -76,6 +84,9 @@
 
 // Ticket is an admitted request.
 type Ticket struct {
+	// Overload is set if a request was refused for lack of room within the last second.
+	Overload bool
+
 	started time.Time
 }
 
@@ -85,10 +96,11 @@
 	case c.tooLate(now, timeLeft):
 		return Ticket{}, TooLate
 	case float64(c.inFlight) >= c.limit*share[p]:
+		c.refused = now
 		return Ticket{}, Full
 	}
 	c.inFlight++
-	return Ticket{started: now}, Admitted
+	return Ticket{started: now, Overload: c.overloaded(now)}, Admitted
 }
 
 // tooLate reports whether the usual latency is known and exceeds the time left.
@@ -103,6 +115,13 @@
 	return false
 }
 
+// overloaded reports whether requests of lower priority are to make room at the targets. It begins
+// before the first refusal, because the queues that form until then take seconds to pass.
+func (c *Controller) overloaded(now time.Time) bool {
+	queueing := c.answers >= leastAnswers && float64(c.mean) > loaded*float64(c.lowest)
+	return queueing || now.Sub(c.refused) < overloadMemory
+}
+
 // RetryAfter returns the time after which a refused request may find room: the usual latency.
 func (c *Controller) RetryAfter() time.Duration {
 	if c.answers == 0 {
--- a/query/admission/controller_test.go
+++ b/query/admission/controller_test.go
@@ -146,3 +146,26 @@
 	}
 	require.Positive(t, c.RetryAfter())
 }
+
+// Guards against lower priority that makes room at the targets without overload, or not during it.
+func TestOverloadIsTold(t *testing.T) {
+	cases := []struct {
+		name     string
+		do       func(l *load)
+		overload bool
+	}{
+		{"usual load", func(*load) {}, false},
+		{"slow answers", func(l *load) { l.run(20, 4*usual, false) }, true},
+		{"a refusal", func(l *load) { l.room(query.PriorityHigh) }, true},
+		{"a refusal long ago", func(l *load) { l.room(query.PriorityHigh); l.now = l.now.Add(time.Minute) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := newLoad(t)
+			c.do(l)
+			ticket, v := l.Admit(l.now, query.PriorityNormal, time.Minute)
+			require.Equal(t, admission.Admitted, v)
+			require.Equal(t, c.overload, ticket.Overload)
+		})
+	}
+}
--- a/query/replica/chooser.go
+++ b/query/replica/chooser.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -48,6 +49,20 @@
 	Tried []query.TargetID
 	// Unfit, if set, reports whether a target is not to be chosen.
 	Unfit func(query.TargetID) bool
+	// Best asks for the replica with the lowest cost of all in the place of two random ones. It is for a
+	// minority of the attempts, because instances that all do so would choose the same replica.
+	Best bool
+	// Yield is set for a first attempt that is not to queue at a target. Targets serve in the order of
+	// arrival, so that an attempt in the queue delays those of higher priority behind it.
+	Yield bool
+}
+
+// full reports whether the target has as many attempts in flight as this one allows.
+func (a Ask) full(s *state) bool {
+	if a.Yield && a.Use == First && s.inFlight > s.busy() {
+		return true
+	}
+	return s.limit.full(s.inFlight)
 }
 
 func (a Ask) excludes(id query.TargetID) bool {
@@ -71,6 +86,8 @@
 	// Overdue is set if Overdue was called for the attempt.
 	Overdue bool
 	Cold    bool
+	// High is set for an attempt of a query of high priority.
+	High bool
 }
 
 // Chooser chooses replicas by two random choices on (in-flight + 1) × latency, with locality as a
@@ -147,7 +164,7 @@
 		if s.draining || s.breaker.open {
 			continue
 		}
-		if s.limit.full(s.inFlight) || ask.Use == Hedge && (s.coldLeft > 0 || s.shedding(now)) {
+		if ask.full(s) || ask.Use == Hedge && (s.coldLeft > 0 || s.shedding(now)) {
 			verdict = Limited
 			continue
 		}
@@ -159,13 +176,21 @@
 	}
 	switch {
 	case len(c.usable) > 0:
-		return c.take(c.better(now, c.usable)), Chosen
+		return c.take(c.among(now, c.usable, ask.Best)), Chosen
 	case len(c.suspect) > 0:
-		return c.take(c.better(now, c.suspect)), Chosen
+		return c.take(c.among(now, c.suspect, ask.Best)), Chosen
 	}
 	return Pick{}, verdict
 }
 
+func (c *Chooser) among(now time.Time, list []*state, best bool) *state {
+	if !best {
+		return c.better(now, list)
+	}
+	cost := func(s *state) float64 { return s.cost(now, c.typical[s.class]) }
+	return slices.MinFunc(list, func(a, b *state) int { return cmp.Compare(cost(a), cost(b)) })
+}
+
 func (c *Chooser) better(now time.Time, among []*state) *state {
 	n := len(among)
 	if n == 1 {
--- a/query/replica/chooser_test.go
+++ b/query/replica/chooser_test.go
@@ -233,3 +233,62 @@
 	b.ResetTimer()
 	replica.NewChooser("d", rand.New(rand.NewPCG(1, 1))).SetTargets(targets)
 }
+
+// Guards against attempts of lower priority that queue at a target under overload, and against a target
+// that they leave idle.
+func TestYieldKeepsQueuesShort(t *testing.T) {
+	cases := []struct {
+		name     string
+		every    time.Duration // between answers
+		latency  time.Duration
+		inFlight int
+	}{
+		{"one in flight keeps the target at work", 10 * time.Millisecond, 2 * time.Millisecond, 1},
+		{"as many as the target works on, and one", time.Millisecond, 3500 * time.Microsecond, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			b.SetTargets(list("a"))
+			for range 500 {
+				sent := 0
+				for ; sent < 8; sent++ { // Only a limit in use grows.
+					if _, v := b.Choose(b.now, replica.Ask{Shard: 1}); v != replica.Chosen {
+						break
+					}
+				}
+				b.now = b.now.Add(time.Duration(sent) * c.every)
+				for range sent {
+					b.End(b.now, replica.End{Target: "a", Elapsed: c.latency, Outcome: query.OutcomeAnswered})
+				}
+			}
+			yield := replica.Ask{Shard: 1, Use: replica.First, Yield: true}
+			for range c.inFlight {
+				_, v := b.Choose(b.now, yield)
+				require.Equal(t, replica.Chosen, v)
+			}
+			_, v := b.Choose(b.now, yield)
+			require.Equal(t, replica.Limited, v)
+			_, v = b.Choose(b.now, replica.Ask{Shard: 1, Best: true})
+			require.Equal(t, replica.Chosen, v)
+		})
+	}
+}
+
+// Guards against high priority that waits at a busy replica while another is free.
+func TestBestTakesTheLowestCost(t *testing.T) {
+	b := newBench(t)
+	b.SetTargets(list("a", "b", "c"))
+	for _, id := range []query.TargetID{"a", "b", "c"} {
+		for range 20 {
+			b.answer(id, 2*time.Millisecond)
+		}
+	}
+	busy := map[query.TargetID]int{}
+	for range 3 {
+		p, v := b.Choose(b.now, replica.Ask{Shard: 1, Best: true})
+		require.Equal(t, replica.Chosen, v)
+		busy[p.Target]++
+	}
+	require.Equal(t, map[query.TargetID]int{"a": 1, "b": 1, "c": 1}, busy)
+}
--- a/query/replica/target.go
+++ b/query/replica/target.go
@@ -42,6 +42,7 @@
 	learntAt   time.Time
 	lowest     Lowest // of the moving average
 	limit      limit
+	rate       rate
 	breaker    breaker
 	coldLeft   int // answers until the target counts as warm
 	shedAt     time.Time
@@ -89,6 +90,11 @@
 	s.lowest.Record(now, s.latency)
 }
 
+// busy is the number of attempts of this instance that the target works on at once without a queue:
+// the rate of its answers times the lowest latency (Little's law), rounded down. One more in flight
+// than that keeps the target at work, so that the rate can grow.
+func (s *state) busy() int { return int(s.rate.perSecond * s.lowest.Value().Seconds()) }
+
 // probeDue reports whether a target that is out of use gets one attempt.
 func (s *state) probeDue(now time.Time) bool {
 	if s.draining {
@@ -126,6 +132,7 @@
 		s.coldLeft--
 	}
 	s.learn(now, e.Elapsed)
+	s.rate.count(now)
 	s.limit.onAnswer(now, s.inFlight+1, e.Elapsed, s.lowest.Value())
 }
 
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -257,6 +257,7 @@
 	m.suspect.inFlight--
 	e.Target, e.Elapsed, e.Overdue = a.target, now.Sub(a.sent), a.overdue
 	m.ran = m.ran || e.Cancelled || !e.Outcome.CertainlyNotRun()
+	e.High = m.cfg.Request.Priority == query.PriorityHigh
 	m.policy.End(now, e)
 }
 
--- a/query/scatter/policy.go
+++ b/query/scatter/policy.go
@@ -9,9 +9,12 @@
 
 // Want describes an attempt that a Machine would like to send.
 type Want struct {
-	Plan  string
-	Shard query.Shard
-	Use   replica.Use
+	Plan     string
+	Priority query.Priority
+	// Overload is explained at query.Request.
+	Overload bool
+	Shard    query.Shard
+	Use      replica.Use
 	// Free is set if the attempt adds no load, because the one that it replaces certainly did not run.
 	Free bool
 	// From is the class of the shard's first attempt. A hedge or a retry is paid from its budget, or
--- a/query/scatter/pool.go
+++ b/query/scatter/pool.go
@@ -20,7 +20,10 @@
 
 // class is what was learnt of one target class.
 type class struct {
-	delay  *hedge.Delay
+	delay *hedge.Delay
+	// high is the delay of high priority, which overload slows less than the others. Until it is
+	// learnt, delay takes its place.
+	high   *hedge.Delay
 	lowest replica.Lowest
 }
 
@@ -43,13 +46,15 @@
 func (p *Pool) SetTargets(targets []query.Target) {
 	p.chooser.SetTargets(targets)
 	for len(p.classes) < p.chooser.Classes() {
-		p.classes = append(p.classes, class{delay: hedge.NewDelay()})
+		p.classes = append(p.classes, class{delay: hedge.NewDelay(), high: hedge.NewDelay()})
 	}
 }
 
 // Choose implements Policy.
 func (p *Pool) Choose(now time.Time, w Want) (Grant, replica.Verdict) {
 	ask := replica.Ask{Shard: w.Shard, Use: w.Use, Tried: w.Tried, Unfit: w.Unfit}
+	ask.Best = w.Overload && w.Priority == query.PriorityHigh
+	ask.Yield = w.Overload && w.Priority < query.PriorityHigh
 	pick, verdict := p.chooser.Choose(now, ask)
 	if verdict == replica.NoReplica && w.Use == replica.First && w.Unfit != nil {
 		ask.Unfit = nil
@@ -65,13 +70,28 @@
 	case !p.pay(w, pick.Class):
 		verdict = replica.NoToken
 	default:
-		after, _ := c.delay.Value()
+		after := c.hedgeAfter(w.Priority)
 		return Grant{Target: pick.Target, Class: pick.Class, HedgeAfter: after, Return: c.lowest.Value() / 2}, replica.Chosen
 	}
 	p.chooser.Release(pick.Target)
 	return Grant{}, verdict
 }
 
+func (c *class) hedgeAfter(p query.Priority) time.Duration {
+	if after, known := c.high.Value(); known && p == query.PriorityHigh {
+		return after
+	}
+	after, _ := c.delay.Value()
+	return after
+}
+
+func (c *class) record(now time.Time, e replica.End) {
+	c.delay.Record(now, e.Elapsed)
+	if e.High {
+		c.high.Record(now, e.Elapsed)
+	}
+}
+
 // pay takes the token of an extra attempt, or earns for a first one. An instance sends most first
 // attempts to its own failure domain and most hedges elsewhere, so the budget of the class that bears
 // the load alone would leave it without hedges.
@@ -121,11 +141,11 @@
 		return
 	}
 	if e.Cancelled {
-		p.classes[c].delay.Record(now, e.Elapsed)
+		p.classes[c].record(now, e)
 		return
 	}
 	if e.Outcome == query.OutcomeAnswered {
-		p.classes[c].delay.Record(now, e.Elapsed)
+		p.classes[c].record(now, e)
 		p.classes[c].lowest.Record(now, e.Elapsed)
 	}
 }
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -68,7 +68,8 @@
 		return Grant{}, replica.Limited
 	}
 	return m.policy.Choose(now, Want{
-		Plan: m.cfg.Request.Plan, Shard: m.cfg.Map.Shards[i], Use: use, Free: free,
+		Plan: m.cfg.Request.Plan, Priority: m.cfg.Request.Priority, Overload: m.cfg.Request.Overload,
+		Shard: m.cfg.Map.Shards[i], Use: use, Free: free,
 		From:  m.shards[i].from,
 		Tried: m.triedTargets(&m.shards[i]), TimeLeft: m.cfg.Request.Deadline.Sub(now),
 	})
