Put notifications of peers into a file of their own and use plain terms

Cause: the report of a draining target used the constants and the file of suspicions, and names such as "news" and "told" that are not terms of the field.

Change: instance/entry/notify.go holds the fan-out that both share; counters are draining_reports_taken and draining_reports_lost; callbacks of the claims measure are named respond. No behaviour changes.

Measured: vet and the tests of the changed packages pass.

Conclusion: clean-up only.

--- a/emulator/fleet/draining_test.go
+++ b/emulator/fleet/draining_test.go
@@ -27,16 +27,16 @@
 	}
 }
 
-// Guards against an instance that goes on sending work to a draining target which another instance
+// Guards against an instance that goes on sending work to a draining target that another instance
 // has found out about and the platform's list does not mark.
-func TestDrainingTargetIsToldToTheOtherInstance(t *testing.T) {
+func TestDrainingTargetIsReportedToTheOtherInstance(t *testing.T) {
 	f, apps := start(t)
 	f.Searchers["ledger-0-0"].SetDraining(true)
-	told := func() bool {
+	reported := func() bool {
 		searchAtOnce(t, apps[0])
 		var vars map[string]any
 		do(t, http.MethodGet, apps[1], "/debug/vars", nil, nil, &vars)
-		return vars["draining_targets_told"] != nil
+		return vars["draining_reports_taken"] != nil
 	}
-	require.Eventually(t, told, settleTimeout, settlePoll)
+	require.Eventually(t, reported, settleTimeout, settlePoll)
 }
--- a/emulator/measure/claim_instance.go
+++ b/emulator/measure/claim_instance.go
@@ -55,12 +55,12 @@
 func (i *claimInstance) writes(bucket int) bool { return claim.ChooseWriter(bucket, i.view) == i.id }
 
 // submit implements executor.
-func (i *claimInstance) submit(k claim.Key, first bool, tell func(claim.Answer)) {
+func (i *claimInstance) submit(k claim.Key, first bool, respond func(claim.Answer)) {
 	answered := false
 	once := func(a claim.Answer) {
 		if !answered {
 			answered = true
-			tell(a)
+			respond(a)
 		}
 	}
 	i.on(func() { i.route(k, first, 1, once) })
@@ -74,20 +74,20 @@
 
 // route gives the submission to the writer of its bucket and looks for it again while the instance
 // that it found has done nothing with the request.
-func (i *claimInstance) route(k claim.Key, first bool, attempt int, tell func(claim.Answer)) {
+func (i *claimInstance) route(k claim.Key, first bool, attempt int, respond func(claim.Answer)) {
 	again := func() {
 		if attempt == routeAttempts {
-			tell(i.unsent(first))
+			respond(i.unsent(first))
 			return
 		}
-		i.world.loop.After(routeRetry, func() { i.on(func() { i.route(k, first, attempt+1, tell) }) })
+		i.world.loop.After(routeRetry, func() { i.on(func() { i.route(k, first, attempt+1, respond) }) })
 	}
 	answer := func(a claim.Answer) {
 		if a.Reason == claim.ReasonReplaced {
 			again()
 			return
 		}
-		tell(a)
+		respond(a)
 	}
 	id := claim.ChooseWriter(k.Bucket(), i.view)
 	if id == i.id {
@@ -128,12 +128,12 @@
 }
 
 // execute submits to the log of the bucket and bounds the wait.
-func (i *claimInstance) execute(k claim.Key, first bool, tell func(claim.Answer)) {
+func (i *claimInstance) execute(k claim.Key, first bool, respond func(claim.Answer)) {
 	b := k.Bucket()
 	log := i.logs[b]
 	i.last++
 	id := i.last
-	i.answers[id] = tell
+	i.answers[id] = respond
 	i.perform(b, log.Submit(i.world.loop.Now(), claim.Submission{ID: id, Key: k, First: first}))
 	abandon := func() { i.perform(b, log.Abandon(i.world.loop.Now(), k, id)) }
 	i.world.loop.After(claimWait, func() {
--- a/emulator/measure/claim_per_key.go
+++ b/emulator/measure/claim_per_key.go
@@ -16,27 +16,27 @@
 	*claimInstance
 }
 
-func (p *perKey) submit(k claim.Key, first bool, tell func(claim.Answer)) {
-	p.on(func() { p.claim(k, first, tell) })
+func (p *perKey) submit(k claim.Key, first bool, respond func(claim.Answer)) {
+	p.on(func() { p.claim(k, first, respond) })
 }
 
-func (p *perKey) claim(k claim.Key, first bool, tell func(claim.Answer)) {
+func (p *perKey) claim(k claim.Key, first bool, respond func(claim.Answer)) {
 	var v claim.Version
 	p.put(k, 0, false, &v, func(r writeResult) {
 		switch {
 		case r == written:
-			p.send(k, v, tell)
+			p.send(k, v, respond)
 		case r == refused:
-			p.resend(k, tell)
+			p.resend(k, respond)
 		case first:
-			tell(claim.Answer{State: claim.NotRun, Reason: claim.ReasonStore})
+			respond(claim.Answer{State: claim.NotRun, Reason: claim.ReasonStore})
 		default:
-			tell(claim.Answer{State: claim.Unknown, Reason: claim.ReasonStore})
+			respond(claim.Answer{State: claim.Unknown, Reason: claim.ReasonStore})
 		}
 	})
 }
 
-func (p *perKey) put(k claim.Key, expected claim.Version, done bool, v *claim.Version, tell func(writeResult)) {
+func (p *perKey) put(k claim.Key, expected claim.Version, done bool, v *claim.Version, respond func(writeResult)) {
 	s := p.world.store
 	s.write(func() bool {
 		if s.keys[k].version != expected {
@@ -46,10 +46,10 @@
 		*v = s.revision
 		s.keys[k] = keyObject{version: s.revision, done: done}
 		return true
-	}, func(r writeResult) { p.on(func() { tell(r) }) })
+	}, func(r writeResult) { p.on(func() { respond(r) }) })
 }
 
-func (p *perKey) resend(k claim.Key, tell func(claim.Answer)) {
+func (p *perKey) resend(k claim.Key, respond func(claim.Answer)) {
 	p.world.store.read(func() func(bool) {
 		o := p.world.store.keys[k]
 		return func(ok bool) {
@@ -57,17 +57,17 @@
 			if ok && o.done {
 				a = claim.Answer{State: claim.Done, Repeated: true}
 			}
-			p.on(func() { tell(a) })
+			p.on(func() { respond(a) })
 		}
 	})
 }
 
-func (p *perKey) send(k claim.Key, v claim.Version, tell func(claim.Answer)) {
+func (p *perKey) send(k claim.Key, v claim.Version, respond func(claim.Answer)) {
 	answered := false
 	answer := func(a claim.Answer) {
 		if !answered {
 			answered = true
-			tell(a)
+			respond(a)
 		}
 	}
 	p.world.target(k, func(s claim.State) {
--- a/emulator/measure/claim_store.go
+++ b/emulator/measure/claim_store.go
@@ -53,16 +53,16 @@
 }
 
 // write performs apply, which reports whether its condition held, and tells the result.
-func (s *claimStore) write(apply func() bool, tell func(writeResult)) {
+func (s *claimStore) write(apply func() bool, respond func(writeResult)) {
 	s.writes++
 	p := s.source.Float64()
 	switch {
 	case s.away:
-		s.loop.After(storeTimeout, func() { tell(answerLost) })
+		s.loop.After(storeTimeout, func() { respond(answerLost) })
 		return
 	case p < s.lateEffect:
 		s.loop.After(time.Duration(s.source.Int64N(int64(longestLateEffect))), func() { apply() })
-		s.loop.After(storeTimeout, func() { tell(answerLost) })
+		s.loop.After(storeTimeout, func() { respond(answerLost) })
 		return
 	}
 	begin := later(s.loop.Now(), s.free)
@@ -71,11 +71,11 @@
 		ok := apply()
 		switch {
 		case p < s.lateEffect+s.loseAnswer:
-			s.loop.After(storeTimeout, func() { tell(answerLost) })
+			s.loop.After(storeTimeout, func() { respond(answerLost) })
 		case ok:
-			tell(written)
+			respond(written)
 		default:
-			tell(refused)
+			respond(refused)
 		}
 	})
 }
@@ -87,11 +87,11 @@
 		s.loop.After(storeTimeout, func() { get()(false) })
 		return
 	}
-	tell := get()
-	s.loop.After(storeDelay, func() { tell(true) })
+	respond := get()
+	s.loop.After(storeDelay, func() { respond(true) })
 }
 
-func (s *claimStore) writeHead(bucket int, a claim.Action, tell func(writeResult, claim.Version)) {
+func (s *claimStore) writeHead(bucket int, a claim.Action, respond func(writeResult, claim.Version)) {
 	var v claim.Version
 	s.bytes += sizeOf(a.Head.Claims)
 	s.write(func() bool {
@@ -102,17 +102,17 @@
 		v = s.revision
 		s.heads[bucket], s.versions[bucket] = a.Head, v
 		return true
-	}, func(r writeResult) { tell(r, v) })
+	}, func(r writeResult) { respond(r, v) })
 }
 
-func (s *claimStore) writeSegment(a claim.Action, tell func(writeResult)) {
+func (s *claimStore) writeSegment(a claim.Action, respond func(writeResult)) {
 	s.bytes += sizeOf(a.Records)
 	s.write(func() bool {
 		if _, exists := s.segments[a.Segment]; !exists {
 			s.segments[a.Segment] = a.Records
 		}
 		return true
-	}, tell)
+	}, respond)
 }
 
 // sizeOf returns the size of records in JSON, in bytes.
--- a/emulator/measure/claim_world.go
+++ b/emulator/measure/claim_world.go
@@ -49,8 +49,8 @@
 
 // executor is one instance as a caller sees it.
 type executor interface {
-	// submit answers a submission by a call of tell, unless the instance dies first.
-	submit(k claim.Key, first bool, tell func(claim.Answer))
+	// submit answers a submission by a call of respond, unless the instance dies first.
+	submit(k claim.Key, first bool, respond func(claim.Answer))
 }
 
 // claimWorld runs the credits of a scenario.
@@ -184,23 +184,23 @@
 }
 
 // target runs a credit once and tells the sender what becomes of it.
-func (w *claimWorld) target(k claim.Key, tell func(claim.State)) {
+func (w *claimWorld) target(k claim.Key, respond func(claim.State)) {
 	f := w.scenario.Faults
 	service := time.Duration(w.source.ExpFloat64() * float64(creditService))
 	p := w.source.Float64()
 	switch {
 	case p < f.refuse:
-		w.loop.After(service, func() { tell(claim.NotRun) })
+		w.loop.After(service, func() { respond(claim.NotRun) })
 	case p < f.refuse+f.loseAnswer:
 		w.loop.After(service, func() { w.ranAt(k) })
-		w.loop.After(creditDeadline, func() { tell(claim.Unknown) })
+		w.loop.After(creditDeadline, func() { respond(claim.Unknown) })
 	case p < f.refuse+2*f.loseAnswer:
-		w.loop.After(creditDeadline, func() { tell(claim.Unknown) })
+		w.loop.After(creditDeadline, func() { respond(claim.Unknown) })
 	case p < f.refuse+2*f.loseAnswer+f.lateEffect:
-		w.loop.After(creditDeadline, func() { tell(claim.Unknown) })
+		w.loop.After(creditDeadline, func() { respond(claim.Unknown) })
 		w.loop.After(time.Duration(w.source.Int64N(int64(longestLateRun))), func() { w.ranAt(k) })
 	default:
-		w.loop.After(service, func() { w.ranAt(k); tell(claim.Done) })
+		w.loop.After(service, func() { w.ranAt(k); respond(claim.Done) })
 	}
 }
 
--- a/emulator/measure/entry.go
+++ b/emulator/measure/entry.go
@@ -83,7 +83,7 @@
 	e.pool.SetTargets(targets)
 }
 
-// drained tells the other entries of a draining target as instances tell each other, if it is news.
+// drained reports a draining target to the other entries, as instances do, if it was not known yet.
 func (e *entry) drained(id query.TargetID) {
 	d := e.driver
 	if d.scenario.Baseline || !e.pool.Drain(d.Loop.Now(), id) {
--- /dev/null
+++ b/instance/entry/notify.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"hyssopcroft.example/control/membership"
+)
+
+const (
+	// notifyFanOut is the number of peers that an instance sends a suspicion or a report to.
+	notifyFanOut = 4
+	// notifyTimeout bounds the call to one peer.
+	notifyTimeout = time.Second
+)
+
+// notifyPeers sends a message to a few live peers and counts those that did not take it. The channel
+// is closed once all have answered.
+func (s *Service) notifyPeers(lost string, send func(ctx context.Context, address string) error) <-chan struct{} {
+	told := make(chan struct{})
+	if s.members == nil {
+		close(told)
+		return told
+	}
+	var calls sync.WaitGroup
+	peers := s.members.Members()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	sent := 0
+	for _, p := range peers {
+		if p.ID == s.instance || p.State == membership.Dead || sent == notifyFanOut {
+			continue
+		}
+		sent++
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
+			defer cancel()
+			if send(ctx, p.Address) != nil {
+				s.counters.Counter(lost).Add(1)
+			}
+		})
+	}
+	go func() {
+		calls.Wait()
+		close(told)
+	}()
+	return told
+}
--- a/instance/entry/quarantine.go
+++ b/instance/entry/quarantine.go
@@ -2,26 +2,20 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/problem"
-	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/quarantine"
 )
 
 const (
-	// suspectPeers is the number of peers to which an instance passes a suspicion that is new to it.
-	suspectPeers = 4
 	// suspectHops bounds how often a suspicion is passed on. Four to the seventh is 20 times the 780
 	// instances of the target size, so that members reached twice do not end the spread early.
 	suspectHops = 7
-	// suspectTimeout bounds the call to one peer.
-	suspectTimeout = time.Second
 	// suspectWait bounds the wait for the peers' answers before a crashed canary is followed by another
 	// one. Without it, a resend through a peer could run on a third target meanwhile. It is twice the
 	// way there and back between regions.
@@ -138,7 +132,7 @@
 		g.service.counters.Counter("requests_quarantined").Add(1)
 		g.service.config.Confirm(shared)
 	}
-	return g.service.tellSuspicion(peer.Suspicion{
+	return g.service.reportSuspicion(peer.Suspicion{
 		Fingerprint: g.fingerprint, Shape: g.shape, Crashes: []quarantine.Crash{c}, Hops: suspectHops,
 	})
 }
@@ -187,45 +181,13 @@
 		}
 	})
 	if m.Hops = min(m.Hops, suspectHops) - 1; news && m.Hops >= 0 {
-		s.tellSuspicion(m)
+		s.reportSuspicion(m)
 	}
 }
 
-// tellSuspicion sends a suspicion to a few live peers. The channel is closed once all have answered.
-func (s *Service) tellSuspicion(m peer.Suspicion) <-chan struct{} {
-	return s.tellPeers("suspicions_lost", func(ctx context.Context, address string) error {
+// reportSuspicion sends a suspicion to a few live peers. The channel is closed once all have answered.
+func (s *Service) reportSuspicion(m peer.Suspicion) <-chan struct{} {
+	return s.notifyPeers("suspicions_lost", func(ctx context.Context, address string) error {
 		return s.relays.Suspect(ctx, address, m)
 	})
 }
-
-// tellPeers sends a message to a few live peers and counts those that did not take it. The channel
-// is closed once all have answered.
-func (s *Service) tellPeers(lost string, send func(ctx context.Context, address string) error) <-chan struct{} {
-	told := make(chan struct{})
-	if s.members == nil {
-		close(told)
-		return told
-	}
-	var calls sync.WaitGroup
-	peers := s.members.Members()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	sent := 0
-	for _, p := range peers {
-		if p.ID == s.instance || p.State == membership.Dead || sent == suspectPeers {
-			continue
-		}
-		sent++
-		calls.Go(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
-			defer cancel()
-			if send(ctx, p.Address) != nil {
-				s.counters.Counter(lost).Add(1)
-			}
-		})
-	}
-	go func() {
-		calls.Wait()
-		close(told)
-	}()
-	return told
-}
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -130,7 +130,7 @@
 	return runResult{answer: answer, ran: r.machine.MayHaveRun(), again: again, next: other}
 }
 
-// note takes what a reply tells about its target: that it is draining, or that it crashed while no
+// note handles what a reply says about its target: that it is draining, or that it crashed while no
 // target has answered the query.
 func (r *run) note(s sentReply) {
 	if s.reply.Attempt != s.attempt {
@@ -138,7 +138,7 @@
 	}
 	switch s.reply.Outcome {
 	case query.OutcomeDraining:
-		r.service.drained(r.index, s.target)
+		r.service.onDraining(r.index, s.target)
 	case query.OutcomeAnswered:
 		r.guard.request.Cleared = true
 	case query.OutcomeCrashed:
--- a/query/replica/chooser.go
+++ b/query/replica/chooser.go
@@ -262,7 +262,7 @@
 	return s.class, true
 }
 
-// Drain marks a target as draining on the word of another instance. It returns false if the target
+// Drain marks a target as draining because another instance reported it. It returns false if the target
 // is not known or marked already.
 func (c *Chooser) Drain(now time.Time, id query.TargetID) bool {
 	s := c.targets[id]
