Let a suspect on an index of one shard run on another replica

Cause: a suspect may run again only as a canary on another shard.

Change: at one level, the canary of such an index goes to a replica that has not crashed. A request that does crash targets takes two replicas of that shard, as it takes two targets elsewhere. Over two levels such a suspect stays refused, because a relay chooses its target by the fingerprint alone.

Measured: a table test of the places; no measure covers small indexes yet.

Conclusion: innocent requests on small indexes are cleared by one canary.

--- a/instance/entry/canary.go
+++ b/instance/entry/canary.go
@@ -31,9 +31,7 @@
 	s := g.service
 	s.counters.Counter("canaries_sent").Add(1)
 	defer s.suspects.do(func(l *quarantine.List) { l.EndCanary(g.fingerprint) })
-	var avoid []query.Shard
-	s.suspects.do(func(l *quarantine.List) { avoid = l.Avoid(time.Now(), g.fingerprint) })
-	places := quarantine.Places(g.fingerprint, m, g.index.allTargets(), avoid)
+	places := g.canaryPlaces(m)
 	for _, at := range places[:min(canaryPlaces, len(places))] {
 		outcome := g.askCanary(ctx, m.Version, at)
 		g.sent = g.sent || !outcome.CertainlyNotRun()
@@ -59,6 +57,22 @@
 	return nil, false
 }
 
+// canaryPlaces returns where a canary may run. A relay chooses its target by the fingerprint alone, so
+// over two levels the only shard of an index has no other place after a crash.
+func (g *guard) canaryPlaces(m query.Map) []quarantine.Crash {
+	targets := g.index.allTargets()
+	var avoid []query.Shard
+	var crashes []quarantine.Crash
+	g.service.suspects.do(func(l *quarantine.List) {
+		now := time.Now()
+		avoid, crashes = l.Avoid(now, g.fingerprint), l.RecentCrashes(now, g.fingerprint)
+	})
+	if _, twoLevels := g.index.placed(); len(m.Shards) == 1 && !twoLevels {
+		return quarantine.PlacesOfOnlyShard(g.fingerprint, m.Shards[0], targets, crashes)
+	}
+	return quarantine.Places(g.fingerprint, m, targets, avoid)
+}
+
 // crashedElsewhere waits for suspicions on their way, because the target that could not be reached may
 // have crashed on the same request through another instance. Without the wait, the canary would go on to
 // a third target.
--- a/query/quarantine/canary.go
+++ b/query/quarantine/canary.go
@@ -38,6 +38,27 @@
 	return places
 }
 
+// PlacesOfOnlyShard does what Places does for an index of one shard, where no other shard is left after a
+// crash: it returns the replicas that have not crashed. Otherwise each request that was in flight on a
+// target which ended for another reason would be refused for Hold. A crash at an unknown target leaves
+// no place, since its target could be chosen again.
+func PlacesOfOnlyShard(f Fingerprint, s query.Shard, targets []query.Target, crashes []Crash) []Crash {
+	if slices.ContainsFunc(crashes, func(c Crash) bool { return c.Target == "" }) {
+		return nil
+	}
+	var places []Crash
+	for _, t := range targets {
+		crashed := slices.ContainsFunc(crashes, func(c Crash) bool { return c.Target == t.ID })
+		if !t.Leaving && !crashed && slices.Contains(t.Shards, s) {
+			places = append(places, Crash{Shard: s, Target: t.ID})
+		}
+	}
+	slices.SortFunc(places, func(a, b Crash) int {
+		return cmp.Compare(rank(f, string(b.Target)), rank(f, string(a.Target)))
+	})
+	return places
+}
+
 func rank(f Fingerprint, id string) uint64 {
 	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(id), uint64(f)))
 }
--- a/query/quarantine/list.go
+++ b/query/quarantine/list.go
@@ -93,15 +93,21 @@
 // Avoid returns the shards on which the next canary of a request must not run, because a replica of
 // them crashed within Hold.
 func (l *List) Avoid(now time.Time, f Fingerprint) []query.Shard {
+	crashes := l.RecentCrashes(now, f)
+	shards := make([]query.Shard, 0, len(crashes))
+	for _, c := range crashes {
+		shards = append(shards, c.Shard)
+	}
+	return shards
+}
+
+// RecentCrashes returns the crashes on a request within Hold, at most 2.
+func (l *List) RecentCrashes(now time.Time, f Fingerprint) []Crash {
 	e, known := l.entries.get(f)
 	if !known || !now.Before(e.held.Add(Hold)) {
 		return nil
 	}
-	shards := make([]query.Shard, 0, len(e.crashes))
-	for _, c := range e.crashes {
-		shards = append(shards, c.Shard)
-	}
-	return shards
+	return slices.Clone(e.crashes)
 }
 
 // Crashes returns the number of targets that are known to have crashed on the request, at most 2.
--- a/query/quarantine/list_test.go
+++ b/query/quarantine/list_test.go
@@ -153,3 +153,16 @@
 	require.Equal(t, places, quarantine.Places(text, m, reversed, nil))
 	require.Equal(t, places[1:], quarantine.Places(text, m, targets, []query.Shard{places[0].Shard}))
 }
+
+// Guards against an index of one shard whose suspects can never be cleared, and against a canary on a
+// target that has crashed already or may have.
+func TestPlacesOfOnlyShard(t *testing.T) {
+	targets := []query.Target{
+		{ID: "a", Shards: []query.Shard{0}}, {ID: "b", Shards: []query.Shard{0}},
+		{ID: "c", Shards: []query.Shard{0}, Leaving: true}, {ID: "d", Shards: []query.Shard{1}},
+	}
+	places := quarantine.PlacesOfOnlyShard(7, 0, targets, nil)
+	require.ElementsMatch(t, []quarantine.Crash{{Target: "a"}, {Target: "b"}}, places)
+	require.Equal(t, places[1:], quarantine.PlacesOfOnlyShard(7, 0, targets, places[:1]))
+	require.Empty(t, quarantine.PlacesOfOnlyShard(7, 0, targets, []quarantine.Crash{{Shard: 0}}))
+}
