--- a/cmd/hyssopctl/standins.go
+++ b/cmd/hyssopctl/standins.go
@@ -5,14 +5,20 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/emulator/fleet"
 )
 
 type standinsCmd struct {
-	PlatformPort int   `default:"7000" help:"Port of the object API on 127.0.0.1; 0 takes a free one."`
-	FanOut       []int `help:"Serve one index fan-N with N shards, without service time, for each N instead of the demo's indexes."`
+	PlatformPort int `default:"7000" help:"Port of the object API on 127.0.0.1; 0 takes a free one."`
+	// Instances are what the platform's list names. Without it, instances do not find each other.
+	Instances []string `default:"entry-1/127.0.0.1:7101/austur-a,entry-2/127.0.0.1:7102/reykjanes-a" help:"Instances in the platform's list, each as ID/ADDRESS/FAILURE-DOMAIN. The default names those of the folder examples."`
+	FanOut    []int    `help:"Serve one index fan-N with N shards, without service time, for each N instead of the demo's indexes."`
 }
 
 // Run serves the stand-ins until it is interrupted.
@@ -22,6 +28,11 @@
 		return err
 	}
 	defer f.Stop()
+	list, err := instanceList(s.Instances)
+	if err != nil {
+		return err
+	}
+	f.SetInstances(list)
 	if err := printStandins(c, f); err != nil {
 		return err
 	}
@@ -31,6 +42,20 @@
 	return nil
 }
 
+func instanceList(texts []string) ([]platform.Instance, error) {
+	var list []platform.Instance
+	for _, text := range texts {
+		parts := strings.Split(text, "/")
+		if len(parts) != 3 {
+			return nil, errors.Errorf("instance %q: expected ID/ADDRESS/FAILURE-DOMAIN", text)
+		}
+		list = append(list, platform.Instance{
+			ID: parts[0], Address: parts[1], FailureDomain: parts[2], State: platform.InstanceLive,
+		})
+	}
+	return list, nil
+}
+
 func (s standinsCmd) deployment() fleet.Deployment {
 	if len(s.FanOut) == 0 {
 		return demoDeployment(s.PlatformPort)
