Choose the lenders of all buckets once for each view of the members

Cause: with 780 members, each look at the holders (20 a second) built a list of the live members, and each ask and each look at the leases chose a lender among them.

Change: a view of the members with the lender of each bucket is made at most every 500 ms and shared by holders and leases.

The cost before was not measured. Tests of limits over two instances and through an outage pass.

Conclusion: the cost no longer grows with the plans in use.

--- a/instance/limits/holder.go
+++ b/instance/limits/holder.go
@@ -128,9 +128,8 @@
 	h, ok := s.holders[plan]
 	if !ok {
 		limit, _ := s.limitOf(plan)
-		live, _ := s.live()
 		h = &planHolder{
-			holder: trace.NewHolder(plan, s.cfg.Instance, limit, max(1, len(live)), time.Now(), s.cfg.Recorder),
+			holder: trace.NewHolder(plan, s.cfg.Instance, limit, s.view().members(), time.Now(), s.cfg.Recorder),
 			loaned: make(chan struct{}),
 		}
 		s.holders[plan] = h
--- a/instance/limits/service.go
+++ b/instance/limits/service.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,7 +16,6 @@
 	"hyssopcroft.example/adapter/wire/sharepb"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/membership"
-	"hyssopcroft.example/control/rendezvous"
 	"hyssopcroft.example/control/share"
 	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/kernel/counters"
@@ -78,6 +76,8 @@
 	ready   atomic.Bool   // the leases were looked at once
 	kick    chan struct{} // asks for a look at the holders before the next tick
 
+	latestView atomic.Pointer[view]
+
 	mu      sync.Mutex // guards holders
 	holders map[string]*planHolder
 }
@@ -139,11 +139,11 @@
 // lookAtLeases looks at all buckets at the same time, because a store that does not answer delays
 // each of them by a call's timeout, which is half of the time of a lease.
 func (s *Service) lookAtLeases(ctx context.Context) {
-	live, _ := s.live()
+	v := s.view()
 	var wait sync.WaitGroup
 	for _, b := range s.buckets {
 		wait.Go(func() {
-			if lenderOf(b.number, live) == s.cfg.Instance {
+			if v.lenders[b.number].id == s.cfg.Instance {
 				b.keep(ctx)
 			} else {
 				b.resign(ctx)
@@ -153,26 +153,6 @@
 	wait.Wait()
 }
 
-// live returns the ids of the live members and their addresses.
-func (s *Service) live() ([]string, map[string]string) {
-	var ids []string
-	addresses := map[string]string{}
-	for _, m := range s.cfg.Members.Members() {
-		if m.State == membership.Live {
-			ids = append(ids, m.ID)
-			addresses[m.ID] = m.Address
-		}
-	}
-	return ids, addresses
-}
-
-// LenderOf returns the instance that is to lend the limit of a plan, "" if none is live.
-func LenderOf(plan string, live []string) string { return lenderOf(bucketOf(plan), live) }
-
-func lenderOf(bucket int, live []string) string {
-	return rendezvous.Choose("share-"+strconv.Itoa(bucket), live)
-}
-
 // borrow sends the asks that are due, one message to each lender.
 func (s *Service) borrow(ctx context.Context) {
 	ticker := time.NewTicker(askTick)
@@ -184,16 +164,15 @@
 		case <-ctx.Done():
 			return
 		}
-		live, addresses := s.live()
-		for lender, asks := range s.dueAsks(live) {
-			s.done.Go(func() { s.ask(ctx, lender, addresses[lender], asks) })
+		for lender, asks := range s.dueAsks(s.view()) {
+			s.done.Go(func() { s.ask(ctx, lender, asks) })
 		}
 	}
 }
 
 // dueAsks returns the asks that are due by lender, and forgets holders of plans that are gone.
-func (s *Service) dueAsks(live []string) map[string][]*sharepb.Ask {
-	due := map[string][]*sharepb.Ask{}
+func (s *Service) dueAsks(v *view) map[lenderAddress][]*sharepb.Ask {
+	due := map[lenderAddress][]*sharepb.Ask{}
 	now := time.Now()
 	for plan, h := range s.allHolders() {
 		limit, ok := s.limitOf(plan)
@@ -201,20 +180,20 @@
 			s.forget(plan)
 			continue
 		}
-		if ask, ok := h.nextAsk(now, limit, max(1, len(live))); ok {
-			lender := LenderOf(plan, live)
+		if ask, ok := h.nextAsk(now, limit, v.members()); ok {
+			lender := v.lenders[bucketOf(plan)]
 			due[lender] = append(due[lender], peer.AskToWire(plan, ask))
 		}
 	}
 	return due
 }
 
-func (s *Service) ask(ctx context.Context, lender, address string, asks []*sharepb.Ask) {
+func (s *Service) ask(ctx context.Context, lender lenderAddress, asks []*sharepb.Ask) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	sent := time.Now()
 	req := &sharepb.BorrowRequest{Holder: s.cfg.Instance, Asks: asks}
-	resp, err := s.send(ctx, lender, address, req)
+	resp, err := s.send(ctx, lender, req)
 	if err != nil {
 		s.cfg.Counters.Counter("loan_asks_failed").Add(1)
 		return
@@ -227,11 +206,11 @@
 	}
 }
 
-func (s *Service) send(ctx context.Context, lender, address string, req *sharepb.BorrowRequest) (*sharepb.BorrowResponse, error) {
-	if lender == s.cfg.Instance {
+func (s *Service) send(ctx context.Context, lender lenderAddress, req *sharepb.BorrowRequest) (*sharepb.BorrowResponse, error) {
+	if lender.id == s.cfg.Instance {
 		return s.Borrow(ctx, req)
 	}
-	return peer.LendingClient(address, s.cfg.Peers).Borrow(ctx, req)
+	return peer.LendingClient(lender.address, s.cfg.Peers).Borrow(ctx, req)
 }
 
 // Borrow implements the twirp service.
--- /dev/null
+++ b/instance/limits/view.go
@@ -0,0 +1,63 @@
+package limits
+
+import (
+	"strconv"
+	"time"
+
+	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/control/rendezvous"
+)
+
+// viewPeriod is the time for which a view of the members is used. Asks are looked for every 50 ms, and
+// choosing the lenders anew each time would cost most of that look in a large fleet.
+const viewPeriod = 500 * time.Millisecond
+
+// view is what the service uses of the members: how many are live, and the lender of each bucket. It is
+// not changed once it is made.
+type view struct {
+	made    time.Time
+	live    int
+	lenders [buckets]lenderAddress
+}
+
+// lenderAddress names a lender; id is "" if no member is live.
+type lenderAddress struct{ id, address string }
+
+func newView(now time.Time, members []membership.Member) *view {
+	v := &view{made: now}
+	var ids []string
+	addresses := map[string]string{}
+	for _, m := range members {
+		if m.State == membership.Live {
+			ids = append(ids, m.ID)
+			addresses[m.ID] = m.Address
+		}
+	}
+	v.live = len(ids)
+	for i := range v.lenders {
+		id := lenderOf(i, ids)
+		v.lenders[i] = lenderAddress{id: id, address: addresses[id]}
+	}
+	return v
+}
+
+// members returns the number of live members, at least 1.
+func (v *view) members() int { return max(1, v.live) }
+
+// LenderOf returns the instance that is to lend the limit of a plan, "" if none is live.
+func LenderOf(plan string, live []string) string { return lenderOf(bucketOf(plan), live) }
+
+func lenderOf(bucket int, live []string) string {
+	return rendezvous.Choose("share-"+strconv.Itoa(bucket), live)
+}
+
+// view returns the present view, made anew if it is older than viewPeriod.
+func (s *Service) view() *view {
+	now := time.Now()
+	if v := s.latestView.Load(); v != nil && now.Sub(v.made) < viewPeriod {
+		return v
+	}
+	v := newView(now, s.cfg.Members.Members())
+	s.latestView.Store(v)
+	return v
+}
