Keep connections to the object API open between calls

Cause: instances used net/http's default transport, which keeps two idle connections to a host. An instance that renews the leases of 16 buckets side by side each second closed the others after each call.

Change: a transport for each instance that keeps 40 idle connections and closes them when the instance stops.

--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -41,6 +41,7 @@
 
 	server      *http.Server
 	connections *connections
+	store       *http.Transport // to the object API
 	listener    net.Listener
 	closeTrace  func() error
 }
@@ -62,7 +63,8 @@
 		_ = listener.Close() // The first error is reported.
 		return nil, err
 	}
-	client := platform.NewClient(s.Platform, http.DefaultTransport, func(p platform.Purpose) {
+	store := platform.NewTransport()
+	client := platform.NewClient(s.Platform, store, func(p platform.Purpose) {
 		c.Counter("platform_calls_" + string(p)).Add(1)
 	})
 	self := membership.Member{
@@ -106,7 +108,7 @@
 		}
 	})
 	rel.UseDrain(d.start, d.end)
-	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), listener: listener, closeTrace: closeTrace}
+	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), store: store, listener: listener, closeTrace: closeTrace}
 	a.server = newServer(op, d, c,
 		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)).stamped(stamps),
 		route(peer.LendingHandler(li)).stamped(stamps), route(peer.RelayHandler(rel)).stamped(stamps))
@@ -192,6 +194,7 @@
 	if traceErr := a.closeTrace(); err == nil {
 		err = traceErr
 	}
+	a.store.CloseIdleConnections()
 	a.log.Info("instance stopped", "requests_cut", a.drain.cut())
 	return errors.Wrap(err, "stop instance")
 }
