Wait for a loan by the plan's deadline and let idle loans end

A request without room waited 100 ms in all. An ask may be sent 50 ms after the one before and was looked for every 50 ms, so a loan could arrive when the wait was nearly over, before its first token. Found on the way: a holder that had a loan asked for ever, against its comment.

Change: a request waits up to 250 ms and half of its plan's deadline, and asks for a look every 25 ms meanwhile. A holder without demand for a minute stops asking.

Ruled out: concurrency (its refusals advise 100 ms).

Conclusion: the likely cause is mended; a test in virtual time of that very course is missing.

--- a/control/share/holder.go
+++ b/control/share/holder.go
@@ -15,6 +15,9 @@
 	// notableShrink is the factor below which a smaller loan is acknowledged early. Smaller changes
 	// come with every ask and are not worth a message.
 	notableShrink = 0.8
+	// idleTime is the time without demand for which a holder keeps a loan, so that a plan in occasional
+	// use need not wait for one at each request.
+	idleTime = time.Minute
 	// waitWhenEmpty is the longest advice to wait for a request that was refused.
 	waitWhenEmpty = 100 * time.Millisecond
 	// leastWait is the shortest, so that rounding does not make it zero.
@@ -37,6 +40,7 @@
 	inFlight    int
 	peak        int // largest number in flight and refused for concurrency since the last ask
 	demand      demand
+	lastDemand  time.Time
 	lastAsk     time.Time
 	refusedLast bool // a request was refused since the last ask
 	shrank      bool // the latest loan is smaller, and the lender keeps the rest until it is acknowledged
@@ -60,6 +64,7 @@
 // after which to try again. Done must be called for every request that was admitted.
 func (h *Holder) Admit(now time.Time) (admitted bool, retryAfter time.Duration) {
 	h.demand.add(now)
+	h.lastDemand = now
 	return h.Retry(now)
 }
 
@@ -95,7 +100,7 @@
 }
 
 // NextAsk returns the message that is due to the lender, or false if none is due yet. A holder
-// without demand does not ask, and lets its loan end.
+// without demand for idleTime does not ask, and lets its loan end.
 func (h *Holder) NextAsk(now time.Time) (Ask, bool) {
 	h.settle(now)
 	period := AskPeriod
@@ -103,7 +108,7 @@
 		period = EarlyAskPeriod
 	}
 	want := h.want(now)
-	idle := want == Amount{} && !h.hasLoan() && !h.refusedLast
+	idle := want == Amount{} && !h.refusedLast && (!h.hasLoan() || now.Sub(h.lastDemand) >= idleTime)
 	if idle || now.Sub(h.lastAsk) < period {
 		return Ask{}, false
 	}
--- a/control/share/share_test.go
+++ b/control/share/share_test.go
@@ -153,6 +153,22 @@
 	require.Greater(t, l.OnAsk(now, Ask{Holder: "b", Want: Amount{Rate: 900}}).Amount.Rate, other.Amount.Rate)
 }
 
+// Guards against a plan that was used once and makes its holder ask for ever.
+func TestIdleHolderStopsAsking(t *testing.T) {
+	now := start()
+	l, h := NewLender(testLimit, 1, now, false), NewHolder("a", testLimit, 1, now)
+	h.Admit(now)
+	asks := 0
+	for end := now.Add(3 * idleTime); now.Before(end); now = now.Add(AskPeriod) {
+		if ask, due := h.NextAsk(now); due {
+			h.OnLoan(now, now, l.OnAsk(now, ask))
+			asks++
+		}
+	}
+	require.LessOrEqual(t, asks, int(idleTime/AskPeriod)+1)
+	require.Equal(t, Floor(testLimit, 1), h.Held(now))
+}
+
 func BenchmarkAdmit(b *testing.B) {
 	now := start()
 	h := NewHolder("a", Amount{Rate: 1e9, Concurrency: 1 << 30}, 1, now)
--- a/instance/limits/holder.go
+++ b/instance/limits/holder.go
@@ -78,7 +78,7 @@
 	h := s.holderFor(plan)
 	admitted, retryAfter := h.admit()
 	if !admitted && h.beginWait() {
-		admitted, retryAfter = s.waitForRoom(ctx, h)
+		admitted, retryAfter = s.waitForRoom(ctx, plan, h)
 		h.endWait()
 	}
 	if !admitted {
@@ -89,21 +89,21 @@
 	return h.done, nil
 }
 
-// waitForRoom asks for a loan at once, since the first request after a time without demand finds
-// none, and tries again when a loan arrives or the rate has room, for at most loanWait.
-func (s *Service) waitForRoom(ctx context.Context, h *planHolder) (bool, time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, loanWait)
+// waitForRoom asks for a loan, since the first request after a time without demand finds none, and
+// tries again when a loan arrives or the rate has room.
+func (s *Service) waitForRoom(ctx context.Context, plan string, h *planHolder) (bool, time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, s.longestWait(plan))
 	defer cancel()
-	select {
-	case s.kick <- struct{}{}:
-	default: // a look is due already
-	}
 	for {
+		select {
+		case s.kick <- struct{}{}:
+		default: // a look is due already
+		}
 		admitted, retryAfter, loaned := h.retry()
 		if admitted {
 			return true, 0
 		}
-		timer := time.NewTimer(retryAfter)
+		timer := time.NewTimer(min(retryAfter, loanLook))
 		select {
 		case <-loaned:
 		case <-timer.C:
@@ -115,6 +115,12 @@
 	}
 }
 
+// longestWait returns the time for which a request of a plan may wait for a loan.
+func (s *Service) longestWait(plan string) time.Duration {
+	lists, _ := s.cfg.Lists.InForce()
+	return min(loanWait, lists.Limits[plan].Value.Deadline()/loanWaitShare)
+}
+
 func limitReached(plan string) *problem.Problem {
 	return &problem.Problem{
 		Status: http.StatusTooManyRequests, Code: problem.LimitReached, Run: problem.NotRun,
--- a/instance/limits/service.go
+++ b/instance/limits/service.go
@@ -35,9 +35,14 @@
 	askTick = share.EarlyAskPeriod
 	// askTimeout bounds one call to a lender. A loan that comes later is of little use.
 	askTimeout = 250 * time.Millisecond
-	// loanWait is the longest time for which a request without room waits for a loan. It covers a
-	// round trip to a lender in the other region.
-	loanWait = 100 * time.Millisecond
+	// loanWait is the longest time for which a request without room waits for a loan. It covers the
+	// time until the next early ask, a new connection and a round trip to a lender in the other region.
+	loanWait = 250 * time.Millisecond
+	// loanWaitShare is the share of its plan's deadline for which a request waits at most.
+	loanWaitShare = 2
+	// loanLook is the longest time between two looks of a waiting request. An ask that was too early
+	// is sent at the next look.
+	loanLook = askTick / 2
 	// maxWaiting bounds the requests of a plan that wait for a loan, so that a plan over its limit
 	// does not fill the instance.
 	maxWaiting = 64
