Keep one copy of the wait, of the stamps and of the dropped replies

Cause: a wait that a context ends stood four times below instance/, the conversion of time stamps in members and configsync, and the counting of dropped replies at both levels of a query.

Change: kernel.Sleep, peer.StampOf and peer.ObserveStamp, and one countDropped take their place. No behaviour changes.

Conclusion: clean-up only. The duplicates that are left are in generated code, in the loops of both query levels and in the life cycle of services.

--- /dev/null
+++ b/adapter/peer/stamp.go
@@ -0,0 +1,19 @@
+package peer
+
+import (
+	"hyssopcroft.example/adapter/wire/memberpb"
+	"hyssopcroft.example/kernel/hlc"
+)
+
+// StampOf returns a new time stamp of the clock for a message.
+func StampOf(c *hlc.Clock) *memberpb.Stamp {
+	at := c.Now()
+	return &memberpb.Stamp{Wall: uint64(at.Wall), Logical: at.Logical}
+}
+
+// ObserveStamp moves the clock past the stamp of a received message, if it has one.
+func ObserveStamp(c *hlc.Clock, at *memberpb.Stamp) {
+	if at != nil {
+		c.Observe(hlc.Timestamp{Wall: int64(at.Wall), Logical: at.Logical})
+	}
+}
--- a/instance/claims/service.go
+++ b/instance/claims/service.go
@@ -222,7 +222,7 @@
 		if done {
 			return a
 		}
-		if attempt == routeAttempts || !sleep(ctx, refreshPeriod) {
+		if attempt == routeAttempts || !kernel.Sleep(ctx, refreshPeriod) {
 			return unsent(r, claim.ReasonReplaced)
 		}
 		s.refresh()
@@ -293,15 +293,3 @@
 	}
 	return a
 }
-
-// sleep returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/instance/configsync/distribute.go
+++ b/instance/configsync/distribute.go
@@ -9,7 +9,6 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/wire/memberpb"
 	"hyssopcroft.example/control/config"
-	"hyssopcroft.example/kernel/hlc"
 )
 
 const (
@@ -60,7 +59,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, repairTimeout)
 	defer cancel()
 	s.counters.Counter("pushes_sent").Add(1)
-	req := &memberpb.PushRequest{Object: peer.ObjectToWire(o), Onward: onward, Stamp: s.stamp()}
+	req := &memberpb.PushRequest{Object: peer.ObjectToWire(o), Onward: onward, Stamp: peer.StampOf(s.ring.Clock())}
 	_, err := peer.DistributionClient(address, s.fleet.Transport()).Push(ctx, req)
 	if err != nil {
 		s.counters.Counter("push_failures").Add(1)
@@ -73,7 +72,7 @@
 	if req.Object == nil {
 		return nil, twirp.RequiredArgumentError("object")
 	}
-	s.observe(req.Stamp)
+	peer.ObserveStamp(s.ring.Clock(), req.Stamp)
 	s.counters.Counter("pushes_received").Add(1)
 	o, err := peer.ObjectFromWire(req.Object)
 	if err != nil {
@@ -81,18 +80,18 @@
 	}
 	s.push(o, req.Onward)
 	s.offer(o)
-	return &memberpb.PushResponse{Revision: s.revision(o.Key), Stamp: s.stamp()}, nil
+	return &memberpb.PushResponse{Revision: s.revision(o.Key), Stamp: peer.StampOf(s.ring.Clock())}, nil
 }
 
 // Fetch implements the twirp service.
 func (s *Service) Fetch(_ context.Context, req *memberpb.FetchRequest) (*memberpb.FetchResponse, error) {
-	s.observe(req.Stamp)
+	peer.ObserveStamp(s.ring.Clock(), req.Stamp)
 	s.counters.Counter("fetches_received").Add(1)
 	ready := s.Ready()
 	s.mu.Lock()
 	newer, older := s.holdings.Compare(heldFromWire(req.Held))
 	s.mu.Unlock()
-	resp := &memberpb.FetchResponse{Ready: ready, Older: heldToWire(older), Stamp: s.stamp()}
+	resp := &memberpb.FetchResponse{Ready: ready, Older: heldToWire(older), Stamp: peer.StampOf(s.ring.Clock())}
 	for _, o := range newer {
 		resp.Newer = append(resp.Newer, peer.ObjectToWire(o))
 	}
@@ -140,14 +139,3 @@
 	}
 	return out
 }
-
-func (s *Service) stamp() *memberpb.Stamp {
-	at := s.ring.Clock().Now()
-	return &memberpb.Stamp{Wall: uint64(at.Wall), Logical: at.Logical}
-}
-
-func (s *Service) observe(at *memberpb.Stamp) {
-	if at != nil {
-		s.ring.Clock().Observe(hlc.Timestamp{Wall: int64(at.Wall), Logical: at.Logical})
-	}
-}
--- a/instance/configsync/quarantine.go
+++ b/instance/configsync/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query/quarantine"
 )
 
@@ -66,7 +67,7 @@
 		}
 		for n := 0; n < confirmAttempts && s.ctx.Err() == nil; n++ {
 			err := s.addConfirmed(batch)
-			pause(s.ctx, confirmPause)
+			kernel.Sleep(s.ctx, confirmPause)
 			if err == nil {
 				break
 			}
--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -252,12 +252,3 @@
 	}
 	return o, !obj.Deleted
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/instance/configsync/start.go
+++ b/instance/configsync/start.go
@@ -11,6 +11,7 @@
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/wire/memberpb"
 	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/kernel"
 )
 
 const (
@@ -35,7 +36,7 @@
 			s.fleet.ConfigChanged()
 			return
 		}
-		pause(s.ctx, coldPeriod/2+rand.N(coldPeriod))
+		kernel.Sleep(s.ctx, coldPeriod/2+rand.N(coldPeriod))
 	}
 }
 
@@ -98,12 +99,12 @@
 	defer cancel()
 	s.counters.Counter("fetches_sent").Add(1)
 	client := peer.DistributionClient(address, s.fleet.Transport())
-	resp, err := client.Fetch(ctx, &memberpb.FetchRequest{Held: heldToWire(s.held()), Stamp: s.stamp()})
+	resp, err := client.Fetch(ctx, &memberpb.FetchRequest{Held: heldToWire(s.held()), Stamp: peer.StampOf(s.ring.Clock())})
 	if err != nil {
 		s.counters.Counter("fetch_failures").Add(1)
 		return false, errors.Wrapf(err, "fetch from %s", address)
 	}
-	s.observe(resp.Stamp)
+	peer.ObserveStamp(s.ring.Clock(), resp.Stamp)
 	for _, wire := range resp.Newer {
 		o, err := peer.ObjectFromWire(wire)
 		if err != nil {
@@ -112,7 +113,7 @@
 		s.offer(o)
 	}
 	for _, o := range s.newerThan(heldFromWire(resp.Older)) {
-		if _, err := client.Push(ctx, &memberpb.PushRequest{Object: peer.ObjectToWire(o), Stamp: s.stamp()}); err != nil {
+		if _, err := client.Push(ctx, &memberpb.PushRequest{Object: peer.ObjectToWire(o), Stamp: peer.StampOf(s.ring.Clock())}); err != nil {
 			s.counters.Counter("push_failures").Add(1)
 		}
 	}
--- a/instance/configsync/watch.go
+++ b/instance/configsync/watch.go
@@ -10,6 +10,7 @@
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/kernel"
 )
 
 const (
@@ -86,7 +87,7 @@
 		if err != nil {
 			s.counters.Counter("platform_watch_failures").Add(1)
 			s.noteStore(kind, false)
-			pause(ctx, retryDelay)
+			kernel.Sleep(ctx, retryDelay)
 			continue
 		}
 		revision = max(revision, changes.Revision)
--- a/instance/entry/canary.go
+++ b/instance/entry/canary.go
@@ -7,6 +7,7 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/group"
 	"hyssopcroft.example/query/quarantine"
@@ -78,7 +79,7 @@
 // a third target.
 func (g *guard) crashedElsewhere(ctx context.Context) bool {
 	before := g.service.suspects.crashes(g.fingerprint)
-	pause(ctx, suspectWait)
+	kernel.Sleep(ctx, suspectWait)
 	return g.service.suspects.crashes(g.fingerprint) != before
 }
 
--- a/instance/entry/peers.go
+++ b/instance/entry/peers.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query/placement"
 )
 
@@ -62,7 +63,7 @@
 			if known {
 				s.connected.Store(true)
 			}
-			pause(ctx, placementPause)
+			kernel.Sleep(ctx, placementPause)
 		}
 	}
 }
@@ -171,12 +172,3 @@
 	}
 	return all
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/instance/entry/quarantine.go
+++ b/instance/entry/quarantine.go
@@ -8,6 +8,7 @@
 
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/quarantine"
 )
@@ -91,7 +92,7 @@
 			if !time.Now().Before(g.request.Deadline) || ctx.Err() != nil {
 				return g.refuse()
 			}
-			pause(ctx, canaryPoll)
+			kernel.Sleep(ctx, canaryPoll)
 		case quarantine.Canary:
 			if p, again := g.runCanary(ctx, m); !again {
 				return p
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -101,7 +101,7 @@
 func (r *run) loop(caller context.Context) runResult {
 	ctx, cancel := context.WithCancel(caller)
 	defer cancel() // ends all attempts that are still in flight
-	defer r.countDropped()
+	defer func() { r.service.countDropped(r.machine.Dropped()) }()
 	finished := r.perform(ctx, r.machine.Start(time.Now()))
 	timer := time.NewTimer(time.Until(r.machine.NextWake()))
 	defer timer.Stop()
@@ -151,9 +151,10 @@
 // abandon reports the attempts of an unfinished query as ended, which may have run.
 func (r *run) abandon() { r.machine.Abandon(time.Now()) }
 
-func (r *run) countDropped() {
-	for reason, n := range r.machine.Dropped() {
-		r.service.counters.Counter(reason).Add(n)
+// countDropped counts the replies that a machine dropped, by reason.
+func (s *Service) countDropped(dropped map[string]int64) {
+	for reason, n := range dropped {
+		s.counters.Counter(reason).Add(n)
 	}
 }
 
--- a/instance/entry/two_level.go
+++ b/instance/entry/two_level.go
@@ -53,7 +53,7 @@
 func (r *groupRun) loop(caller context.Context) runResult {
 	ctx, cancel := context.WithCancel(caller)
 	defer cancel() // ends all attempts that are still in flight
-	defer r.countDropped()
+	defer func() { r.service.countDropped(r.machine.Dropped()) }()
 	finished := r.perform(ctx, r.machine.Start(time.Now()))
 	timer := time.NewTimer(time.Until(r.machine.NextWake()))
 	defer timer.Stop()
@@ -89,12 +89,6 @@
 	}
 }
 
-func (r *groupRun) countDropped() {
-	for reason, n := range r.machine.Dropped() {
-		r.service.counters.Counter(reason).Add(n)
-	}
-}
-
 // perform returns true if the machine has finished.
 func (r *groupRun) perform(ctx context.Context, actions []group.Action) bool {
 	finished := false
--- a/instance/members/exchange.go
+++ b/instance/members/exchange.go
@@ -11,7 +11,6 @@
 	"hyssopcroft.example/adapter/wire/memberpb"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/configsync"
-	"hyssopcroft.example/kernel/hlc"
 )
 
 // fullStateTimeout bounds the transfer of a full state.
@@ -74,7 +73,7 @@
 		}
 	})
 	if err == nil {
-		s.observe(answer.Stamp)
+		peer.ObserveStamp(s.ring.Clock(), answer.Stamp)
 		s.config.OnDigest(ctx, a.To.Address, digestOf(answer.Digest), sent)
 	}
 	for _, next := range actions {
@@ -86,7 +85,7 @@
 	call, cancel := context.WithTimeout(ctx, 2*membership.ExchangeTimeout)
 	defer cancel()
 	s.counters.Counter("members_asked_through_another").Add(1)
-	req := &memberpb.AskRequest{Silent: peer.ToWire(a.Silent), Stamp: s.stamp()}
+	req := &memberpb.AskRequest{Silent: peer.ToWire(a.Silent), Stamp: peer.StampOf(s.ring.Clock())}
 	resp, err := peer.MembershipClient(a.Through.Address, s.transport).Ask(call, req)
 	if ctx.Err() != nil {
 		return
@@ -99,13 +98,13 @@
 	call, cancel := context.WithTimeout(ctx, fullStateTimeout)
 	defer cancel()
 	s.counters.Counter("full_states_requested").Add(1)
-	req := &memberpb.FullStateRequest{Id: s.Self().ID, Stamp: s.stamp()}
+	req := &memberpb.FullStateRequest{Id: s.Self().ID, Stamp: peer.StampOf(s.ring.Clock())}
 	resp, err := peer.MembershipClient(a.From.Address, s.transport).FullState(call, req)
 	if err != nil {
 		s.counters.Counter("full_state_failures").Add(1)
 		return
 	}
-	s.observe(resp.Stamp)
+	peer.ObserveStamp(s.ring.Clock(), resp.Stamp)
 	s.update(func(now time.Time) { s.node.OnFullState(resp.Id, peer.MembersFromWire(resp.Members), now) })
 }
 
@@ -134,7 +133,7 @@
 		return nil, twirp.RequiredArgumentError("id")
 	}
 	s.counters.Counter("exchanges_received").Add(1)
-	s.observe(req.Stamp)
+	peer.ObserveStamp(s.ring.Clock(), req.Stamp)
 	var answer membership.Message
 	s.update(func(now time.Time) { answer = s.node.OnRequest(peer.MessageFromWire(req), now) })
 	return s.wire(answer), nil
@@ -142,7 +141,7 @@
 
 // FullState implements the twirp service.
 func (s *Service) FullState(_ context.Context, req *memberpb.FullStateRequest) (*memberpb.FullStateResponse, error) {
-	s.observe(req.Stamp)
+	peer.ObserveStamp(s.ring.Clock(), req.Stamp)
 	s.mu.Lock()
 	self := s.node.Self()
 	records, ok := s.node.FullState(req.Id, time.Now())
@@ -152,12 +151,12 @@
 		return nil, twirp.NewError(twirp.ResourceExhausted, "one full state a second for each peer")
 	}
 	s.counters.Counter("full_states_given").Add(1)
-	return &memberpb.FullStateResponse{Id: self.ID, Members: peer.MembersToWire(records), Stamp: s.stamp()}, nil
+	return &memberpb.FullStateResponse{Id: self.ID, Members: peer.MembersToWire(records), Stamp: peer.StampOf(s.ring.Clock())}, nil
 }
 
 // Ask implements the twirp service.
 func (s *Service) Ask(ctx context.Context, req *memberpb.AskRequest) (*memberpb.AskResponse, error) {
-	s.observe(req.Stamp)
+	peer.ObserveStamp(s.ring.Clock(), req.Stamp)
 	silent := peer.FromWire(req.Silent)
 	var message membership.Message
 	s.update(func(now time.Time) { message = s.node.AskedFor(silent, now) })
@@ -165,11 +164,11 @@
 	defer cancel()
 	answer, err := peer.MembershipClient(silent.Address, s.transport).Exchange(call, s.wire(message))
 	if err != nil || answer.Id != silent.ID {
-		return &memberpb.AskResponse{Stamp: s.stamp()}, nil
+		return &memberpb.AskResponse{Stamp: peer.StampOf(s.ring.Clock())}, nil
 	}
 	record := silent
 	s.update(func(now time.Time) { record = s.node.Reached(silent, peer.MessageFromWire(answer), now) })
-	return &memberpb.AskResponse{Reached: true, Record: peer.ToWire(record), Stamp: s.stamp()}, nil
+	return &memberpb.AskResponse{Reached: true, Record: peer.ToWire(record), Stamp: peer.StampOf(s.ring.Clock())}, nil
 }
 
 func (s *Service) wire(m membership.Message) *memberpb.ExchangeMessage {
@@ -179,7 +178,7 @@
 	if d.Confirmed {
 		out.Digest.ConfirmedAgeMs = uint64(d.ConfirmedAge.Milliseconds()) + 1
 	}
-	out.Stamp = s.stamp()
+	out.Stamp = peer.StampOf(s.ring.Clock())
 	return out
 }
 
@@ -191,14 +190,3 @@
 	}
 	return out
 }
-
-func (s *Service) stamp() *memberpb.Stamp {
-	at := s.ring.Clock().Now()
-	return &memberpb.Stamp{Wall: uint64(at.Wall), Logical: at.Logical}
-}
-
-func (s *Service) observe(at *memberpb.Stamp) {
-	if at != nil {
-		s.ring.Clock().Observe(hlc.Timestamp{Wall: int64(at.Wall), Logical: at.Logical})
-	}
-}
--- a/instance/operator/edit.go
+++ b/instance/operator/edit.go
@@ -15,6 +15,7 @@
 	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/kernel"
 )
 
 const (
@@ -44,7 +45,7 @@
 			continue
 		}
 		s.counters.Counter("edit_steps_repeated").Add(1)
-		if !pause(ctx, wait/2+rand.N(wait)) {
+		if !kernel.Sleep(ctx, wait/2+rand.N(wait)) {
 			step = op.Abandon(errors.New("the edit did not get through in time"))
 		}
 		wait = min(2*wait, longestPause)
@@ -111,15 +112,3 @@
 	}
 	return &problem.Problem{Status: http.StatusServiceUnavailable, Code: problem.PlatformUnavailable, Message: err.Error()}
 }
-
-// pause waits and reports whether ctx is still open.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
