Decide routes, extra attempts and placement for opaque requests

Cause: the users' platform routes requests by host and prefix over services whose targets take one request a connection and whose extra attempts are bounded over the whole fleet.

Ruled out: replica.Chooser as it is, since its limit starts at one request and grows with answers that share a connection.

Conclusion: one scatter.Machine serves both kinds of request.

--- /dev/null
+++ b/query/balance/fleet.go
@@ -0,0 +1,230 @@
+// Package balance chooses the target of each attempt where targets limit their connections and carry
+// one request at a time on each, and decides when a second attempt is worth its cost.
+//
+// The load that it answers: a tenth of the targets of all shards slow by 5 to 12 for seconds, pauses of
+// 150 ms every few seconds, targets that fail, shed or fall silent while their health is good, and all
+// replicas of a shard dark. A query waits for its slowest shard, so that each of these meets most
+// queries.
+package balance
+
+import (
+	"time"
+
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/hedge"
+	"hyssopcroft.example/query/replica"
+	"hyssopcroft.example/query/scatter"
+)
+
+const (
+	// hedgePercentile and hedgeFactor give the time after which a second attempt is sent: three times
+	// the median, which stays right while a part of the targets is slow.
+	hedgePercentile = 50
+	hedgeFactor     = 3
+	// shortestHedge keeps the scheduling delays of this process from asking for second attempts.
+	shortestHedge = 12 * time.Millisecond
+	// unlearntShare and longestShare are the parts of a route's objective after which a second attempt
+	// is sent while the median is not known, and at the latest.
+	unlearntShare = 4
+	longestShare  = 3
+	// reserved is the part of the budget that is kept for first retries: a hedge is sent only while
+	// more than this is left.
+	reserved = 0.1
+)
+
+// Target is a target as the fleet sees it.
+type Target struct {
+	ID    query.TargetID
+	Shard query.Shard
+	// Incarnation tells two lives under one id apart.
+	Incarnation int64
+	Distance    Distance
+	// Limit is the number of attempts that this instance may have in flight at the target.
+	Limit     int
+	ColdUntil time.Time
+}
+
+// Fleet holds what the instance knows of all targets. It is not safe for concurrent use.
+type Fleet struct {
+	terms     hedge.Terms
+	instances int
+	targets   map[query.TargetID]*state
+	byShard   map[query.Shard][]*state
+	windows   map[query.Shard]*hedge.Window
+	routes    map[string]*routeTimes
+}
+
+// routeTimes are the latencies of one route's attempts by distance.
+type routeTimes struct {
+	median [distances]*hedge.Delay
+}
+
+// NewFleet returns a fleet without targets. terms bound the extra attempts at each shard.
+func NewFleet(terms hedge.Terms) *Fleet {
+	return &Fleet{
+		terms: terms, instances: 1, targets: map[query.TargetID]*state{}, byShard: map[query.Shard][]*state{},
+		windows: map[query.Shard]*hedge.Window{}, routes: map[string]*routeTimes{},
+	}
+}
+
+// SetInstances sets the number of instances that share the slack of the budgets.
+func (f *Fleet) SetInstances(n int) { f.instances = max(1, n) }
+
+// SetTargets replaces the known targets. What was learnt of a target stays while it lives.
+func (f *Fleet) SetTargets(list []Target) {
+	known := f.targets
+	f.targets = make(map[query.TargetID]*state, len(list))
+	clear(f.byShard)
+	for _, t := range list {
+		s := known[t.ID]
+		if s == nil || s.incarnation != t.Incarnation || s.shard != t.Shard {
+			s = &state{id: t.ID, shard: t.Shard, incarnation: t.Incarnation}
+		}
+		s.distance, s.limit, s.coldUntil = t.Distance, t.Limit, t.ColdUntil
+		f.targets[t.ID] = s
+		f.byShard[t.Shard] = append(f.byShard[t.Shard], s)
+	}
+}
+
+// Serves reports whether a target of the shard is known.
+func (f *Fleet) Serves(s query.Shard) bool { return len(f.byShard[s]) > 0 }
+
+// choose returns the target with the lowest cost, or a target near by that has not been tried for a
+// while.
+func (f *Fleet) choose(now time.Time, w scatter.Want) (*state, replica.Verdict) {
+	list := f.byShard[w.Shard]
+	if len(list) == 0 {
+		return nil, replica.Final
+	}
+	var best, probe *state
+	var lowest time.Duration
+	verdict := replica.NoReplica
+	for _, s := range list {
+		switch {
+		case contains(w.Tried, s.id):
+			continue
+		case now.Before(s.downUntil):
+			continue
+		case len(s.sent) >= s.limit:
+			verdict = replica.Limited
+			continue
+		}
+		if w.Use == replica.First && s.latency > 0 && s.stale(now) && (probe == nil || s.distance < probe.distance) {
+			probe = s
+		}
+		if cost := s.cost(now); best == nil || cost < lowest {
+			best, lowest = s, cost
+		}
+	}
+	switch {
+	case best == nil:
+		return nil, verdict
+	case probe != nil && probe != best && probe.distance < best.distance:
+		probe.probedAt = now
+		return probe, replica.Chosen
+	}
+	return best, replica.Chosen
+}
+
+func contains(list []query.TargetID, id query.TargetID) bool {
+	for _, known := range list {
+		if known == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fleet) window(s query.Shard) *hedge.Window {
+	w := f.windows[s]
+	if w == nil {
+		w = hedge.NewWindow(f.terms)
+		f.windows[s] = w
+	}
+	return w
+}
+
+// pay reports whether the attempt is within the budget. A first attempt is always; it is counted.
+func (f *Fleet) pay(now time.Time, w scatter.Want) bool {
+	budget := f.window(w.Shard)
+	switch w.Use {
+	case replica.First:
+		budget.First(now)
+		return true
+	case replica.Hedge:
+		if budget.Left(now, f.instances) <= reserved {
+			return false
+		}
+	}
+	return budget.Take(now, f.instances)
+}
+
+// Policy is the scatter.Policy of the requests of one route.
+type Policy struct {
+	fleet     *Fleet
+	times     *routeTimes
+	objective time.Duration
+}
+
+// Route returns the policy of a route. Its latencies are kept under the name over versions.
+func (f *Fleet) Route(name string, objective time.Duration) *Policy {
+	times := f.routes[name]
+	if times == nil {
+		times = &routeTimes{}
+		for i := range times.median {
+			times.median[i] = hedge.NewDelayAt(hedgePercentile)
+		}
+		f.routes[name] = times
+	}
+	return &Policy{fleet: f, times: times, objective: objective}
+}
+
+// Choose implements scatter.Policy.
+func (p *Policy) Choose(now time.Time, w scatter.Want) (scatter.Grant, replica.Verdict) {
+	s, verdict := p.fleet.choose(now, w)
+	if verdict != replica.Chosen {
+		return scatter.Grant{}, verdict
+	}
+	if !p.fleet.pay(now, w) {
+		return scatter.Grant{}, replica.NoToken
+	}
+	s.begin(now)
+	return scatter.Grant{Target: s.id, Class: replica.Class(s.distance), HedgeAfter: p.hedgeAfter(s.distance)}, replica.Chosen
+}
+
+func (p *Policy) hedgeAfter(d Distance) time.Duration {
+	median, known := p.times.median[d].Value()
+	if !known {
+		median, known = p.times.median[SameDomain].Value()
+		median += roundTrip[d]
+	}
+	if !known {
+		return max(p.objective/unlearntShare, shortestHedge)
+	}
+	return min(max(hedgeFactor*median, shortestHedge), max(p.objective/longestShare, shortestHedge))
+}
+
+// Overdue implements scatter.Policy. The age of attempts in flight counts at every choice.
+func (p *Policy) Overdue(query.TargetID, time.Time) {}
+
+// End implements scatter.Policy.
+func (p *Policy) End(now time.Time, e replica.End) {
+	s := p.fleet.targets[e.Target]
+	if s == nil {
+		return
+	}
+	s.end(now.Add(-e.Elapsed))
+	switch {
+	case e.Cancelled:
+		if e.Elapsed > s.latency {
+			s.learn(now, e.Elapsed)
+		}
+	case e.Outcome == query.OutcomeAnswered:
+		s.answered(now, e.Elapsed)
+		p.times.median[s.distance].Record(now, e.Elapsed)
+	case e.Outcome.CertainlyNotRun():
+		s.refuse(now)
+	default:
+		s.learn(now, max(e.Elapsed, failurePenalty))
+	}
+}
--- a/query/hedge/delay.go
+++ b/query/hedge/delay.go
@@ -27,6 +27,7 @@
 // histograms take every latency and are emptied in turn, so the percentile rests on between one and
 // two periods. It is not safe for concurrent use.
 type Delay struct {
+	percentile   float64
 	older, newer *hdrhistogram.Histogram
 	rotated      time.Time
 	pending      int // latencies since the percentile was read
@@ -34,10 +35,14 @@
 }
 
 // NewDelay returns a Delay that has learnt nothing.
-func NewDelay() *Delay {
+func NewDelay() *Delay { return NewDelayAt(hedgeQuantile) }
+
+// NewDelayAt returns a Delay that follows another percentile, from 0 to 100.
+func NewDelayAt(percentile float64) *Delay {
 	return &Delay{
-		older: hdrhistogram.New(lowestMicros, highestMicros, digits),
-		newer: hdrhistogram.New(lowestMicros, highestMicros, digits),
+		percentile: percentile,
+		older:      hdrhistogram.New(lowestMicros, highestMicros, digits),
+		newer:      hdrhistogram.New(lowestMicros, highestMicros, digits),
 	}
 }
 
@@ -75,5 +80,5 @@
 	if d.older.TotalCount() < minSamples {
 		return
 	}
-	d.quantile = time.Duration(d.older.ValueAtQuantile(hedgeQuantile)) * time.Microsecond
+	d.quantile = time.Duration(d.older.ValueAtQuantile(d.percentile)) * time.Microsecond
 }
--- a/query/query.go
+++ b/query/query.go
@@ -120,10 +120,12 @@
 	OutcomeAborted
 	// OutcomeCrashed means that the target ended all its streams while the request ran on it.
 	OutcomeCrashed
+	// OutcomeFailed means that the target ran the request and answered that it failed.
+	OutcomeFailed
 )
 
 var outcomeNames = [...]string{
-	"unknown", "answered", "not_run", "shed", "draining", "snapshot_gone", "wrong_shard", "aborted", "crashed",
+	"unknown", "answered", "not_run", "shed", "draining", "snapshot_gone", "wrong_shard", "aborted", "crashed", "failed",
 }
 
 // String returns the name used in counters and logs.
@@ -201,4 +203,16 @@
 	Held []Version
 	// Cold is set while the target's caches are not warm.
 	Cold bool
+	// Part is the answer of a target whose answers the instance does not interpret, else nil.
+	Part *Part
+}
+
+// Part is an answer that is passed on or merged without being interpreted.
+type Part struct {
+	Status int
+	// Signature is the target's proof that it gave the answer, "" if there is none.
+	Signature string
+	Body      []byte
+	// Type is the media type of the body, "" if the target named none.
+	Type string
 }
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -51,17 +51,42 @@
 	// NextAttempt returns an id that this instance has not used yet, above those that it returned
 	// before (modulo 2^64).
 	NextAttempt func() query.AttemptID
+	// Collector takes the parts. If it is nil, hits are merged and Answer returns them.
+	Collector Collector
+	// MaxAttempts is the number of targets of one shard that the query may be sent to, 0 for no bound.
+	MaxAttempts int
+	// Once is set if the query may run at most once: it is not hedged, and not sent again unless it
+	// certainly did not run.
+	Once bool
+	// Distinct is set if no target gets a second attempt while the first one is in flight.
+	Distinct bool
+	// Enough is the number of shards that a useful answer needs. From AnswerBy on, the query finishes as
+	// soon as it has them; it finishes early if they can no longer be reached. 0 means that the query
+	// waits for all shards until its deadline.
+	Enough   int
+	AnswerBy time.Time
+	// Crashes is the number of targets that have to crash on the query, before any has answered it, for
+	// the query to end: 0 for 2.
+	Crashes int
+}
+
+// Collector takes the parts of one query.
+type Collector interface {
+	Offer(r query.Reply) merge.Verdict
 }
 
 // Machine is the state of one query at one level. It is not safe for concurrent use.
 type Machine struct {
 	cfg        Config
 	policy     Policy
-	merger     *merge.Merger
-	shards     []shardState // in the order of the map
-	attempts   []attempt    // in the order of sending
+	collector  Collector
+	merger     *merge.Merger // nil if the parts go to another Collector
+	shards     []shardState  // in the order of the map
+	attempts   []attempt     // in the order of sending
 	timers     timers
 	openShards int
+	covered    int  // number of shards whose part was accepted
+	due        bool // AnswerBy has passed
 	finished   bool
 	latest     int32 // shard that was covered or given up last, -1 before the first
 	suspect    suspicion
@@ -77,14 +102,18 @@
 	m := &Machine{
 		cfg:        cfg,
 		policy:     cfg.Policy,
-		merger:     merge.New(cfg.Request.ID, cfg.Map.Version, cfg.Map.Shards, cfg.Request.Limit),
+		collector:  cfg.Collector,
 		shards:     make([]shardState, n),
 		attempts:   make([]attempt, 0, n+n/16+1),
 		timers:     make(timers, 0, n+n/16+1),
 		actions:    make([]Action, 0, n+1),
 		openShards: n,
 		latest:     -1,
-		suspect:    suspicion{answered: cfg.Request.Cleared},
+		suspect:    newSuspicion(cfg.Request.Cleared, cfg.Crashes),
+	}
+	if m.collector == nil {
+		m.merger = merge.New(cfg.Request.ID, cfg.Map.Version, cfg.Map.Shards, cfg.Request.Limit)
+		m.collector = m.merger
 	}
 	if m.policy == nil {
 		m.policy = single{chooser: cfg.Chooser}
@@ -132,12 +161,13 @@
 }
 
 func (m *Machine) accept(now time.Time, a attempt, r query.Reply) {
-	if v := m.merger.Offer(r); v != merge.Accepted {
+	if v := m.collector.Offer(r); v != merge.Accepted {
 		m.drop("part_" + v.String())
 		m.fail(now, a, query.OutcomeUnknown)
 		return
 	}
 	m.suspect.answer()
+	m.covered++
 	m.closeShard(a.shard)
 	if sh := &m.shards[a.shard]; sh.inFlight > 0 {
 		m.cancelShard(now, sh)
@@ -147,11 +177,16 @@
 func (m *Machine) fail(now time.Time, a attempt, o query.Outcome) {
 	sh := &m.shards[a.shard]
 	sh.cause = causeOf(o)
+	if o == query.OutcomeNotRun {
+		sh.sends--
+	}
 	if o == query.OutcomeCrashed {
 		m.suspect.crash(a.target)
 	}
 	sh.holds = sh.holds || o != query.OutcomeSnapshotGone && o != query.OutcomeWrongShard
 	switch {
+	case m.cfg.Once && !o.CertainlyNotRun():
+		m.closeShard(a.shard)
 	case sh.inFlight == 0:
 		m.retry(now, a.shard, o.CertainlyNotRun())
 	case o.CertainlyNotRun():
@@ -162,6 +197,15 @@
 // NextWake returns the time at which OnWake has to be called. It changes with every call of the
 // other methods.
 func (m *Machine) NextWake() time.Time {
+	at := m.nextTimer()
+	if m.cfg.Enough > 0 && !m.due && m.cfg.AnswerBy.Before(at) {
+		return m.cfg.AnswerBy
+	}
+	return at
+}
+
+// nextTimer returns the time of the next timer of a shard, or the deadline.
+func (m *Machine) nextTimer() time.Time {
 	for len(m.timers) > 0 {
 		t := m.timers[0]
 		if sh := &m.shards[t.shard]; sh.open && sh.wake.Equal(t.at) {
@@ -183,7 +227,8 @@
 		m.expire(now)
 		return m.actions
 	}
-	for at := m.NextWake(); !at.After(now); at = m.NextWake() {
+	m.due = !now.Before(m.cfg.AnswerBy)
+	for at := m.nextTimer(); !at.After(now); at = m.nextTimer() {
 		i := m.timers[0].shard
 		m.timers.pop()
 		m.shards[i].wake = time.Time{}
@@ -267,7 +312,8 @@
 // Finish. Where it returns false, every attempt that was sent came back as certainly not run.
 func (m *Machine) MayHaveRun() bool { return m.ran }
 
-// Answer returns the merged answer. It is to be called once, after Finish.
+// Answer returns the merged answer. It is to be called once, after Finish, and not if the parts went to
+// a Collector of the caller's.
 func (m *Machine) Answer() query.Answer {
 	return m.merger.Finish(m.cfg.Request.Index, func(s query.Shard) query.Cause {
 		for i, shard := range m.cfg.Map.Shards {
@@ -289,18 +335,34 @@
 	m.dropped[reason]++
 }
 
-// finishIfDone ends the query when no shard is open. An open shard is in flight or has a timer.
+// finishIfDone ends the query when no shard is open, or when nothing is gained by waiting for the open
+// ones. An open shard is in flight or has a timer.
 func (m *Machine) finishIfDone(now time.Time) {
-	if m.finished || m.openShards > 0 && !m.suspect.ends() {
+	switch {
+	case m.finished:
+		return
+	case m.openShards == 0:
+	case m.suspect.ends():
+		m.giveUp(now, query.CauseCrashed)
+	case m.enough(now):
+		m.giveUp(now, query.CauseTimeout)
+	case m.covered+m.openShards < m.cfg.Enough:
+		m.giveUp(now, query.CauseUnreachable)
+	default:
 		return
-	}
-	if m.openShards > 0 {
-		m.giveUp(now)
 	}
 	m.finished = true
 	m.actions = append(m.actions, Action{Kind: Finish})
 }
 
+// enough reports whether the query answers without the shards that are still open.
+func (m *Machine) enough(now time.Time) bool {
+	return m.cfg.Enough > 0 && m.covered >= m.cfg.Enough && !now.Before(m.cfg.AnswerBy)
+}
+
+// Covered returns the number of shards whose part was accepted.
+func (m *Machine) Covered() int { return m.covered }
+
 func causeOf(o query.Outcome) query.Cause {
 	switch o {
 	case query.OutcomeShed, query.OutcomeDraining:
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -35,6 +35,7 @@
 	round    int32 // latest attempt of the earlier rounds, -1 in the first round
 	holds    bool  // in this round an attempt ended otherwise than by "does not hold it"
 	hedges   int32 // attempts sent besides another one
+	sends    int32 // attempts that a target may have received
 	free     bool  // the next retry replaces an attempt that certainly did not run
 	pause    time.Duration
 	wake     time.Time     // timer in force; others of the shard are out of date
@@ -68,6 +69,9 @@
 	if m.suspect.holds() {
 		return Grant{}, replica.Limited
 	}
+	if m.cfg.MaxAttempts > 0 && int(m.shards[i].sends) >= m.cfg.MaxAttempts {
+		return Grant{}, replica.Final
+	}
 	return m.policy.Choose(now, Want{
 		Plan: m.cfg.Request.Plan, Priority: m.cfg.Request.Priority, Overload: m.cfg.Request.Overload,
 		Shard: m.cfg.Map.Shards[i], Use: use, Free: free,
@@ -91,6 +95,7 @@
 	} else {
 		sh.hedges++
 	}
+	sh.sends++
 	sh.inFlight++
 	m.suspect.inFlight++
 	m.actions = append(m.actions, Action{
@@ -112,7 +117,7 @@
 }
 
 func (m *Machine) armHedge(now time.Time, i int32, after time.Duration) {
-	if after == never {
+	if after == never || m.cfg.Once {
 		return
 	}
 	if after == 0 {
@@ -191,7 +196,7 @@
 	if overdue && (verdict == replica.NoToken || verdict == replica.Limited) {
 		verdict = m.send(now, i, replica.Retry, free)
 	}
-	if overdue && verdict == replica.NoReplica && m.cfg.Request.PreferCoverage {
+	if overdue && verdict == replica.NoReplica && m.cfg.Request.PreferCoverage && !m.cfg.Distinct {
 		verdict = m.repeat(now, i)
 	}
 	if verdict != replica.Chosen && verdict != replica.Final {
