Run opaque requests over HTTP/1.1 targets found in a watched list

Cause: the platform's back ends speak HTTP/1.1 with crossed, late and unframed answers, and register themselves in a list that lapses while its store is away.

Ruled out: net/http's transport, which sends some requests again by itself.

Conclusion: the product has the parts; the adapter only translates.

--- /dev/null
+++ b/adapter/http1/client.go
@@ -0,0 +1,153 @@
+package http1
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// dialTimeout ends attempts to connect to a target whose network is silent. A round trip between
+	// regions is 24 ms and a handshake takes 6 ms; a lost packet is sent again after a second.
+	dialTimeout = 1200 * time.Millisecond
+	// maxIdle is the time after which an idle connection is closed if the target announces none. It
+	// is below the idle time of common HTTP servers, 60 s.
+	maxIdle = 30 * time.Second
+)
+
+// errNoConnection says that all connections to the target are in use.
+var errNoConnection = errors.New("all connections to the target are in use")
+
+// Client keeps connections to targets. It is safe for concurrent use.
+type Client struct {
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+	opened func() // called for each new connection
+
+	mu    sync.Mutex // guards hosts and what they hold
+	hosts map[string]*host
+}
+
+// host holds the connections to one address.
+type host struct {
+	limit int // of open connections
+	open  int // connections in use, idle and being opened
+	idle  []*conn
+}
+
+// NewClient returns a client without connections. dial may be nil for TCP, and opened for nothing.
+func NewClient(dial func(ctx context.Context, address string) (net.Conn, error), opened func()) *Client {
+	if dial == nil {
+		d := net.Dialer{Timeout: dialTimeout}
+		dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+	}
+	if opened == nil {
+		opened = func() {}
+	}
+	return &Client{dial: dial, opened: opened, hosts: map[string]*host{}}
+}
+
+// SetLimits sets the largest number of connections by address and closes the idle connections to all
+// other addresses.
+func (c *Client) SetLimits(limits map[string]int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, h := range c.hosts {
+		h.limit = limits[address]
+		for h.open > h.limit && len(h.idle) > 0 {
+			c.closeLocked(h, h.takeIdle())
+		}
+		if h.open == 0 && h.limit == 0 {
+			delete(c.hosts, address)
+		}
+	}
+	for address, limit := range limits {
+		c.hostLocked(address).limit = limit
+	}
+}
+
+// Do sends the request over a kept or a new connection and returns the complete answer. It fails with
+// an *Error.
+func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
+	cn, err := c.acquire(ctx, address)
+	if err != nil {
+		return nil, fail(NotSent, err, "connect to "+address)
+	}
+	resp, reusable, failed := cn.exchange(ctx, r)
+	c.release(address, cn, reusable && (r.Matches == nil || r.Matches(resp)))
+	if failed != nil {
+		return nil, failed
+	}
+	return resp, nil
+}
+
+func (c *Client) acquire(ctx context.Context, address string) (*conn, error) {
+	now := time.Now()
+	c.mu.Lock()
+	h := c.hostLocked(address)
+	for len(h.idle) > 0 {
+		cn := h.takeIdle()
+		if now.Sub(cn.usedAt) < maxIdle && cn.usable(now) {
+			c.mu.Unlock()
+			return cn, nil
+		}
+		c.closeLocked(h, cn)
+	}
+	if h.open >= h.limit {
+		c.mu.Unlock()
+		return nil, errNoConnection
+	}
+	h.open++
+	c.mu.Unlock()
+	dialed, err := c.dial(ctx, address)
+	if err != nil {
+		c.mu.Lock()
+		c.closedLocked(address, h)
+		c.mu.Unlock()
+		return nil, err
+	}
+	c.opened()
+	return newConn(dialed), nil
+}
+
+func (c *Client) release(address string, cn *conn, reusable bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hostLocked(address)
+	if reusable && h.open <= h.limit {
+		h.idle = append(h.idle, cn)
+		return
+	}
+	_ = cn.Close() // The connection is given up whatever Close says.
+	c.closedLocked(address, h)
+}
+
+func (c *Client) closeLocked(h *host, cn *conn) {
+	_ = cn.Close() // The connection is given up whatever Close says.
+	h.open--
+}
+
+func (c *Client) closedLocked(address string, h *host) {
+	h.open--
+	if h.open == 0 && h.limit == 0 {
+		delete(c.hosts, address)
+	}
+}
+
+func (c *Client) hostLocked(address string) *host {
+	h := c.hosts[address]
+	if h == nil {
+		h = &host{}
+		c.hosts[address] = h
+	}
+	return h
+}
+
+func (h *host) takeIdle() *conn {
+	last := len(h.idle) - 1
+	cn := h.idle[last]
+	h.idle = h.idle[:last]
+	return cn
+}
--- /dev/null
+++ b/adapter/http1/conn.go
@@ -0,0 +1,170 @@
+package http1
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxResponseBytes bounds the body of an answer. It is a multiple of the largest records that
+	// targets return, about 20 KB.
+	maxResponseBytes = 4 << 20
+	// keepAliveMargin is taken off the idle time that a target announces, so that a request is not on
+	// its way when the target closes the connection: a round trip between regions and the granularity
+	// of the field, which is whole seconds.
+	keepAliveMargin = time.Second
+	// connBufferBytes holds the header of an answer and a small body.
+	connBufferBytes = 4 << 10
+)
+
+// aLongTimeAgo as deadline ends reads and writes at once.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// conn is a connection that carries one request at a time. Its holder has it alone.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// usedAt is the end of the latest answer, idleFor the time for which the target keeps the
+	// connection open after it: 0 if it has not said so.
+	usedAt  time.Time
+	idleFor time.Duration
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, connBufferBytes)}
+}
+
+// usable reports whether an idle connection may take a request: the target has neither closed it nor
+// sent anything, and is not about to close it.
+func (c *conn) usable(now time.Time) bool {
+	if c.idleFor > 0 && now.Sub(c.usedAt) >= c.idleFor-keepAliveMargin {
+		return false
+	}
+	return c.reader.Buffered() == 0 && c.quiet()
+}
+
+// quiet reports whether the socket has neither bytes to read nor an end of file.
+func (c *conn) quiet() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true // Connections in memory, of tests only.
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, readErr := syscall.Read(int(fd), one[:])
+		quiet = readErr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// exchange sends a request and reads its answer. reusable is set if the connection may carry another
+// request.
+func (c *conn) exchange(ctx context.Context, r *Request) (resp *Response, reusable bool, failed *Error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) }) // Fails on a closed connection only.
+	written, err := c.write(r)
+	if err == nil || written {
+		// A target may answer before it has read the whole body, so that the write fails.
+		resp, reusable, err = c.read(r.Method, err)
+	}
+	if !stop() {
+		reusable = false
+		if err != nil {
+			return nil, false, fail(stageOf(written, nil), context.Cause(ctx), "request ended here")
+		}
+	}
+	if err != nil {
+		return nil, false, fail(stageOf(written, err), err, "exchange")
+	}
+	c.usedAt = time.Now()
+	return resp, reusable, nil
+}
+
+func stageOf(written bool, err error) Stage {
+	switch {
+	case !written:
+		return NotSent
+	case ended(err):
+		return Closed
+	}
+	return Sent
+}
+
+// ended reports whether the far end closed or reset the connection.
+func ended(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
+// write reports whether a byte may have left.
+func (c *conn) write(r *Request) (written bool, err error) {
+	var b strings.Builder
+	b.Grow(512 + len(r.Body))
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	if err := r.Header.Write(&b); err != nil {
+		return false, errors.Wrap(err, "encode header")
+	}
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	n, err := io.WriteString(c.Conn, b.String())
+	return n > 0 || err == nil, err
+}
+
+// read returns the next final answer. sendErr is what became of the request's last bytes.
+func (c *conn) read(method string, sendErr error) (*Response, bool, error) {
+	for {
+		head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, false, err
+		}
+		if head.StatusCode < http.StatusOK {
+			_ = head.Body.Close() // Interim answers have no body.
+			continue
+		}
+		body, err := io.ReadAll(io.LimitReader(head.Body, maxResponseBytes+1))
+		if err != nil {
+			return nil, false, errors.Wrap(err, "read body")
+		}
+		if len(body) > maxResponseBytes {
+			return nil, false, errors.Errorf("body has more than %d bytes", maxResponseBytes)
+		}
+		c.idleFor = announcedIdle(head.Header)
+		framed := head.ContentLength >= 0 || len(head.TransferEncoding) > 0
+		reusable := framed && !head.Close && sendErr == nil && c.reader.Buffered() == 0
+		return &Response{Status: head.StatusCode, Header: head.Header, Body: body}, reusable, nil
+	}
+}
+
+// announcedIdle returns the time that the Keep-Alive field states, 0 if it states none.
+func announcedIdle(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout="); ok {
+			if seconds, err := strconv.Atoi(value); err == nil && seconds > 0 {
+				return time.Duration(seconds) * time.Second
+			}
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/control/roster/roster.go
@@ -0,0 +1,144 @@
+// Package roster decides which targets exist, from a list whose entries come, change and vanish, and
+// which is away at times.
+package roster
+
+import (
+	"time"
+)
+
+// LapseGrace is the time after the list's return for which entries that vanished while it was away
+// are kept. Targets that live have registered again by then.
+const LapseGrace = 2 * time.Second
+
+// Entry is what a target says of itself.
+type Entry struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	// FailureDomain is that of the target.
+	FailureDomain string `json:"failure_domain"`
+	// Incarnation tells two lives under one id apart.
+	Incarnation int64 `json:"incarnation"`
+	Draining    bool  `json:"draining,omitempty"`
+	Slots       int   `json:"slots"`
+	// ColdUntil is the end of the time for which the target is slow after its start, by the clock of the
+	// instance that read the entry; the zero time if it is warm.
+	ColdUntil time.Time `json:"-"`
+	// Cold is the time left until ColdUntil when the entry was read.
+	Cold time.Duration `json:"cold,omitempty"`
+}
+
+// Change is one change of the list.
+type Change struct {
+	ID string
+	// Entry is nil if the entry was removed or no longer names a usable target.
+	Entry *Entry
+}
+
+// Roster holds the entries. It is not safe for concurrent use.
+type Roster struct {
+	entries map[string]Entry
+	lapsing map[string]time.Time // when entries that vanished are taken to be gone
+	away    bool
+	backAt  time.Time // when the list was last known to be back
+}
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{entries: map[string]Entry{}, lapsing: map[string]time.Time{}}
+}
+
+// Replace takes the whole list.
+func (r *Roster) Replace(now time.Time, list []Entry) {
+	r.back(now)
+	seen := make(map[string]bool, len(list))
+	for _, e := range list {
+		seen[e.ID] = true
+		r.put(now, e)
+	}
+	for id := range r.entries {
+		if !seen[id] {
+			r.vanish(now, id)
+		}
+	}
+}
+
+// Apply takes changes.
+func (r *Roster) Apply(now time.Time, changes []Change) {
+	r.back(now)
+	for _, c := range changes {
+		if c.Entry == nil {
+			r.vanish(now, c.ID)
+			continue
+		}
+		r.put(now, *c.Entry)
+	}
+}
+
+// Away takes that the list does not answer.
+func (r *Roster) Away() { r.away = true }
+
+// back takes that the list answers.
+func (r *Roster) back(now time.Time) {
+	if r.away {
+		r.away, r.backAt = false, now
+	}
+}
+
+func (r *Roster) put(now time.Time, e Entry) {
+	delete(r.lapsing, e.ID)
+	if e.Cold > 0 {
+		e.ColdUntil = now.Add(e.Cold)
+	}
+	r.entries[e.ID] = e
+}
+
+// vanish removes an entry, at once unless it may have lapsed because the list was away.
+func (r *Roster) vanish(now time.Time, id string) {
+	e, known := r.entries[id]
+	if !known {
+		return
+	}
+	goneAt := r.backAt.Add(LapseGrace)
+	if e.Draining || r.backAt.IsZero() || !now.Before(goneAt) {
+		delete(r.entries, id)
+		delete(r.lapsing, id)
+		return
+	}
+	if _, lapsing := r.lapsing[id]; !lapsing {
+		r.lapsing[id] = goneAt
+	}
+}
+
+// NextWake returns when OnWake is due, the zero time if nothing waits.
+func (r *Roster) NextWake() time.Time {
+	var next time.Time
+	for _, at := range r.lapsing {
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// OnWake removes the entries that have lapsed. It reports whether there were any.
+func (r *Roster) OnWake(now time.Time) bool {
+	removed := false
+	for id, at := range r.lapsing {
+		if !now.Before(at) {
+			delete(r.lapsing, id)
+			delete(r.entries, id)
+			removed = true
+		}
+	}
+	return removed
+}
+
+// Entries returns all entries, those of draining targets included, in no order.
+func (r *Roster) Entries() []Entry {
+	out := make([]Entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		out = append(out, e)
+	}
+	return out
+}
--- /dev/null
+++ b/instance/gateway/run.go
@@ -0,0 +1,236 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/merge"
+	"hyssopcroft.example/query/scatter"
+)
+
+const (
+	// answerReserve is the part of a route's objective that is kept for the ways of the request and the
+	// answer: two round trips to callers, of which one opens the connection, and the scheduling delay of
+	// a loaded instance.
+	answerReserve = 20 * time.Millisecond
+	// deadlineReserve is the part of the caller's time that is kept for the way of the final answer.
+	deadlineReserve = 10 * time.Millisecond
+	// longestWait is the time for a request whose caller and route state none.
+	longestWait = 30 * time.Second
+	// crashLimit is the number of targets that have to crash on a query before it ends. Targets that
+	// lose some of their answers end connections as well.
+	crashLimit = 3
+)
+
+// run is one request. Only the goroutine of the request uses the machine.
+type run struct {
+	service  *Service
+	request  *Request
+	terms    terms
+	id       query.RequestID
+	start    time.Time
+	deadline time.Time
+	machine  *scatter.Machine
+	single   *single        // collects the answer of a request to one service, else nil
+	records  *merge.Records // collects the parts of a gathered answer, else nil
+	replies  chan sentReply
+	cancels  map[query.AttemptID]context.CancelFunc
+}
+
+type sentReply struct {
+	attempt query.AttemptID
+	target  query.TargetID
+	reply   query.Reply
+}
+
+// Do runs a request.
+func (s *Service) Do(ctx context.Context, r *Request) Response {
+	start := time.Now()
+	resp, ran := s.do(ctx, r, start)
+	s.observe(ctx, r, ran, resp, time.Since(start))
+	return resp
+}
+
+func (s *Service) do(ctx context.Context, r *Request, start time.Time) (Response, *run) {
+	t, refused := s.terms(r)
+	if refused != nil {
+		return *refused, nil
+	}
+	if s.inFlight.Add(1) > mostInFlight {
+		s.inFlight.Add(-1)
+		return Response{Kind: Refused, Reason: reasonBusy, RetryAfter: busyRetryAfter}, nil
+	}
+	defer s.inFlight.Add(-1)
+	q := s.newRun(r, t, start)
+	if !start.Before(q.deadline) {
+		return Response{Kind: Refused, Reason: "the caller waits no longer", RetryAfter: busyRetryAfter}, nil
+	}
+	q.loop(ctx)
+	return q.response(), q
+}
+
+func (s *Service) newRun(r *Request, t terms, start time.Time) *run {
+	q := &run{
+		service: s, request: r, terms: t, id: query.RequestID(rand.Uint64()), start: start,
+		deadline: start.Add(t.patience(r)),
+		replies:  make(chan sentReply, 2*len(t.shards)),
+		cancels:  make(map[query.AttemptID]context.CancelFunc, len(t.shards)),
+	}
+	cfg := scatter.Config{
+		Request: query.Request{
+			ID: q.id, Plan: t.route.Name, Index: t.route.Name, Deadline: q.deadline, PreferCoverage: true,
+		},
+		Map:    query.Map{Version: t.table.Version, Shards: t.shards},
+		Policy: t.policy, NextAttempt: s.nextAttempt, Distinct: true,
+		MaxAttempts: max(1, t.route.MaxAttempts), Once: !t.route.Repeatable, Crashes: crashLimit,
+	}
+	if t.route.Gather {
+		q.records = merge.NewRecords(q.id, t.table.Version, t.shards)
+		cfg.Collector, cfg.Enough = q.records, t.least()
+		cfg.AnswerBy = start.Add(t.route.Objective - answerReserve)
+	} else {
+		q.single = &single{}
+		cfg.Collector = q.single
+	}
+	q.machine = scatter.New(cfg)
+	return q
+}
+
+// patience is the time until the request ends.
+func (t terms) patience(r *Request) time.Duration {
+	wait := longestWait
+	if r.TimeLeft > 0 {
+		wait = r.TimeLeft - deadlineReserve
+	}
+	if t.route.Timeout > 0 {
+		wait = min(wait, t.route.Timeout)
+	}
+	return wait
+}
+
+// loop performs the query until it is finished or the caller has gone.
+func (q *run) loop(caller context.Context) {
+	ctx, cancel := context.WithCancel(caller)
+	defer cancel() // Ends the attempts that are still in flight.
+	finished := q.perform(ctx, q.machine.Start(time.Now()))
+	timer := time.NewTimer(time.Until(q.machine.NextWake()))
+	defer timer.Stop()
+	for !finished {
+		select {
+		case r := <-q.replies:
+			finished = q.perform(ctx, q.onReply(r))
+		case <-timer.C:
+			finished = q.perform(ctx, q.machine.OnWake(time.Now()))
+		case <-caller.Done():
+			finished = true
+		}
+		timer.Reset(time.Until(q.machine.NextWake()))
+	}
+	q.machine.Abandon(time.Now())
+}
+
+func (q *run) onReply(r sentReply) []scatter.Action {
+	q.service.cfg.Metrics.attempt(r.reply.Outcome)
+	if r.reply.Outcome == query.OutcomeWrongShard {
+		q.service.misplaced(r.target)
+	}
+	if q.single != nil {
+		if r.reply.Outcome == query.OutcomeFailed {
+			q.single.failure = r.reply.Part
+		}
+		if r.reply.Outcome == query.OutcomeCrashed {
+			// Another replica may run the request: a target that only lost the answer ends its connection too.
+			r.reply.Outcome = query.OutcomeUnknown
+		}
+	}
+	return q.machine.OnReply(time.Now(), r.attempt, r.reply)
+}
+
+// perform returns true if the machine has finished.
+func (q *run) perform(ctx context.Context, actions []scatter.Action) bool {
+	finished := false
+	for _, a := range actions {
+		switch a.Kind {
+		case scatter.Send:
+			q.send(ctx, a)
+		case scatter.Cancel:
+			q.cancels[a.Attempt]()
+		case scatter.Finish:
+			finished = true
+		}
+	}
+	return finished
+}
+
+func (q *run) send(ctx context.Context, a scatter.Action) {
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	q.cancels[a.Attempt] = cancel
+	shard, version := a.Shard, q.terms.table.Version
+	entry, known := q.service.target(a.Target)
+	go func() {
+		defer cancel()
+		reply := query.Reply{Outcome: query.OutcomeNotRun}
+		if known {
+			reply = q.service.cfg.Sender.Send(ctx, Attempt{
+				ID: a.Attempt, Target: a.Target, Address: entry.Address, Request: q.request, TimeLeft: time.Until(q.deadline),
+			})
+		}
+		reply.Attempt, reply.Request, reply.Shard, reply.Snapshot = a.Attempt, q.id, shard, version
+		select {
+		case q.replies <- sentReply{attempt: a.Attempt, target: a.Target, reply: reply}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// response returns the final answer.
+func (q *run) response() Response {
+	switch {
+	case q.single != nil && q.single.answer != nil:
+		return Response{Kind: Answered, Part: q.single.answer}
+	case q.records != nil && q.machine.Covered() >= q.terms.least():
+		return Response{
+			Kind: Merged, Records: q.records.Greatest(q.terms.route.Limit),
+			Signatures: q.records.Signatures(), Missing: q.records.Missing(),
+		}
+	case !q.machine.MayHaveRun():
+		return Response{Kind: Refused, Reason: reasonUnreached, RetryAfter: unreachedRetryAfter}
+	case q.single != nil && q.single.failure != nil:
+		return Response{Kind: Answered, Part: q.single.failure}
+	}
+	r := Response{Kind: Failed, Reason: reasonNoAnswer}
+	if q.records != nil {
+		r.Reason = reasonShort
+	}
+	if !time.Now().Before(q.deadline) {
+		r.Kind = TimedOut
+	}
+	return r
+}
+
+// unreachedRetryAfter is advised when the targets refused a request or could not be reached: about the
+// time for which such a target is left alone at first.
+const unreachedRetryAfter = 100 * time.Millisecond
+
+// single collects the answer of a request to one service.
+type single struct {
+	answer  *query.Part
+	failure *query.Part // of a target that ran the request, to be passed on if no other one answers
+}
+
+// Offer implements scatter.Collector.
+func (s *single) Offer(r query.Reply) merge.Verdict {
+	if s.answer != nil {
+		return merge.Duplicate
+	}
+	s.answer = r.Part
+	return merge.Accepted
+}
+
+// Success reports whether a status says that the request succeeded.
+func Success(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
--- /dev/null
+++ b/instance/gateway/service.go
@@ -0,0 +1,262 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/balance"
+	"hyssopcroft.example/query/hedge"
+	"hyssopcroft.example/query/routing"
+)
+
+// Name is the name of the service.
+const Name = "gateway"
+
+const (
+	// mostInFlight bounds the requests that an instance holds. With 40 KB each, which is two buffers and
+	// the goroutines of 15 attempts, they stay within 40 MB.
+	mostInFlight = 1000
+	// expectedInstances is the number of instances that share a target's connections and the slack of
+	// the retry budgets until more are known: those of today's deployments and their spares.
+	expectedInstances = 11
+	// connectionShare is the part of a target's connections that the fleet uses. The rest is for
+	// instances that are being replaced and for connections that only the far end still counts.
+	connectionShare = 0.75
+	// mostConnections bounds the connections to one target. Targets have 2 to 6 slots.
+	mostConnections = 8
+)
+
+// Config is what a Service needs.
+type Config struct {
+	FailureDomain, Region string
+	// Regions gives the region of each failure domain.
+	Regions map[string]string
+	// Extra bounds the extra attempts at each service.
+	Extra   hedge.Terms
+	Sender  Sender
+	Log     *slog.Logger
+	Metrics *Metrics
+}
+
+// Service runs requests. It is safe for concurrent use.
+type Service struct {
+	cfg         Config
+	lastAttempt atomic.Uint64
+	inFlight    atomic.Int64
+
+	mu       sync.Mutex // guards the fields below
+	table    *routing.Table
+	fleet    *balance.Fleet
+	splitter routing.Splitter
+	shards   map[string]query.Shard // by service; never forgotten, so that ids stay unique
+	entries  []roster.Entry
+	targets  map[query.TargetID]roster.Entry
+	listed   bool // a list of targets was read
+	routes   map[string]*lockedPolicy
+}
+
+// New returns a service without routes and targets.
+func New(cfg Config) *Service {
+	s := &Service{
+		cfg: cfg, fleet: balance.NewFleet(cfg.Extra), shards: map[string]query.Shard{},
+		targets: map[query.TargetID]roster.Entry{}, routes: map[string]*lockedPolicy{},
+	}
+	s.fleet.SetInstances(expectedInstances)
+	s.lastAttempt.Store(rand.Uint64())
+	return s
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return nil }
+
+// Start implements kernel.Service.
+func (s *Service) Start(context.Context) error { return nil }
+
+// Stop implements kernel.Service.
+func (s *Service) Stop(context.Context) error {
+	s.cfg.Sender.SetConnections(nil)
+	return nil
+}
+
+// SetTable puts routes in force.
+func (s *Service) SetTable(t *routing.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table = t
+	s.routes = map[string]*lockedPolicy{}
+	s.place()
+}
+
+// SetTargets replaces the known targets.
+func (s *Service) SetTargets(entries []roster.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries, s.listed = entries, true
+	s.place()
+}
+
+// Ready reports whether the instance knows routes and targets.
+func (s *Service) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table != nil && s.listed
+}
+
+// Limits returns the bounds of what a caller may send, or false if none are known yet.
+func (s *Service) Limits() (routing.Limits, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil {
+		return routing.Limits{}, false
+	}
+	return s.table.Limits, true
+}
+
+// place hands the usable targets to the fleet. It must be called with mu held.
+func (s *Service) place() {
+	limits := make(map[string]int, len(s.entries))
+	list := make([]balance.Target, 0, len(s.entries))
+	clear(s.targets)
+	for _, e := range s.entries {
+		if e.Draining {
+			continue
+		}
+		connections := s.connections(e)
+		limits[e.Address] = connections + 1 // One may still be closing after its attempt was cancelled.
+		id := query.TargetID(e.ID)
+		s.targets[id] = e
+		list = append(list, balance.Target{
+			ID: id, Shard: s.shard(e.Service), Incarnation: e.Incarnation, Distance: s.distance(e.FailureDomain),
+			Limit: connections, ColdUntil: e.ColdUntil,
+		})
+	}
+	s.fleet.SetTargets(list)
+	s.cfg.Sender.SetConnections(limits)
+}
+
+// connections returns this instance's share of a target's connections.
+func (s *Service) connections(e roster.Entry) int {
+	if s.table == nil {
+		return 1
+	}
+	service, known := s.table.Service(e.Service)
+	if !known || service.Connections <= 0 {
+		return 1
+	}
+	share := int(connectionShare * float64(service.Connections) / expectedInstances)
+	return min(max(share, 1), mostConnections)
+}
+
+func (s *Service) distance(domain string) balance.Distance {
+	switch {
+	case domain == s.cfg.FailureDomain:
+		return balance.SameDomain
+	case s.cfg.Regions[domain] == s.cfg.Region:
+		return balance.SameRegion
+	}
+	return balance.OtherRegion
+}
+
+// shard returns the id of a service. It must be called with mu held.
+func (s *Service) shard(service string) query.Shard {
+	id, known := s.shards[service]
+	if !known {
+		id = query.Shard(len(s.shards) + 1)
+		s.shards[service] = id
+	}
+	return id
+}
+
+// terms returns the terms of a request, all from one version of the routes, or the refusal.
+func (s *Service) terms(r *Request) (terms, *Response) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil || !s.listed {
+		return terms{}, &Response{Kind: Refused, Reason: reasonNotReady, RetryAfter: notReadyRetryAfter}
+	}
+	route := s.table.Match(r.Host, r.Path)
+	if route == nil {
+		return terms{}, &Response{Kind: NoRoute, Reason: reasonNoRoute}
+	}
+	t := terms{table: s.table, route: route, services: route.Services, policy: s.policy(route)}
+	if !route.Gather {
+		t.services = []string{s.splitter.Pick(s.table.Version, route)}
+	}
+	t.shards = make([]query.Shard, 0, len(t.services))
+	served := 0
+	for _, name := range t.services {
+		shard := s.shard(name)
+		t.shards = append(t.shards, shard)
+		if s.fleet.Serves(shard) {
+			served++
+		}
+	}
+	if served < t.least() {
+		return terms{}, &Response{Kind: Refused, Reason: reasonNoTarget, RetryAfter: noTargetRetryAfter}
+	}
+	return t, nil
+}
+
+func (t terms) least() int {
+	if t.route.Gather {
+		return t.route.Least()
+	}
+	return 1
+}
+
+func (s *Service) policy(r *routing.Route) *lockedPolicy {
+	p := s.routes[r.Name]
+	if p == nil {
+		p = &lockedPolicy{mu: &s.mu, policy: s.fleet.Route(r.Name, r.Objective)}
+		s.routes[r.Name] = p
+	}
+	return p
+}
+
+// address returns the entry of a target that is still known.
+func (s *Service) target(id query.TargetID) (roster.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.targets[id]
+	return e, ok
+}
+
+// misplaced takes that another target has the address of this one.
+func (s *Service) misplaced(id query.TargetID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, known := s.targets[id]
+	if !known {
+		return
+	}
+	s.cfg.Log.Warn("another target has this address; the entry is left out", "target", id, "address", e.Address)
+	kept := make([]roster.Entry, 0, len(s.entries))
+	for _, other := range s.entries {
+		if other.ID != e.ID {
+			kept = append(kept, other)
+		}
+	}
+	s.entries = kept
+	s.place()
+}
+
+func (s *Service) nextAttempt() query.AttemptID { return query.AttemptID(s.lastAttempt.Add(1)) }
+
+const (
+	// notReadyRetryAfter is advised while the instance starts: reading routes and targets takes two
+	// calls of some milliseconds each.
+	notReadyRetryAfter = 100 * time.Millisecond
+	// noTargetRetryAfter is advised while a service has no target: a target registers within seconds.
+	noTargetRetryAfter = time.Second
+	// busyRetryAfter is advised by a full instance: the time that a usual answer takes.
+	busyRetryAfter = 50 * time.Millisecond
+)
