Serve the users' platform through the adapter in platform/

Cause: the users run everything on their platform, with its own requests, list of targets and store.

--- /dev/null
+++ b/cmd/hyssopcroft/gateway.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"hyssopcroft.example/adapter/http1"
+	"hyssopcroft.example/instance/edge"
+	"hyssopcroft.example/instance/gateway"
+	"hyssopcroft.example/kernel/logline"
+	"hyssopcroft.example/platform"
+)
+
+// logCloseTime bounds the writing of the last lines.
+const logCloseTime = 100 * time.Millisecond
+
+type gatewayCommand struct {
+	Settings string `required:"" type:"path" env:"HYSSOPCROFT_CONFIG" help:"JSON settings file of the instance."`
+}
+
+// Run implements the command.
+func (c *gatewayCommand) Run() error {
+	out := logline.NewWriter(os.Stdout)
+	defer func() {
+		ctx, cancel := context.WithTimeout(context.Background(), logCloseTime)
+		defer cancel()
+		out.Close(ctx)
+	}()
+	log := slog.New(logline.NewHandler(slog.NewJSONHandler(out, nil)))
+	settings, err := edge.LoadSettings(c.Settings)
+	if err != nil {
+		log.Error("the settings are not valid", "error", err)
+		return err
+	}
+	log = log.With("instance", settings.Instance)
+	registry := prometheus.NewRegistry()
+	instance, err := edge.New(settings, newAdapter(settings, registry, out, log), registry, log)
+	if err != nil {
+		log.Error("the instance does not start", "error", err)
+		return err
+	}
+	return c.serve(instance, settings, log)
+}
+
+func (c *gatewayCommand) serve(instance *edge.Edge, settings edge.Settings, log *slog.Logger) error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := instance.Start(context.Background()); err != nil {
+		return errors.Wrap(err, "start instance")
+	}
+	for {
+		select {
+		case <-reload:
+			c.reload(settings, log)
+		case <-stop:
+			return instance.Stop(context.Background())
+		}
+	}
+}
+
+// reload checks the settings file. Addresses and places of a process do not change while it runs, so
+// that other settings take effect at its next start.
+func (c *gatewayCommand) reload(running edge.Settings, log *slog.Logger) {
+	next, err := edge.LoadSettings(c.Settings)
+	switch {
+	case err != nil:
+		log.Error("the changed settings are not valid; the running ones stay", "error", err)
+	case reflect.DeepEqual(next, running):
+		log.Info("the settings are as before")
+	default:
+		log.Warn("the settings changed; they take effect at the next start")
+	}
+}
+
+// newAdapter returns the adapter to the platform and registers its metrics.
+func newAdapter(s edge.Settings, registry *prometheus.Registry, out *logline.Writer, log *slog.Logger) edge.Adapter {
+	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "hyssopcroft_store_calls_total", Help: "Calls of the platform's store by purpose.",
+	}, []string{"call"})
+	opened := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "hyssopcroft_target_connections_total", Help: "Connections opened to targets.",
+	})
+	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "hyssopcroft_log_lines_dropped_total", Help: "Log lines dropped because nobody read the output.",
+	}, func() float64 { return float64(out.Dropped()) })
+	registry.MustRegister(calls, opened, dropped)
+	client := http1.NewClient(nil, opened.Inc)
+	return edge.Adapter{
+		Store:   platform.NewStore(s.Store, log, func(call string) { calls.WithLabelValues(call).Inc() }),
+		Sender:  platform.NewSearchers(client),
+		Callers: func(g *gateway.Service) http.Handler { return platform.CallerHandler(g, log) },
+	}
+}
