Bound how long a change stays unknown after a watch was cut off

A failed watch also lost its place in the history.

Change: a watch waits 3.5 s, below the 4 s after which the fleet counts as calm again, and a failed one continues where it was.

Ruled out: keep-alive probes; the store's end of the connection answered them.

TestSilentWatchIsBounded fails with the wait of 20 s.

Conclusion: the wait bounds how stale an instance can be, whatever cuts a watch off.

--- /dev/null
+++ b/control/roster/roster_test.go
@@ -0,0 +1,84 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/control/roster"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(id string) roster.Entry { return roster.Entry{ID: id, Service: "ledger"} }
+
+func gone(id string) []roster.Change { return []roster.Change{{ID: id}} }
+
+func ids(r *roster.Roster) []string {
+	var out []string
+	for _, e := range r.Entries() {
+		out = append(out, e.ID)
+	}
+	return out
+}
+
+// Guards against a target that is used after its entry was removed, and against the loss of all targets
+// whose entries lapsed because the list was away.
+func TestVanishedEntries(t *testing.T) {
+	for name, c := range map[string]struct {
+		run  func(r *roster.Roster)
+		want []string
+	}{
+		"removed in calm": {func(r *roster.Roster) { r.Apply(start.Add(time.Minute), gone("a")) }, []string{"b"}},
+		"missing from a list in calm": {func(r *roster.Roster) {
+			r.Replace(start.Add(time.Minute), []roster.Entry{entry("b")})
+		}, []string{"b"}},
+		"lapsed while away": {func(r *roster.Roster) {
+			r.Away()
+			r.Replace(start.Add(time.Minute), nil)
+		}, []string{"a", "b"}},
+		"lapsed, and told of after the return": {func(r *roster.Roster) {
+			r.Away()
+			r.Apply(start.Add(time.Minute), nil)
+			r.Apply(start.Add(time.Minute+time.Second), gone("a"))
+		}, []string{"a", "b"}},
+		"lapsed and not back in time": {func(r *roster.Roster) {
+			r.Away()
+			r.Replace(start.Add(time.Minute), []roster.Entry{entry("b")})
+			require.Equal(t, start.Add(time.Minute+roster.LapseGrace), r.NextWake())
+			require.True(t, r.OnWake(r.NextWake()))
+		}, []string{"b"}},
+		"lapsed and back in time": {func(r *roster.Roster) {
+			r.Away()
+			r.Replace(start.Add(time.Minute), []roster.Entry{entry("b")})
+			r.Apply(start.Add(time.Minute+time.Second), []roster.Change{{ID: "a", Entry: &roster.Entry{ID: "a"}}})
+			require.True(t, r.NextWake().IsZero())
+			require.False(t, r.OnWake(start.Add(time.Hour)))
+		}, []string{"a", "b"}},
+		"removed long after the return": {func(r *roster.Roster) {
+			r.Away()
+			r.Apply(start.Add(time.Minute), nil)
+			r.Apply(start.Add(2*time.Minute), gone("a"))
+		}, []string{"b"}},
+		"draining before the list was away": {func(r *roster.Roster) {
+			r.Apply(start, []roster.Change{{ID: "a", Entry: &roster.Entry{ID: "a", Draining: true}}})
+			r.Away()
+			r.Replace(start.Add(time.Minute), []roster.Entry{entry("b")})
+		}, []string{"b"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New()
+			r.Replace(start, []roster.Entry{entry("a"), entry("b")})
+			c.run(r)
+			require.ElementsMatch(t, c.want, ids(r))
+		})
+	}
+}
+
+// Guards against a cold target that counts as cold for good, or not at all.
+func TestColdUntil(t *testing.T) {
+	r := roster.New()
+	r.Replace(start, []roster.Entry{{ID: "a", Cold: 3 * time.Second}})
+	require.Equal(t, start.Add(3*time.Second), r.Entries()[0].ColdUntil)
+}
--- a/instance/directory/service.go
+++ b/instance/directory/service.go
@@ -19,9 +19,10 @@
 const Name = "directory"
 
 const (
-	// watchWait is how long one watch waits for a change. Each call is charged for; the store allows
-	// 30 s.
-	watchWait = 20 * time.Second
+	// watchWait is how long one watch waits for a change. A watch that is cut off says nothing, so that
+	// this bounds the time for which a change stays unknown: it is below the 4 s after which a fleet
+	// counts as calm again. Each call is charged for, so that it is not much below.
+	watchWait = 3500 * time.Millisecond
 	// firstRetry and longestRetry bound the pause after a failed call. A configuration has to be in
 	// force within 3 s, and each call is charged for.
 	firstRetry   = 200 * time.Millisecond
@@ -199,13 +200,7 @@
 	listed, reached := false, true
 	retry := firstRetry
 	for ctx.Err() == nil {
-		changed := true
-		var err error
-		if listed {
-			at, changed, err = f.watch(ctx, at)
-		} else {
-			at, err = f.list(ctx)
-		}
+		next, changed, err := f.call(ctx, at, listed)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -224,10 +219,19 @@
 			if !reached {
 				f.log.Info("platform store regained", "list", f.name)
 			}
-			reached, listed, retry = true, true, firstRetry
+			at, reached, listed, retry = next, true, true, firstRetry
 			if changed {
 				kernel.Sleep(ctx, f.pause)
 			}
 		}
 	}
 }
+
+// call reads the list, or waits for changes of one that was read.
+func (f follower) call(ctx context.Context, at Revision, listed bool) (Revision, bool, error) {
+	if listed {
+		return f.watch(ctx, at)
+	}
+	next, err := f.list(ctx)
+	return next, true, err
+}
--- /dev/null
+++ b/instance/directory/service_test.go
@@ -0,0 +1,223 @@
+package directory_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/instance/directory"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/routing"
+)
+
+// fakeStore answers as its fields say. Watches wait for a change or for their time.
+type fakeStore struct {
+	mu       sync.Mutex
+	version  query.Version
+	targets  []roster.Entry
+	revision directory.Revision
+	oldest   directory.Revision // history before it is gone
+	down     bool
+	silent   bool // watches that wait learn of no change, even after it ends
+	changed  chan struct{}
+	calls    int
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{revision: 1, changed: make(chan struct{})} }
+
+var errDown = errors.New("down")
+
+func (f *fakeStore) change(apply func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	apply()
+	f.revision++
+	if !f.silent {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+}
+
+func (f *fakeStore) set(apply func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	apply()
+}
+
+func (f *fakeStore) call() error {
+	f.calls++
+	if f.down {
+		return errDown
+	}
+	return nil
+}
+
+func (f *fakeStore) wait(ctx context.Context, after directory.Revision, wait time.Duration) error {
+	f.mu.Lock()
+	err := f.call()
+	if err == nil && after < f.oldest {
+		err = directory.ErrHistoryGone
+	}
+	changed := f.changed
+	ahead := f.revision > after
+	f.mu.Unlock()
+	if err != nil || ahead {
+		return err
+	}
+	select {
+	case <-changed:
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errDown
+	}
+	return nil
+}
+
+func (f *fakeStore) table() *routing.Table {
+	if f.version == 0 {
+		return nil
+	}
+	return &routing.Table{Version: f.version}
+}
+
+func (f *fakeStore) Routes(context.Context) (*routing.Table, directory.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table(), f.revision, f.call()
+}
+
+func (f *fakeStore) WatchRoutes(ctx context.Context, after directory.Revision, wait time.Duration) (*routing.Table, directory.Revision, error) {
+	if err := f.wait(ctx, after, wait); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.revision == after {
+		return nil, f.revision, nil
+	}
+	return f.table(), f.revision, nil
+}
+
+func (f *fakeStore) Targets(context.Context) ([]roster.Entry, directory.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets, f.revision, f.call()
+}
+
+func (f *fakeStore) WatchTargets(ctx context.Context, after directory.Revision, wait time.Duration) ([]roster.Change, directory.Revision, error) {
+	if err := f.wait(ctx, after, wait); err != nil {
+		return nil, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var changes []roster.Change
+	if f.revision > after {
+		for _, e := range f.targets {
+			changes = append(changes, roster.Change{ID: e.ID, Entry: &e})
+		}
+	}
+	return changes, f.revision, nil
+}
+
+type consumer struct {
+	mu       sync.Mutex
+	versions []query.Version
+	targets  int
+}
+
+func (c *consumer) SetTable(t *routing.Table) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.versions = append(c.versions, t.Version)
+}
+
+func (c *consumer) SetTargets(entries []roster.Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.targets = len(entries)
+}
+
+func (c *consumer) last() query.Version {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.versions) == 0 {
+		return 0
+	}
+	return c.versions[len(c.versions)-1]
+}
+
+func start(t *testing.T, store *fakeStore) *consumer {
+	t.Helper()
+	c := &consumer{}
+	s := directory.New(store, c, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+	require.NoError(t, s.Start(t.Context()))
+	t.Cleanup(func() { require.NoError(t, s.Stop(context.Background())) })
+	synctest.Wait()
+	return c
+}
+
+// Guards against a change that stays unknown because the watch that should have told of it was cut off
+// without a word: it has to be in force within 4 s, after which a fleet counts as calm again.
+func TestSilentWatchIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.version = 4
+		c := start(t, store)
+		require.Equal(t, query.Version(4), c.last())
+		time.Sleep(time.Second)
+		store.set(func() { store.silent = true })
+		store.change(func() { store.version = 6; store.oldest = store.revision })
+		time.Sleep(4 * time.Second)
+		require.Equal(t, query.Version(6), c.last())
+	})
+}
+
+// Guards against an older version that takes the place of a newer one, as a stale read would bring.
+func TestVersionsNeverGoBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.version = 7
+		c := start(t, store)
+		for _, v := range []query.Version{9, 8, 11} {
+			store.change(func() { store.version = v })
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, []query.Version{7, 9, 11}, c.versions)
+	})
+}
+
+// Guards against an instance that loses its place in the history while the store is away, or that calls
+// it without a pause.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.version = 1
+		store.targets = []roster.Entry{{ID: "a"}, {ID: "b"}}
+		c := start(t, store)
+		require.Equal(t, 2, c.targets)
+		time.Sleep(10 * time.Second)
+		store.set(func() { store.down = true })
+		store.change(func() { store.version = 2 })
+		before := store.calls
+		time.Sleep(30 * time.Second)
+		require.Less(t, store.calls-before, 140, "two lists, each at most twice a second")
+		require.Equal(t, query.Version(1), c.last())
+		require.Equal(t, 2, c.targets)
+		store.set(func() { store.down = false })
+		time.Sleep(2 * time.Second)
+		require.Equal(t, query.Version(2), c.last())
+	})
+}
