--- a/instance/directory/service_test.go
+++ b/instance/directory/service_test.go
@@ -52,6 +52,13 @@
 	apply()
 }
 
+func (f *fakeStore) called() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// call counts a call. It must be called with mu held.
 func (f *fakeStore) call() error {
 	f.calls++
 	if f.down {
@@ -159,6 +166,18 @@
 	return c.versions[len(c.versions)-1]
 }
 
+func (c *consumer) taken() []query.Version {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.versions
+}
+
+func (c *consumer) known() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.targets
+}
+
 func start(t *testing.T, store *fakeStore) *consumer {
 	t.Helper()
 	c := &consumer{}
@@ -195,7 +214,8 @@
 			store.change(func() { store.version = v })
 			time.Sleep(time.Second)
 		}
-		require.Equal(t, []query.Version{7, 9, 11}, c.versions)
+		synctest.Wait()
+		require.Equal(t, []query.Version{7, 9, 11}, c.taken())
 	})
 }
 
@@ -207,15 +227,15 @@
 		store.version = 1
 		store.targets = []roster.Entry{{ID: "a"}, {ID: "b"}}
 		c := start(t, store)
-		require.Equal(t, 2, c.targets)
+		require.Equal(t, 2, c.known())
 		time.Sleep(10 * time.Second)
 		store.set(func() { store.down = true })
 		store.change(func() { store.version = 2 })
-		before := store.calls
+		before := store.called()
 		time.Sleep(30 * time.Second)
-		require.Less(t, store.calls-before, 140, "two lists, each at most twice a second")
+		require.Less(t, store.called()-before, 140, "two lists, each at most twice a second")
 		require.Equal(t, query.Version(1), c.last())
-		require.Equal(t, 2, c.targets)
+		require.Equal(t, 2, c.known())
 		store.set(func() { store.down = false })
 		time.Sleep(2 * time.Second)
 		require.Equal(t, query.Version(2), c.last())
