Give instances near a target more of its connections

Change: a far instance uses 0.6 of an even share, those in the target's own failure domain divide the rest.

Ruled out: waits for a connection, which the queries spent already.

Conclusion: connections follow the load. The number of instances is still a constant; it has to come from the fleet.

--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -25,9 +25,14 @@
 	// expectedInstances is the number of instances that share a target's connections and the slack of
 	// the retry budgets until more are known: those of today's deployments and their spares.
 	expectedInstances = 11
+	// expectedNeighbours is the number of those that run in one failure domain.
+	expectedNeighbours = 4
+	// farShare is the part of an even share that an instance uses of targets in other failure domains.
+	// Those near the target need more, since they send most of their attempts to it.
+	farShare = 0.6
 	// connectionShare is the part of a target's connections that the fleet uses. The rest is for
 	// instances that are being replaced and for connections that only the far end still counts.
-	connectionShare = 0.75
+	connectionShare = 0.8
 	// mostConnections bounds the connections to one target. Targets have 2 to 6 slots.
 	mostConnections = 8
 )
@@ -152,7 +157,11 @@
 	if !known || service.Connections <= 0 {
 		return 1
 	}
-	share := int(connectionShare * float64(service.Connections) / expectedInstances)
+	usable := connectionShare * float64(service.Connections)
+	share := int(farShare * usable / expectedInstances)
+	if e.FailureDomain == s.cfg.FailureDomain {
+		share = int((usable - float64(share)*(expectedInstances-expectedNeighbours)) / expectedNeighbours)
+	}
 	return min(max(share, 1), mostConnections)
 }
 
