Let shards that wait for a place back off

Change: the wait doubles from 1 ms to 32 ms until an attempt is sent.

A freed place should wake the one that waits for it instead.

--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -9,8 +9,11 @@
 
 const (
 	// limitedWait is the time after which a shard whose replicas were all at their limits is tried
-	// again. It is below the mean service time, so that a freed place is soon used.
-	limitedWait = time.Millisecond
+	// again. It is below the mean service time, so that a freed place is soon used. It doubles up to
+	// longestLimitedWait, a few service times: while all replicas are slow, hundreds of waiting shards
+	// that look for a place every millisecond would take all the processor time of an instance.
+	limitedWait        = time.Millisecond
+	longestLimitedWait = 32 * time.Millisecond
 	// tokenWait is the time after which a plan that prefers coverage asks for a token again.
 	tokenWait = 5 * time.Millisecond
 	// firstRound and longestRound bound the pause before all replicas of a shard are tried again. It
@@ -38,6 +41,7 @@
 	sends    int32 // attempts that a target may have received
 	free     bool  // the next retry replaces an attempt that certainly did not run
 	pause    time.Duration
+	limited  time.Duration // latest wait for a replica below its limit, 0 after an attempt was sent
 	wake     time.Time     // timer in force; others of the shard are out of date
 	since    time.Time     // when the oldest attempt in flight was sent
 	delay    time.Duration // after which the latest attempt is overdue
@@ -95,6 +99,7 @@
 	} else {
 		sh.hedges++
 	}
+	sh.limited = 0
 	sh.sends++
 	sh.inFlight++
 	m.suspect.inFlight++
@@ -142,7 +147,7 @@
 	switch m.send(now, i, replica.First, false) {
 	case replica.Limited:
 		sh.cause = query.CauseShed
-		m.arm(now.Add(limitedWait), i)
+		m.arm(now.Add(sh.nextLimitedWait()), i)
 	case replica.NoReplica:
 		sh.cause = query.CauseNoReplica
 		m.nextRound(now, i)
@@ -158,7 +163,7 @@
 	sh.free = free
 	switch m.send(now, i, replica.Retry, free) {
 	case replica.Limited:
-		m.arm(now.Add(limitedWait), i)
+		m.arm(now.Add(sh.nextLimitedWait()), i)
 	case replica.NoToken:
 		if m.cfg.Request.PreferCoverage {
 			m.arm(now.Add(tokenWait), i)
@@ -172,6 +177,11 @@
 	}
 }
 
+func (sh *shardState) nextLimitedWait() time.Duration {
+	sh.limited = min(max(2*sh.limited, limitedWait), longestLimitedWait)
+	return sh.limited
+}
+
 // nextRound lets a plan that prefers coverage try all replicas again after a pause. Another round
 // is of no use where the replicas answered that they do not hold the snapshot or the shard.
 func (m *Machine) nextRound(now time.Time, i int32) {
