Let instances know each other and share what they read

Cause: with shares of connections by a constant number of instances, an instance used one connection to a far target. Besides, every instance watched the store.

Change: instances of the platform run use the members and the objects of the product (configsync takes a schema, members a list and seeds). Each registers itself in the store once; two in a failure domain read routes and targets, the others get them from these, by version. Connections and the slack of the retry budgets are divided by the instances that live. At its limit, a connection pool waits for one that is closing.

--- a/adapter/http1/client.go
+++ b/adapter/http1/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,9 +19,6 @@
 	maxIdle = 30 * time.Second
 )
 
-// errNoConnection says that all connections to the target are in use.
-var errNoConnection = errors.New("all connections to the target are in use")
-
 // Client keeps connections to targets. It is safe for concurrent use.
 type Client struct {
 	dial   func(ctx context.Context, address string) (net.Conn, error)
@@ -35,6 +33,8 @@
 	limit int // of open connections
 	open  int // connections in use, idle and being opened
 	idle  []*conn
+	// waiting are requests that wait for a connection, the longest first.
+	waiting []chan struct{}
 }
 
 // NewClient returns a client without connections. dial may be nil for TCP, and opened for nothing.
@@ -83,24 +83,52 @@
 	return resp, nil
 }
 
+// acquire returns an idle connection or opens one. At the limit it waits: an attempt that was cancelled
+// holds its connection until the cancellation has reached it.
 func (c *Client) acquire(ctx context.Context, address string) (*conn, error) {
+	for {
+		cn, h, wait := c.tryAcquire(address)
+		switch {
+		case cn != nil:
+			return cn, nil
+		case wait == nil:
+			return c.open(ctx, address, h)
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			c.mu.Lock()
+			h.waiting = slices.DeleteFunc(h.waiting, func(w chan struct{}) bool { return w == wait })
+			c.mu.Unlock()
+			return nil, errors.WithMessage(context.Cause(ctx), "wait for a connection")
+		}
+	}
+}
+
+// tryAcquire returns an idle connection, or a channel that is closed when a connection may be free. If it
+// returns neither, one may be opened and is counted already.
+func (c *Client) tryAcquire(address string) (*conn, *host, chan struct{}) {
 	now := time.Now()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	h := c.hostLocked(address)
 	for len(h.idle) > 0 {
 		cn := h.takeIdle()
 		if now.Sub(cn.usedAt) < maxIdle && cn.usable(now) {
-			c.mu.Unlock()
-			return cn, nil
+			return cn, h, nil
 		}
 		c.closeLocked(h, cn)
 	}
 	if h.open >= h.limit {
-		c.mu.Unlock()
-		return nil, errNoConnection
+		wait := make(chan struct{})
+		h.waiting = append(h.waiting, wait)
+		return nil, h, wait
 	}
 	h.open++
-	c.mu.Unlock()
+	return nil, h, nil
+}
+
+func (c *Client) open(ctx context.Context, address string, h *host) (*conn, error) {
 	dialed, err := c.dial(ctx, address)
 	if err != nil {
 		c.mu.Lock()
@@ -118,6 +146,7 @@
 	h := c.hostLocked(address)
 	if reusable && h.open <= h.limit {
 		h.idle = append(h.idle, cn)
+		h.wakeOne()
 		return
 	}
 	_ = cn.Close() // The connection is given up whatever Close says.
@@ -131,6 +160,7 @@
 
 func (c *Client) closedLocked(address string, h *host) {
 	h.open--
+	h.wakeOne()
 	if h.open == 0 && h.limit == 0 {
 		delete(c.hosts, address)
 	}
@@ -145,6 +175,13 @@
 	return h
 }
 
+func (h *host) wakeOne() {
+	if len(h.waiting) > 0 {
+		close(h.waiting[0])
+		h.waiting = h.waiting[1:]
+	}
+}
+
 func (h *host) takeIdle() *conn {
 	last := len(h.idle) - 1
 	cn := h.idle[last]
--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -3,6 +3,8 @@
 package roster
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -21,10 +23,7 @@
 	Incarnation int64 `json:"incarnation"`
 	Draining    bool  `json:"draining,omitempty"`
 	Slots       int   `json:"slots"`
-	// ColdUntil is the end of the time for which the target is slow after its start, by the clock of the
-	// instance that read the entry; the zero time if it is warm.
-	ColdUntil time.Time `json:"-"`
-	// Cold is the time left until ColdUntil when the entry was read.
+	// Cold is the time for which the target is still slow after its start, from when the entry was read.
 	Cold time.Duration `json:"cold,omitempty"`
 }
 
@@ -38,6 +37,7 @@
 // Roster holds the entries. It is not safe for concurrent use.
 type Roster struct {
 	entries map[string]Entry
+	warm    map[string]time.Time // when a cold target is warm
 	lapsing map[string]time.Time // when entries that vanished are taken to be gone
 	away    bool
 	backAt  time.Time // when the list was last known to be back
@@ -45,7 +45,7 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: map[string]Entry{}, lapsing: map[string]time.Time{}}
+	return &Roster{entries: map[string]Entry{}, warm: map[string]time.Time{}, lapsing: map[string]time.Time{}}
 }
 
 // Replace takes the whole list.
@@ -87,8 +87,9 @@
 
 func (r *Roster) put(now time.Time, e Entry) {
 	delete(r.lapsing, e.ID)
+	delete(r.warm, e.ID)
 	if e.Cold > 0 {
-		e.ColdUntil = now.Add(e.Cold)
+		r.warm[e.ID] = now.Add(e.Cold)
 	}
 	r.entries[e.ID] = e
 }
@@ -101,8 +102,7 @@
 	}
 	goneAt := r.backAt.Add(LapseGrace)
 	if e.Draining || r.backAt.IsZero() || !now.Before(goneAt) {
-		delete(r.entries, id)
-		delete(r.lapsing, id)
+		r.remove(id)
 		return
 	}
 	if _, lapsing := r.lapsing[id]; !lapsing {
@@ -126,19 +126,26 @@
 	removed := false
 	for id, at := range r.lapsing {
 		if !now.Before(at) {
-			delete(r.lapsing, id)
-			delete(r.entries, id)
+			r.remove(id)
 			removed = true
 		}
 	}
 	return removed
 }
 
-// Entries returns all entries, those of draining targets included, in no order.
-func (r *Roster) Entries() []Entry {
+func (r *Roster) remove(id string) {
+	delete(r.entries, id)
+	delete(r.lapsing, id)
+	delete(r.warm, id)
+}
+
+// Entries returns all entries, those of draining targets included, sorted by id.
+func (r *Roster) Entries(now time.Time) []Entry {
 	out := make([]Entry, 0, len(r.entries))
-	for _, e := range r.entries {
+	for id, e := range r.entries {
+		e.Cold = max(0, r.warm[id].Sub(now))
 		out = append(out, e)
 	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
--- a/control/roster/roster_test.go
+++ b/control/roster/roster_test.go
@@ -17,7 +17,7 @@
 
 func ids(r *roster.Roster) []string {
 	var out []string
-	for _, e := range r.Entries() {
+	for _, e := range r.Entries(start.Add(time.Hour)) {
 		out = append(out, e.ID)
 	}
 	return out
@@ -77,8 +77,9 @@
 }
 
 // Guards against a cold target that counts as cold for good, or not at all.
-func TestColdUntil(t *testing.T) {
+func TestCold(t *testing.T) {
 	r := roster.New()
 	r.Replace(start, []roster.Entry{{ID: "a", Cold: 3 * time.Second}})
-	require.Equal(t, start.Add(3*time.Second), r.Entries()[0].ColdUntil)
+	require.Equal(t, 2*time.Second, r.Entries(start.Add(time.Second))[0].Cold)
+	require.Zero(t, r.Entries(start.Add(4 * time.Second))[0].Cold)
 }
--- a/instance/configsync/digest.go
+++ b/instance/configsync/digest.go
@@ -25,14 +25,23 @@
 func (s *Service) Digest() Digest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	lists, _ := s.state.InForce()
-	d := Digest{ConfigSequence: uint64(lists.Sequence), ObjectsHash: s.holdings.Hash(), Confirmed: !s.confirmedAt.IsZero()}
+	d := Digest{ConfigSequence: s.sequence(), ObjectsHash: s.holdings.Hash(), Confirmed: !s.confirmedAt.IsZero()}
 	if d.Confirmed {
 		d.ConfirmedAge = time.Since(s.confirmedAt)
 	}
 	return d
 }
 
+// sequence returns the revision of the required kind. It must be called with mu held.
+func (s *Service) sequence() uint64 {
+	for _, h := range s.holdings.Held() {
+		if h.Kind == s.schema.Required {
+			return h.Revision
+		}
+	}
+	return 0
+}
+
 // OnDigest takes the digest of a peer that was asked at the given time. If the peer holds other
 // revisions, both sides exchange what is newer.
 func (s *Service) OnDigest(ctx context.Context, address string, d Digest, asked time.Time) {
--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -38,8 +38,30 @@
 	KindQuarantine = "quarantine"
 )
 
-// kinds lists the kinds of objects that every instance holds.
-var kinds = []string{KindConfig, KindSnapshots, KindTargets, KindQuarantine}
+// Source reads the objects of the platform. It is implemented by platform.Client.
+type Source interface {
+	// Watch returns the objects of a kind that changed after a revision, waiting up to wait for the
+	// first change. Revision 0 returns all objects at once.
+	Watch(ctx context.Context, p platform.Purpose, kind string, after platform.Version, wait time.Duration) (platform.Changes, error)
+}
+
+// Schema describes the objects that every instance holds.
+type Schema struct {
+	Kinds []string
+	// Required is the kind without which an instance is not ready.
+	Required string
+	// Decode returns the event that announces an object, and the subject of its timeline entry.
+	Decode func(o config.Object) (kernel.Event, string, error)
+	// WatchWait is how long one watch waits for a change. It bounds the time after which a silent store
+	// is noticed.
+	WatchWait time.Duration
+}
+
+// lists is the schema of the two lists, the partition maps and the target lists.
+var lists = Schema{
+	Kinds:    []string{KindConfig, KindSnapshots, KindTargets, KindQuarantine},
+	Required: KindConfig, Decode: decode, WatchWait: watchWait,
+}
 
 // InForce is published when a newer configuration is in force.
 type InForce struct {
@@ -79,7 +101,9 @@
 
 // Service holds the objects. It is safe for concurrent use.
 type Service struct {
-	client   *platform.Client
+	client   *platform.Client // nil if nothing is written
+	source   Source
+	schema   Schema
 	fleet    Fleet
 	bus      *kernel.Bus
 	ring     *timeline.Ring
@@ -104,10 +128,17 @@
 	fetching    bool
 }
 
-// New returns a service that reads through client.
+// New returns a service that holds the two lists and what belongs to them, and reads through client.
 func New(client *platform.Client, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
+	s := NewOf(lists, client, bus, ring, log, c)
+	s.client = client
+	return s
+}
+
+// NewOf returns a service that holds the objects of another schema. It writes nothing.
+func NewOf(schema Schema, source Source, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Service{client: client, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel}
+	return &Service{source: source, schema: schema, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel}
 }
 
 // UseRecorder sets what records the versions offered. subject is the id of this instance. It must be
@@ -148,8 +179,12 @@
 func (s *Service) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, known := s.state.InForce()
-	return s.ready && known
+	return s.ready && s.holdsRequired()
+}
+
+// holdsRequired reports whether an object of the required kind is held. It must be called with mu held.
+func (s *Service) holdsRequired() bool {
+	return slices.ContainsFunc(s.holdings.Held(), func(h config.Held) bool { return h.Kind == s.schema.Required })
 }
 
 // Accept puts lists in force that this instance has just written to the store, and hands them to
@@ -170,7 +205,7 @@
 func (s *Service) offer(o config.Object) bool {
 	s.announcing.Lock()
 	defer s.announcing.Unlock()
-	ev, subject, err := s.decode(o)
+	ev, subject, err := s.schema.Decode(o)
 	if err != nil {
 		s.counters.Counter("platform_objects_malformed").Add(1)
 		s.log.Error("platform object does not decode", "kind", o.Kind, "name", o.Name, "error", err)
@@ -185,7 +220,7 @@
 	if err := s.bus.Publish(ev); err != nil {
 		s.log.Error("event not published", "topic", ev.Topic(), "error", err)
 	}
-	if o.Kind == KindConfig {
+	if o.Kind == s.schema.Required {
 		s.counters.Counter("config_versions_taken").Add(1)
 		s.fleet.ConfigChanged()
 	}
@@ -201,8 +236,8 @@
 	lists config.Lists
 }
 
-// decode returns the event that announces an object, and the subject of its timeline entry.
-func (s *Service) decode(o config.Object) (kernel.Event, string, error) {
+// decode is the Decode of the lists.
+func decode(o config.Object) (kernel.Event, string, error) {
 	switch o.Kind {
 	case KindConfig:
 		var lists config.Lists
--- a/instance/configsync/start.go
+++ b/instance/configsync/start.go
@@ -41,17 +41,17 @@
 }
 
 func (s *Service) readStore() error {
-	for _, kind := range kinds {
-		changes, err := s.client.Watch(s.ctx, platform.Purpose("cold_"+kind), kind, 0, 0)
+	for _, kind := range s.schema.Kinds {
+		changes, err := s.source.Watch(s.ctx, platform.Purpose("cold_"+kind), kind, 0, 0)
 		if err != nil {
 			return err
 		}
 		s.takeAll(changes)
 	}
-	if _, known := s.InForce(); !known {
+	if !s.known() {
 		return errStoreEmpty
 	}
-	s.noteStore(KindConfig, true)
+	s.noteStore(s.schema.Required, true)
 	return nil
 }
 
@@ -67,8 +67,13 @@
 			answered++
 		}
 	}
-	_, known := s.InForce()
-	return answered > 0 && known
+	return answered > 0 && s.known()
+}
+
+func (s *Service) known() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holdsRequired()
 }
 
 // peersByDomain returns the other members in random order: first one of each failure domain, then
--- a/instance/configsync/watch.go
+++ b/instance/configsync/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -17,8 +18,8 @@
 	// watchWait is how long one watch call waits for a change. It bounds the time after which a
 	// silent store is noticed.
 	watchWait = 10 * time.Second
-	// retryDelay is the pause after a failed call.
-	retryDelay = 250 * time.Millisecond
+	// retryDelay is the mean pause after a failed call.
+	retryDelay = 500 * time.Millisecond
 	// rolePeriod is the time between two looks at whether the instance has to watch.
 	rolePeriod = time.Second
 )
@@ -59,7 +60,7 @@
 	s.mu.Lock()
 	s.watching = cancel
 	s.mu.Unlock()
-	for _, kind := range kinds {
+	for _, kind := range s.schema.Kinds {
 		watches.Go(func() { s.watch(ctx, kind) })
 	}
 }
@@ -75,7 +76,7 @@
 	var revision platform.Version
 	available := true
 	for ctx.Err() == nil {
-		changes, err := s.client.Watch(ctx, platform.Purpose("watch_"+kind), kind, revision, watchWait)
+		changes, err := s.source.Watch(ctx, platform.Purpose("watch_"+kind), kind, revision, s.schema.WatchWait)
 		if ctx.Err() != nil {
 			return
 		}
@@ -87,7 +88,7 @@
 		if err != nil {
 			s.counters.Counter("platform_watch_failures").Add(1)
 			s.noteStore(kind, false)
-			kernel.Sleep(ctx, retryDelay)
+			kernel.Sleep(ctx, retryDelay/2+rand.N(retryDelay))
 			continue
 		}
 		revision = max(revision, changes.Revision)
@@ -106,7 +107,7 @@
 
 // noteStore records whether the store answered the watch of the configuration.
 func (s *Service) noteStore(kind string, answered bool) {
-	if kind != KindConfig {
+	if kind != s.schema.Required {
 		return
 	}
 	s.mu.Lock()
--- a/instance/directory/directory.go
+++ b/instance/directory/directory.go
@@ -1,17 +1,35 @@
-// Package directory keeps an instance's copy of the routes and of the list of targets, both of which the
-// platform holds.
+// Package directory turns what the platform's store holds for the users, which are routes and the entries
+// of targets, into the two objects that all instances hold. Few instances read the store; the others
+// learn of the objects from them (package configsync).
 package directory
 
 import (
 	"context"
+	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query/routing"
 )
 
+// Kinds of the objects. Each kind has one object, named NameCurrent.
+const (
+	KindRoutes  = "routes"
+	KindTargets = "targets"
+	NameCurrent = "current"
+)
+
+// watchWait is how long one watch waits for a change. A watch that is cut off says nothing, so that this
+// bounds the time for which a change stays unknown: it is below the 4 s after which a fleet counts as
+// calm again. Each call is charged for, so that it is not much below.
+const watchWait = 3500 * time.Millisecond
+
 // Revision counts the changes of the platform's store.
 type Revision uint64
 
@@ -33,8 +51,39 @@
 	WatchTargets(ctx context.Context, after Revision, wait time.Duration) ([]roster.Change, Revision, error)
 }
 
-// Consumer takes what is in force.
-type Consumer interface {
-	SetTable(t *routing.Table)
-	SetTargets(entries []roster.Entry)
+// RoutesChanged is published when newer routes are in force.
+type RoutesChanged struct {
+	Table routing.Table `json:"table"`
+}
+
+// Topic implements kernel.Event.
+func (RoutesChanged) Topic() string { return "routes_changed" }
+
+// TargetsChanged is published when the list of targets changed.
+type TargetsChanged struct {
+	Entries []roster.Entry `json:"entries"`
+}
+
+// Topic implements kernel.Event.
+func (TargetsChanged) Topic() string { return "entries_changed" }
+
+// Schema describes the two objects.
+func Schema() configsync.Schema {
+	return configsync.Schema{
+		Kinds: []string{KindRoutes, KindTargets}, Required: KindRoutes, Decode: decode, WatchWait: watchWait,
+	}
+}
+
+func decode(o config.Object) (kernel.Event, string, error) {
+	switch o.Kind {
+	case KindRoutes:
+		var ev RoutesChanged
+		err := json.Unmarshal(o.Data, &ev.Table)
+		return ev, strconv.FormatUint(uint64(ev.Table.Version), 10), err
+	case KindTargets:
+		var ev TargetsChanged
+		err := json.Unmarshal(o.Data, &ev.Entries)
+		return ev, strconv.Itoa(len(ev.Entries)), err
+	}
+	return nil, "", errors.Errorf("kind %q is not held by instances", o.Kind)
 }
--- a/instance/directory/service_test.go
+++ b/instance/directory/source_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,8 +12,14 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
+	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/directory"
+	"hyssopcroft.example/kernel"
+	"hyssopcroft.example/kernel/counters"
+	"hyssopcroft.example/kernel/hlc"
+	"hyssopcroft.example/kernel/timeline"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/routing"
 )
@@ -145,18 +151,6 @@
 	targets  int
 }
 
-func (c *consumer) SetTable(t *routing.Table) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.versions = append(c.versions, t.Version)
-}
-
-func (c *consumer) SetTargets(entries []roster.Entry) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.targets = len(entries)
-}
-
 func (c *consumer) last() query.Version {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -178,16 +172,42 @@
 	return c.targets
 }
 
+// start follows the store as a watching instance does, without peers, and returns what it puts in force.
 func start(t *testing.T, store *fakeStore) *consumer {
 	t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	bus := kernel.NewBus()
+	t.Cleanup(func() { require.NoError(t, bus.Close()) })
+	ring := timeline.NewRing("a", 16, hlc.New(time.Now))
+	s := configsync.NewOf(directory.Schema(), directory.NewSource(store, log), bus, ring, log, counters.NewSet())
+	s.Bind(alone{})
 	c := &consumer{}
-	s := directory.New(store, c, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+	require.NoError(t, kernel.Subscribe(t.Context(), bus, func(ev directory.RoutesChanged) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.versions = append(c.versions, ev.Table.Version)
+	}))
+	require.NoError(t, kernel.Subscribe(t.Context(), bus, func(ev directory.TargetsChanged) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.targets = len(ev.Entries)
+	}))
 	require.NoError(t, s.Start(t.Context()))
 	t.Cleanup(func() { require.NoError(t, s.Stop(context.Background())) })
 	synctest.Wait()
 	return c
 }
 
+// alone is a fleet of one instance.
+type alone struct{}
+
+func (alone) Self() membership.Member {
+	return membership.Member{ID: "a", FailureDomain: "d", State: membership.Live}
+}
+func (a alone) Members() []membership.Member { return []membership.Member{a.Self()} }
+func (alone) Transport() http.RoundTripper   { return http.DefaultTransport }
+func (alone) ConfigChanged()                 {}
+
 // Guards against a change that stays unknown because the watch that should have told of it was cut off
 // without a word: it has to be in force within 4 s, after which a fleet counts as calm again.
 func TestSilentWatchIsBounded(t *testing.T) {
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -16,10 +16,17 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/control/drain"
+	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/directory"
 	"hyssopcroft.example/instance/gateway"
+	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/kernel"
+	"hyssopcroft.example/kernel/counters"
+	"hyssopcroft.example/kernel/hlc"
+	"hyssopcroft.example/kernel/timeline"
 	"hyssopcroft.example/query/hedge"
 )
 
@@ -30,6 +37,8 @@
 	writeTime = time.Minute
 	// headerBytes bounds the header of a request.
 	headerBytes = 64 << 10
+	// timelineEvents is the number of events of the process that are kept.
+	timelineEvents = 1024
 	// memoryShare is the part of the memory that the heap may fill before it is collected more often.
 	// The rest is for stacks, buffers of the system and the binary.
 	memoryShare = 0.7
@@ -39,6 +48,8 @@
 type Adapter struct {
 	Store  directory.Store
 	Sender gateway.Sender
+	// Instances lists the instances of the fleet.
+	Instances members.Lister
 	// Callers returns the handler of the requests of callers.
 	Callers func(s *gateway.Service) http.Handler
 }
@@ -64,19 +75,30 @@
 		settings: s, log: log, kernel: kernel.New(), gate: newGate(s.shutdown(), log),
 		listeners: map[*http.Server]net.Listener{},
 	}
+	c := counters.NewSet()
+	ring := timeline.NewRing(s.Instance, timelineEvents, hlc.New(time.Now))
+	self := membership.Member{
+		ID: s.Instance, Address: s.Control, FailureDomain: s.FailureDomain,
+		Incarnation: uint64(time.Now().UnixNano()), State: membership.Starting,
+	}
+	objects := configsync.NewOf(directory.Schema(), directory.NewSource(a.Store, log), e.kernel.Bus(), ring, log, c)
+	fleet := members.New(self, a.Instances, objects, e.kernel.Bus(), ring, log, c)
+	fleet.UseSeeds(s.Seeds)
 	e.gateway = gateway.New(gateway.Config{
 		FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions, Sender: a.Sender, Log: log,
 		Extra: hedge.Terms{
 			Share: s.ExtraShare, Slack: s.ExtraSlack, Span: time.Duration(s.ExtraSeconds * float64(time.Second)),
 		},
-		Metrics: gateway.NewMetrics(registry),
+		Metrics: gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
 	})
-	dir := directory.New(a.Store, e.gateway, log)
-	for _, service := range []kernel.Service{e.gateway, dir} {
+	for _, service := range []kernel.Service{e.gateway, objects, fleet} {
 		if err := e.kernel.Register(service); err != nil {
 			return nil, err
 		}
 	}
+	if err := e.listen(e.peerServer(fleet, objects), s.Control); err != nil {
+		return nil, err
+	}
 	e.callers = e.server(e.gate.wrap(a.Callers(e.gateway)))
 	if err := e.listen(e.callers, s.Callers); err != nil {
 		return nil, err
@@ -98,6 +120,18 @@
 	return e, nil
 }
 
+// peerServer serves the other instances.
+func (e *Edge) peerServer(fleet *members.Service, objects *configsync.Service) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(peer.MembershipHandler(fleet))
+	mux.Handle(peer.DistributionHandler(objects))
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: mux, Protocols: &protocols, ReadHeaderTimeout: headerTime}
+	e.servers = append(e.servers, server)
+	return server
+}
+
 func (e *Edge) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTime, WriteTimeout: writeTime, MaxHeaderBytes: headerBytes,
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -8,7 +8,11 @@
 	"sync/atomic"
 	"time"
 
+	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/instance/directory"
+	"hyssopcroft.example/instance/members"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/balance"
 	"hyssopcroft.example/query/hedge"
@@ -22,17 +26,13 @@
 	// mostInFlight bounds the requests that an instance holds. With 40 KB each, which is two buffers and
 	// the goroutines of 15 attempts, they stay within 40 MB.
 	mostInFlight = 1000
-	// expectedInstances is the number of instances that share a target's connections and the slack of
-	// the retry budgets until more are known: those of today's deployments and their spares.
-	expectedInstances = 11
-	// expectedNeighbours is the number of those that run in one failure domain.
-	expectedNeighbours = 4
-	// farShare is the part of an even share that an instance uses of targets in other failure domains.
-	// Those near the target need more, since they send most of their attempts to it.
-	farShare = 0.6
+	// fewestInstances is the number of instances that are taken to share a target's connections and the
+	// slack of the retry budgets at least, so that the first instance of a fleet that starts leaves room
+	// for the others. It is the size of the smallest deployment.
+	fewestInstances = 6
 	// connectionShare is the part of a target's connections that the fleet uses. The rest is for
 	// instances that are being replaced and for connections that only the far end still counts.
-	connectionShare = 0.8
+	connectionShare = 0.9
 	// mostConnections bounds the connections to one target. Targets have 2 to 6 slots.
 	mostConnections = 8
 )
@@ -47,6 +47,14 @@
 	Sender  Sender
 	Log     *slog.Logger
 	Metrics *Metrics
+	Bus     *kernel.Bus
+	// Members tells how many instances share what is limited.
+	Members Members
+}
+
+// Members are the instances of the fleet. They are implemented by the members service.
+type Members interface {
+	Members() []membership.Member
 }
 
 // Service runs requests. It is safe for concurrent use.
@@ -61,9 +69,13 @@
 	splitter routing.Splitter
 	shards   map[string]query.Shard // by service; never forgotten, so that ids stay unique
 	entries  []roster.Entry
-	targets  map[query.TargetID]roster.Entry
-	listed   bool // a list of targets was read
-	routes   map[string]*lockedPolicy
+	// entriesAt is when entries were learnt.
+	entriesAt time.Time
+	targets   map[query.TargetID]roster.Entry
+	listed    bool // a list of targets was read
+	routes    map[string]*lockedPolicy
+	share     share
+	cancel    context.CancelFunc
 }
 
 // New returns a service without routes and targets.
@@ -72,7 +84,8 @@
 		cfg: cfg, fleet: balance.NewFleet(cfg.Extra), shards: map[string]query.Shard{},
 		targets: map[query.TargetID]roster.Entry{}, routes: map[string]*lockedPolicy{},
 	}
-	s.fleet.SetInstances(expectedInstances)
+	s.share = shareOf(nil, cfg.FailureDomain)
+	s.fleet.SetInstances(s.share.instances)
 	s.lastAttempt.Store(rand.Uint64())
 	return s
 }
@@ -83,19 +96,51 @@
 // Needs implements kernel.Service.
 func (s *Service) Needs() []string { return nil }
 
-// Start implements kernel.Service.
-func (s *Service) Start(context.Context) error { return nil }
+// Start subscribes to routes, targets and members.
+func (s *Service) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	err := kernel.Subscribe(ctx, s.cfg.Bus, func(ev directory.RoutesChanged) { s.SetTable(&ev.Table) })
+	if err != nil {
+		return err
+	}
+	err = kernel.Subscribe(ctx, s.cfg.Bus, func(ev directory.TargetsChanged) { s.SetTargets(ev.Entries) })
+	if err != nil {
+		return err
+	}
+	return kernel.Subscribe(ctx, s.cfg.Bus, func(members.Changed) { s.setShare() })
+}
+
+// setShare follows the number of instances.
+func (s *Service) setShare() {
+	next := shareOf(s.cfg.Members.Members(), s.cfg.FailureDomain)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if next != s.share {
+		s.cfg.Log.Info("share of connections and budgets changed", "instances", next.instances, "in_domain", next.neighbours)
+		s.share = next
+		s.fleet.SetInstances(next.instances)
+		s.place()
+	}
+}
 
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
+	s.cancel()
 	s.cfg.Sender.SetConnections(nil)
 	return nil
 }
 
 // SetTable puts routes in force.
 func (s *Service) SetTable(t *routing.Table) {
+	t.Index()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var before query.Version
+	if s.table != nil {
+		before = s.table.Version
+	}
+	s.cfg.Log.Info("routes in force", "version", t.Version, "before", before, "routes", len(t.Routes))
 	s.table = t
 	s.routes = map[string]*lockedPolicy{}
 	s.place()
@@ -105,7 +150,7 @@
 func (s *Service) SetTargets(entries []roster.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries, s.listed = entries, true
+	s.entries, s.listed, s.entriesAt = entries, true, time.Now()
 	s.place()
 }
 
@@ -136,12 +181,12 @@
 			continue
 		}
 		connections := s.connections(e)
-		limits[e.Address] = connections + 1 // One may still be closing after its attempt was cancelled.
+		limits[e.Address] = connections
 		id := query.TargetID(e.ID)
 		s.targets[id] = e
 		list = append(list, balance.Target{
 			ID: id, Shard: s.shard(e.Service), Incarnation: e.Incarnation, Distance: s.distance(e.FailureDomain),
-			Limit: connections, ColdUntil: e.ColdUntil,
+			Limit: connections, ColdUntil: s.entriesAt.Add(e.Cold),
 		})
 	}
 	s.fleet.SetTargets(list)
@@ -157,12 +202,7 @@
 	if !known || service.Connections <= 0 {
 		return 1
 	}
-	usable := connectionShare * float64(service.Connections)
-	share := int(farShare * usable / expectedInstances)
-	if e.FailureDomain == s.cfg.FailureDomain {
-		share = int((usable - float64(share)*(expectedInstances-expectedNeighbours)) / expectedNeighbours)
-	}
-	return min(max(share, 1), mostConnections)
+	return s.share.connections(service.Connections, e.FailureDomain == s.cfg.FailureDomain)
 }
 
 func (s *Service) distance(domain string) balance.Distance {
--- a/instance/members/exchange.go
+++ b/instance/members/exchange.go
@@ -94,7 +94,8 @@
 	s.update(func(now time.Time) { s.node.OnAsked(a.Silent, reached, peer.FromWire(resp.GetRecord()), now) })
 }
 
-func (s *Service) requestFullState(ctx context.Context, a membership.RequestFullState) {
+// requestFullState reports whether the members were told.
+func (s *Service) requestFullState(ctx context.Context, a membership.RequestFullState) bool {
 	call, cancel := context.WithTimeout(ctx, fullStateTimeout)
 	defer cancel()
 	s.counters.Counter("full_states_requested").Add(1)
@@ -102,10 +103,11 @@
 	resp, err := peer.MembershipClient(a.From.Address, s.transport).FullState(call, req)
 	if err != nil {
 		s.counters.Counter("full_state_failures").Add(1)
-		return
+		return false
 	}
 	peer.ObserveStamp(s.ring.Clock(), resp.Stamp)
 	s.update(func(now time.Time) { s.node.OnFullState(resp.Id, peer.MembersFromWire(resp.Members), now) })
+	return true
 }
 
 // leave tells the peers that the instance ends.
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -26,6 +26,8 @@
 	// listPeriod is the time between two reads of the platform's list by an instance that watches
 	// the store or knows no other instance.
 	listPeriod = 10 * time.Second
+	// joinPause is the time between two attempts to learn of other instances.
+	joinPause = time.Second
 	// leaveTimeout bounds the exchanges that announce the end of the instance.
 	leaveTimeout = membership.ExchangeTimeout
 )
@@ -39,9 +41,15 @@
 // Topic implements kernel.Event.
 func (Changed) Topic() string { return "member_changed" }
 
+// Lister reads the platform's list of instances. It is implemented by platform.Client.
+type Lister interface {
+	Instances(ctx context.Context, p platform.Purpose) ([]platform.Instance, error)
+}
+
 // Service exchanges member records with peers. It is safe for concurrent use.
 type Service struct {
-	client    *platform.Client
+	lister    Lister
+	seeds     []string
 	config    *configsync.Service
 	transport http.RoundTripper
 	idle      func() // closes idle connections
@@ -60,14 +68,14 @@
 }
 
 // New returns a service for the instance that self describes. The service lets cfg reach the peers.
-func New(self membership.Member, client *platform.Client, cfg *configsync.Service, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
+func New(self membership.Member, lister Lister, cfg *configsync.Service, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
 	traffic := &peer.Traffic{
 		BytesSent: c.Counter("control_bytes_sent"), BytesReceived: c.Counter("control_bytes_received"),
 		MessagesSent: c.Counter("control_messages_sent"), MessagesReceived: c.Counter("control_messages_received"),
 	}
 	transport := peer.NewTransport(traffic)
 	s := &Service{
-		client: client, config: cfg, transport: peer.CountMessages(transport, traffic), idle: transport.CloseIdleConnections,
+		lister: lister, config: cfg, transport: peer.CountMessages(transport, traffic), idle: transport.CloseIdleConnections,
 		traffic: traffic, bus: bus, ring: ring, log: log, counters: c, kick: make(chan struct{}, 1),
 		node: membership.NewNode(self, time.Now(), rand.New(rand.NewPCG(self.Incarnation, rand.Uint64()))),
 	}
@@ -80,6 +88,10 @@
 	s.transport = wrap(s.transport)
 }
 
+// UseSeeds sets addresses of instances that are asked for the members while the platform's list is away.
+// They may be out of date. It must be called before Start.
+func (s *Service) UseSeeds(addresses []string) { s.seeds = addresses }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
@@ -184,7 +196,11 @@
 // readLists reads the platform's list on joining, and again while the instance watches the store or
 // knows no other one.
 func (s *Service) readLists(ctx context.Context) {
-	s.readList(ctx)
+	for !s.readList(ctx) && !s.askSeeds(ctx) {
+		if !kernel.Sleep(ctx, joinPause) {
+			return
+		}
+	}
 	ticker := time.NewTicker(listPeriod)
 	defer ticker.Stop()
 	for {
@@ -199,11 +215,25 @@
 	}
 }
 
-func (s *Service) readList(ctx context.Context) {
-	list, err := s.client.Instances(ctx, "list_instances")
+// askSeeds asks the seeds for all members until one has answered.
+func (s *Service) askSeeds(ctx context.Context) bool {
+	for _, address := range s.seeds {
+		if address == s.Self().Address {
+			continue
+		}
+		if s.requestFullState(ctx, membership.RequestFullState{From: membership.Member{Address: address}}) {
+			return true
+		}
+	}
+	return false
+}
+
+// readList reports whether the list was read.
+func (s *Service) readList(ctx context.Context) bool {
+	list, err := s.lister.Instances(ctx, "list_instances")
 	if err != nil {
 		s.counters.Counter("instance_list_failures").Add(1)
-		return
+		return false
 	}
 	var records []membership.Member
 	for _, i := range list {
@@ -214,4 +244,5 @@
 		records = append(records, membership.Member{ID: i.ID, Address: i.Address, FailureDomain: i.FailureDomain, State: state})
 	}
 	s.update(func(now time.Time) { s.node.OnList(records, now) })
+	return true
 }
