Hand on the list of targets as the store has it

An instance that the store had turned away kept, on its return, entries that had left meanwhile for the 2 s in which lapsed ones may come back, and handed that list on as the newest one, so that instances which knew better used the targets again.

Change: what is handed on is the store's list, with the time since its reader regained the store; each instance applies the rule for lapsed entries against the list that it knew itself. A target whose address another one has stays out until it moves.

Ruled out: the delay of the exchange between instances (every instance had the list 0.8 s after the report).

TestListAfterAnOutageIsTheStores fails before.

Conclusion: one instance's outage no longer shows in what the others know.

--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -38,19 +39,19 @@
 type Roster struct {
 	entries map[string]Entry
 	warm    map[string]time.Time // when a cold target is warm
-	lapsing map[string]time.Time // when entries that vanished are taken to be gone
-	away    bool
-	backAt  time.Time // when the list was last known to be back
+	// misplaced are entries whose address another target has.
+	misplaced map[string]Entry
+	lapsing   map[string]time.Time // when entries that vanished are taken to be gone
+	backAt    time.Time            // when the list came back after it was away, the zero time if it never was
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: map[string]Entry{}, warm: map[string]time.Time{}, lapsing: map[string]time.Time{}}
+	return &Roster{entries: map[string]Entry{}, misplaced: map[string]Entry{}, warm: map[string]time.Time{}, lapsing: map[string]time.Time{}}
 }
 
 // Replace takes the whole list.
 func (r *Roster) Replace(now time.Time, list []Entry) {
-	r.back(now)
 	seen := make(map[string]bool, len(list))
 	for _, e := range list {
 		seen[e.ID] = true
@@ -61,11 +62,11 @@
 			r.vanish(now, id)
 		}
 	}
+	maps.DeleteFunc(r.misplaced, func(id string, _ Entry) bool { return !seen[id] })
 }
 
 // Apply takes changes.
 func (r *Roster) Apply(now time.Time, changes []Change) {
-	r.back(now)
 	for _, c := range changes {
 		if c.Entry == nil {
 			r.vanish(now, c.ID)
@@ -75,17 +76,18 @@
 	}
 }
 
-// Away takes that the list does not answer.
-func (r *Roster) Away() { r.away = true }
-
-// back takes that the list answers.
-func (r *Roster) back(now time.Time) {
-	if r.away {
-		r.away, r.backAt = false, now
+// Back takes that the list came back at the given time after it was away.
+func (r *Roster) Back(at time.Time) {
+	if at.After(r.backAt) {
+		r.backAt = at
 	}
 }
 
 func (r *Roster) put(now time.Time, e Entry) {
+	if m, ok := r.misplaced[e.ID]; ok && m.Address == e.Address && m.Incarnation == e.Incarnation {
+		return
+	}
+	delete(r.misplaced, e.ID)
 	delete(r.lapsing, e.ID)
 	delete(r.warm, e.ID)
 	if e.Cold > 0 {
@@ -133,6 +135,15 @@
 	return removed
 }
 
+// Misplaced takes that another target has the address of this one. The entry is left out until it
+// changes: its address belongs to the other target for good.
+func (r *Roster) Misplaced(e Entry) {
+	if known, ok := r.entries[e.ID]; ok && known.Address == e.Address && known.Incarnation == e.Incarnation {
+		r.misplaced[e.ID] = e
+		r.remove(e.ID)
+	}
+}
+
 func (r *Roster) remove(id string) {
 	delete(r.entries, id)
 	delete(r.lapsing, id)
--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -216,6 +216,7 @@
 		return false
 	}
 	s.counters.Counter("objects_taken").Add(1)
+	s.log.Info("object taken", "kind", o.Kind, "name", o.Name, "revision", o.Revision, "bytes", len(o.Data))
 	s.ring.Add(ev.Topic(), subject, "")
 	if err := s.bus.Publish(ev); err != nil {
 		s.log.Error("event not published", "topic", ev.Topic(), "error", err)
--- a/instance/directory/directory.go
+++ b/instance/directory/directory.go
@@ -62,6 +62,9 @@
 // TargetsChanged is published when the list of targets changed.
 type TargetsChanged struct {
 	Entries []roster.Entry `json:"entries"`
+	// BackFor is the time since the instance that read the list regained the store, 0 if it was not lost.
+	// Until roster.LapseGrace, entries may be missing only because they have lapsed meanwhile.
+	BackFor time.Duration `json:"back_for,omitempty"`
 }
 
 // Topic implements kernel.Event.
@@ -82,7 +85,7 @@
 		return ev, strconv.FormatUint(uint64(ev.Table.Version), 10), err
 	case KindTargets:
 		var ev TargetsChanged
-		err := json.Unmarshal(o.Data, &ev.Entries)
+		err := json.Unmarshal(o.Data, &ev)
 		return ev, strconv.Itoa(len(ev.Entries)), err
 	}
 	return nil, "", errors.Errorf("kind %q is not held by instances", o.Kind)
--- a/instance/directory/source.go
+++ b/instance/directory/source.go
@@ -15,14 +15,9 @@
 	"hyssopcroft.example/query/routing"
 )
 
-const (
-	// targetsPause is the least time between two watches that found changes of the list, so that changes
-	// in quick succession share a call and a push. Draining targets get new work for 3 s at most.
-	targetsPause = 250 * time.Millisecond
-	// lapsesPerRevision leaves room between two revisions of the store for versions of the list that
-	// differ by entries which have lapsed since.
-	lapsesPerRevision = 1024
-)
+// targetsPause is the least time between two watches that found changes of the list, so that changes in
+// quick succession share a call and a push. Draining targets get new work for 3 s at most.
+const targetsPause = 250 * time.Millisecond
 
 // Source is the configsync.Source over a Store. Routes are one object whose version is theirs; the
 // targets are one object with all entries in use.
@@ -30,10 +25,10 @@
 	store Store
 	log   *slog.Logger
 
-	mu       sync.Mutex // guards the fields below
-	roster   *roster.Roster
-	revision Revision // of the roster
-	lapses   uint64   // changes of the roster since revision without one of the store
+	mu     sync.Mutex     // guards the fields below
+	roster *roster.Roster // the list as the store has it
+	away   bool
+	backAt time.Time // when the store answered again after it was away
 }
 
 // NewSource returns a source that has read nothing.
@@ -96,7 +91,7 @@
 }
 
 func (s *Source) watchTargets(ctx context.Context, after Revision, wait time.Duration) (platform.Changes, error) {
-	changes, at, err := s.store.WatchTargets(ctx, after, s.untilLapse(wait))
+	changes, at, err := s.store.WatchTargets(ctx, after, wait)
 	if err != nil {
 		return platform.Changes{}, s.lost(err)
 	}
@@ -120,43 +115,28 @@
 	s.log.Info("target changed", "target", c.ID, "service", c.Entry.Service, "address", c.Entry.Address, "draining", c.Entry.Draining)
 }
 
-// untilLapse shortens a wait to the time at which entries lapse.
-func (s *Source) untilLapse(wait time.Duration) time.Duration {
+// lost notes that the store does not answer, unless the history is all that it lacks.
+func (s *Source) lost(err error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if next := s.roster.NextWake(); !next.IsZero() {
-		return min(wait, max(0, time.Until(next)))
-	}
-	return wait
-}
-
-// lost tells the roster that the store does not answer, unless the history is all that it lacks.
-func (s *Source) lost(err error) error {
-	if !errors.Is(err, ErrHistoryGone) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.roster.Away()
-	}
+	s.away = s.away || !errors.Is(err, ErrHistoryGone)
 	return err
 }
 
-// update changes the roster and returns it as an object if change reports that it did, or if entries
-// have lapsed. The version of the object rises with each change.
+// update changes the roster and returns it as an object if change reports that it did.
 func (s *Source) update(at Revision, change func(now time.Time) bool) (platform.Changes, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	changed := change(now)
-	lapsed := s.roster.OnWake(now)
-	if !changed && !lapsed {
+	if s.away {
+		s.away, s.backAt = false, now
+	}
+	if !change(now) {
 		return platform.Changes{Revision: platform.Version(at)}, nil
 	}
-	switch {
-	case at > s.revision:
-		s.revision, s.lapses = at, 0
-	case lapsed:
-		s.lapses++
+	ev := TargetsChanged{Entries: s.roster.Entries(now)}
+	if back := now.Sub(s.backAt); !s.backAt.IsZero() && back < roster.LapseGrace {
+		ev.BackFor = max(back, 1)
 	}
-	v := uint64(s.revision)*lapsesPerRevision + min(s.lapses, lapsesPerRevision-1)
-	return changesOf(KindTargets, at, platform.Version(v), s.roster.Entries(now))
+	return changesOf(KindTargets, at, platform.Version(at), ev)
 }
--- a/instance/directory/source_test.go
+++ b/instance/directory/source_test.go
@@ -149,6 +149,13 @@
 	mu       sync.Mutex
 	versions []query.Version
 	targets  int
+	back     time.Duration
+}
+
+func (c *consumer) backFor() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.back
 }
 
 func (c *consumer) last() query.Version {
@@ -190,7 +197,7 @@
 	require.NoError(t, kernel.Subscribe(t.Context(), bus, func(ev directory.TargetsChanged) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.targets = len(ev.Entries)
+		c.targets, c.back = len(ev.Entries), ev.BackFor
 	}))
 	require.NoError(t, s.Start(t.Context()))
 	t.Cleanup(func() { require.NoError(t, s.Stop(context.Background())) })
@@ -261,3 +268,21 @@
 		require.Equal(t, query.Version(2), c.last())
 	})
 }
+
+// Guards against an instance that regains the store on its own and, after its own outage, tells the others
+// of targets that have left long ago: the list that it hands on is the store's.
+func TestListAfterAnOutageIsTheStores(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.version = 1
+		store.targets = []roster.Entry{{ID: "a"}, {ID: "b"}}
+		c := start(t, store)
+		store.set(func() { store.down = true })
+		store.change(func() { store.targets = store.targets[:1]; store.oldest = store.revision + 1 })
+		time.Sleep(10 * time.Second)
+		store.set(func() { store.down = false })
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 1, c.known())
+		require.NotZero(t, c.backFor(), "instances that lost the list themselves have to know")
+	})
+}
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -68,21 +68,20 @@
 	fleet    *balance.Fleet
 	splitter routing.Splitter
 	shards   map[string]query.Shard // by service; never forgotten, so that ids stay unique
-	entries  []roster.Entry
-	// entriesAt is when entries were learnt.
-	entriesAt time.Time
-	targets   map[query.TargetID]roster.Entry
-	listed    bool // a list of targets was read
-	routes    map[string]*lockedPolicy
-	share     share
-	cancel    context.CancelFunc
+	roster   *roster.Roster
+	lapse    *time.Timer // removes entries that have lapsed
+	targets  map[query.TargetID]roster.Entry
+	listed   bool // a list of targets was read
+	routes   map[string]*lockedPolicy
+	share    share
+	cancel   context.CancelFunc
 }
 
 // New returns a service without routes and targets.
 func New(cfg Config) *Service {
 	s := &Service{
 		cfg: cfg, fleet: balance.NewFleet(cfg.Extra), shards: map[string]query.Shard{},
-		targets: map[query.TargetID]roster.Entry{}, routes: map[string]*lockedPolicy{},
+		roster: roster.New(), targets: map[query.TargetID]roster.Entry{}, routes: map[string]*lockedPolicy{},
 	}
 	s.share = shareOf(nil, cfg.FailureDomain)
 	s.fleet.SetInstances(s.share.instances)
@@ -104,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	err = kernel.Subscribe(ctx, s.cfg.Bus, func(ev directory.TargetsChanged) { s.SetTargets(ev.Entries) })
+	err = kernel.Subscribe(ctx, s.cfg.Bus, s.SetTargets)
 	if err != nil {
 		return err
 	}
@@ -146,12 +145,32 @@
 	s.place()
 }
 
-// SetTargets replaces the known targets.
-func (s *Service) SetTargets(entries []roster.Entry) {
+// SetTargets takes a new list of targets.
+func (s *Service) SetTargets(ev directory.TargetsChanged) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries, s.listed, s.entriesAt = entries, true, time.Now()
+	now := time.Now()
+	if ev.BackFor > 0 {
+		s.roster.Back(now.Add(-ev.BackFor))
+	}
+	s.roster.Replace(now, ev.Entries)
+	s.listed = true
 	s.place()
+	if s.lapse != nil {
+		s.lapse.Stop()
+	}
+	if next := s.roster.NextWake(); !next.IsZero() {
+		s.lapse = time.AfterFunc(next.Sub(now), s.removeLapsed)
+	}
+}
+
+func (s *Service) removeLapsed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.roster.OnWake(time.Now()) {
+		s.cfg.Log.Info("entries that were not back after the list's return are left out")
+		s.place()
+	}
 }
 
 // Ready reports whether the instance knows routes and targets.
@@ -173,10 +192,12 @@
 
 // place hands the usable targets to the fleet. It must be called with mu held.
 func (s *Service) place() {
-	limits := make(map[string]int, len(s.entries))
-	list := make([]balance.Target, 0, len(s.entries))
+	now := time.Now()
+	entries := s.roster.Entries(now)
+	limits := make(map[string]int, len(entries))
+	list := make([]balance.Target, 0, len(entries))
 	clear(s.targets)
-	for _, e := range s.entries {
+	for _, e := range entries {
 		if e.Draining {
 			continue
 		}
@@ -186,7 +207,7 @@
 		s.targets[id] = e
 		list = append(list, balance.Target{
 			ID: id, Shard: s.shard(e.Service), Incarnation: e.Incarnation, Distance: s.distance(e.FailureDomain),
-			Limit: connections, ColdUntil: s.entriesAt.Add(e.Cold),
+			Limit: connections, ColdUntil: now.Add(e.Cold),
 		})
 	}
 	s.fleet.SetTargets(list)
@@ -288,13 +309,7 @@
 		return
 	}
 	s.cfg.Log.Warn("another target has this address; the entry is left out", "target", id, "address", e.Address)
-	kept := make([]roster.Entry, 0, len(s.entries))
-	for _, other := range s.entries {
-		if other.ID != e.ID {
-			kept = append(kept, other)
-		}
-	}
-	s.entries = kept
+	s.roster.Misplaced(e)
 	s.place()
 }
 
