Keep one connection for each instance where that is all there is

Cause: found by a test of the shares: with 60 instances before a target that accepts 62 connections, an even share is below one, which rounds to none, so that the instances near the target divided all of them and the others still opened one each: 104.

Change: an even share is at least one before the rest is divided.

Conclusion: the sum over all instances stays below what a target accepts.

--- /dev/null
+++ b/instance/edge/leaving_test.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/control/drain"
+)
+
+// Guards against a shutdown that refuses requests which the balancer still sends, that cuts one in flight,
+// that ends before callers have been told to reconnect, or that takes longer than it may.
+func TestGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(6*time.Second, slog.New(slog.DiscardHandler))
+		work := time.Duration(0)
+		h := g.wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(work)
+			w.WriteHeader(http.StatusOK)
+		}))
+		ask := func() *http.Response {
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+			return w.Result()
+		}
+		require.Empty(t, ask().Header.Get("Connection"))
+		work = 3 * time.Second
+		crossing := make(chan *http.Response)
+		go func() { crossing <- ask() }()
+		synctest.Wait()
+		idle := g.begin()
+		require.NotEqual(t, drain.Serving, g.phase(), "not ready at once")
+		require.Equal(t, "close", (<-crossing).Header.Get("Connection"), "arrived before the order to stop")
+		work = 0
+		resp := ask()
+		require.Equal(t, http.StatusOK, resp.StatusCode, "3 s after the order")
+		require.Equal(t, "close", resp.Header.Get("Connection"))
+		work = 1500 * time.Millisecond
+		go func() { crossing <- ask() }()
+		time.Sleep(1100 * time.Millisecond)
+		resp = ask()
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Contains(t, string(body), "did not run")
+		require.Equal(t, http.StatusOK, (<-crossing).StatusCode)
+		<-idle
+		require.Zero(t, g.cut())
+	})
+}
+
+// Guards against a request that holds a process beyond its time.
+func TestGateEndsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGate(6*time.Second, slog.New(slog.DiscardHandler))
+		hold := make(chan struct{})
+		h := g.wrap(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hold }))
+		go h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+		synctest.Wait()
+		begin := time.Now()
+		<-g.begin()
+		require.Equal(t, 5700*time.Millisecond, time.Since(begin))
+		require.Equal(t, 1, g.cut())
+		close(hold)
+	})
+}
--- /dev/null
+++ b/instance/gateway/gateway_test.go
@@ -0,0 +1,256 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/instance/directory"
+	"hyssopcroft.example/instance/gateway"
+	"hyssopcroft.example/kernel"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/hedge"
+	"hyssopcroft.example/query/routing"
+)
+
+// fleet answers attempts as behave says, after the time that it returns.
+type fleet struct {
+	mu        sync.Mutex
+	behave    func(target string, n int) (time.Duration, query.Reply)
+	sent      map[string]int // attempts by target
+	cancelled int
+}
+
+func (f *fleet) Send(ctx context.Context, a gateway.Attempt) query.Reply {
+	f.mu.Lock()
+	f.sent[string(a.Target)]++
+	wait, reply := f.behave(string(a.Target), f.sent[string(a.Target)])
+	f.mu.Unlock()
+	select {
+	case <-time.After(wait):
+		return reply
+	case <-ctx.Done():
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.cancelled++
+		return query.Reply{Outcome: query.OutcomeUnknown}
+	}
+}
+
+func (f *fleet) SetConnections(map[string]int) {}
+
+func (f *fleet) attempts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, sent := range f.sent {
+		n += sent
+	}
+	return n
+}
+
+type one struct{}
+
+func (one) Members() []membership.Member {
+	return []membership.Member{{ID: "i", FailureDomain: "near", State: membership.Live}}
+}
+
+const shards = 10
+
+// service returns a gateway before ten shards with a replica near and one far, and a single back end
+// with two.
+func service(t *testing.T, f *fleet) *gateway.Service {
+	t.Helper()
+	f.sent = map[string]int{}
+	bus := kernel.NewBus()
+	t.Cleanup(func() { require.NoError(t, bus.Close()) })
+	s := gateway.New(gateway.Config{
+		FailureDomain: "near", Region: "north", Regions: map[string]string{"near": "north", "far": "south"},
+		Extra: hedge.Terms{Share: 0.2, Slack: 600, Span: 10 * time.Second}, Sender: f,
+		Log: slog.New(slog.DiscardHandler), Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Bus: bus, Members: one{},
+	})
+	table := &routing.Table{Version: 5}
+	var names []string
+	var entries []roster.Entry
+	add := func(name string) {
+		table.Services = append(table.Services, routing.Service{Name: name, Connections: 25})
+		for _, domain := range []string{"near", "far"} {
+			id := name + "-" + domain
+			entries = append(entries, roster.Entry{ID: id, Service: name, Address: id, FailureDomain: domain})
+		}
+	}
+	for i := range shards {
+		names = append(names, fmt.Sprintf("s%d", i))
+		add(names[i])
+	}
+	add("single")
+	times := func(r routing.Route) routing.Route {
+		r.Host, r.MaxAttempts, r.Timeout, r.Objective = "h", 2, 1200*time.Millisecond, 150*time.Millisecond
+		return r
+	}
+	table.Routes = []routing.Route{
+		times(routing.Route{Name: "all", Prefix: "/all/", Repeatable: true, Gather: true, Services: names, Limit: 2, LeastCoverage: 0.89}),
+		times(routing.Route{Name: "one", Prefix: "/one/", Repeatable: true, Split: []routing.Part{{Service: "single", Weight: 1}}}),
+		times(routing.Route{Name: "once", Prefix: "/once/", Split: []routing.Part{{Service: "single", Weight: 1}}}),
+		times(routing.Route{Name: "lost", Prefix: "/lost/", Split: []routing.Part{{Service: "unknown", Weight: 1}}}),
+	}
+	s.SetTable(table)
+	s.SetTargets(directory.TargetsChanged{Entries: entries})
+	return s
+}
+
+func ask(ctx context.Context, s *gateway.Service, path string) gateway.Response {
+	return s.Do(ctx, &gateway.Request{ID: "r", Method: "GET", Target: path, Path: path, Host: "h", Header: http.Header{}, TimeLeft: time.Second})
+}
+
+func part(target string) query.Reply {
+	return query.Reply{Outcome: query.OutcomeAnswered, Part: &query.Part{Status: 200, Signature: target, Body: []byte(strings.Repeat(target[1:2], 16))}}
+}
+
+func outcome(o query.Outcome) query.Reply { return query.Reply{Outcome: o} }
+
+// Guards against answers that miss shards without saying so, that come late although enough shards are
+// in, or that wait for a shard whose replicas are all silent; and against extra attempts beyond the
+// route's bound.
+func TestGather(t *testing.T) {
+	const fast = 8 * time.Millisecond
+	silent := func(which ...string) func(string, int) (time.Duration, query.Reply) {
+		return func(target string, _ int) (time.Duration, query.Reply) {
+			for _, prefix := range which {
+				if strings.HasPrefix(target, prefix) {
+					return time.Hour, query.Reply{}
+				}
+			}
+			return fast, part(target)
+		}
+	}
+	for name, c := range map[string]struct {
+		behave   func(string, int) (time.Duration, query.Reply)
+		kind     gateway.Kind
+		missing  int
+		within   time.Duration
+		attempts int // at most
+	}{
+		"calm":                       {silent(), gateway.Merged, 0, 10 * time.Millisecond, shards},
+		"one replica silent":         {silent("s3-near"), gateway.Merged, 0, 60 * time.Millisecond, shards + 1},
+		"all replicas of one silent": {silent("s3-"), gateway.Merged, 1, 131 * time.Millisecond, shards + 1},
+		"two shards silent":          {silent("s3-", "s4-"), gateway.TimedOut, 0, time.Second, shards + 2},
+		"all crash on the request":   {func(string, int) (time.Duration, query.Reply) { return fast, outcome(query.OutcomeCrashed) }, gateway.Failed, 0, 10 * time.Millisecond, shards},
+		// The query ends when two shards are lost. Attempts at the others are cancelled and may have run.
+		"all refuse": {func(string, int) (time.Duration, query.Reply) { return fast, outcome(query.OutcomeShed) }, gateway.Failed, 0, 100 * time.Millisecond, 2 * shards},
+		"one ends its connection": {func(target string, _ int) (time.Duration, query.Reply) {
+			if target == "s3-near" {
+				return fast, outcome(query.OutcomeCrashed)
+			}
+			return fast, part(target)
+		}, gateway.Merged, 0, 60 * time.Millisecond, shards + 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{behave: c.behave}
+				s := service(t, f)
+				start := time.Now()
+				got := ask(t.Context(), s, "/all/x")
+				require.Equal(t, c.kind, got.Kind, got.Reason)
+				require.LessOrEqual(t, time.Since(start), c.within)
+				require.LessOrEqual(t, f.attempts(), c.attempts)
+				if c.kind == gateway.Merged {
+					require.Equal(t, c.missing, got.Missing)
+					require.Len(t, got.Signatures, shards-c.missing)
+					require.Equal(t, strings.Repeat("9", 16)+strings.Repeat("8", 16), string(got.Records))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that runs twice, against "not run" where it may have run, and against a failure
+// that is hidden although no other target answered.
+func TestSingle(t *testing.T) {
+	failure := query.Reply{Outcome: query.OutcomeFailed, Part: &query.Part{Status: 500, Signature: "f"}}
+	for name, c := range map[string]struct {
+		path     string
+		first    query.Reply // of the target that is asked first
+		second   query.Reply
+		kind     gateway.Kind
+		status   int
+		attempts int
+	}{
+		"answered":                          {"/one/x", part("xa"), part("xb"), gateway.Answered, 200, 1},
+		"failed, then answered":             {"/one/x", failure, part("xb"), gateway.Answered, 200, 2},
+		"failed twice":                      {"/one/x", failure, failure, gateway.Answered, 500, 2},
+		"unknown, then answered":            {"/one/x", outcome(query.OutcomeUnknown), part("xb"), gateway.Answered, 200, 2},
+		"ended, then answered":              {"/one/x", outcome(query.OutcomeCrashed), part("xb"), gateway.Answered, 200, 2},
+		"refused twice":                     {"/one/x", outcome(query.OutcomeShed), outcome(query.OutcomeShed), gateway.Refused, 0, 2},
+		"once, answered":                    {"/once/x", part("xa"), part("xb"), gateway.Answered, 200, 1},
+		"once, failed":                      {"/once/x", failure, part("xb"), gateway.Answered, 500, 1},
+		"once, may have run":                {"/once/x", outcome(query.OutcomeUnknown), part("xb"), gateway.Failed, 0, 1},
+		"once, connection ended":            {"/once/x", outcome(query.OutcomeCrashed), part("xb"), gateway.Failed, 0, 1},
+		"once, refused, then answered":      {"/once/x", outcome(query.OutcomeShed), part("xb"), gateway.Answered, 200, 2},
+		"once, not sent, then answered":     {"/once/x", outcome(query.OutcomeNotRun), part("xb"), gateway.Answered, 200, 2},
+		"once, refused, then may have":      {"/once/x", outcome(query.OutcomeShed), outcome(query.OutcomeUnknown), gateway.Failed, 0, 2},
+		"once, another one has the address": {"/once/x", outcome(query.OutcomeWrongShard), part("xb"), gateway.Answered, 200, 2},
+		"no target":                         {"/lost/x", part("xa"), part("xb"), gateway.Refused, 0, 0},
+		"no route":                          {"/none/x", part("xa"), part("xb"), gateway.NoRoute, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first := true
+				f := &fleet{behave: func(string, int) (time.Duration, query.Reply) {
+					r := c.second
+					if first {
+						r = c.first
+					}
+					first = false
+					return 5 * time.Millisecond, r
+				}}
+				s := service(t, f)
+				got := ask(t.Context(), s, c.path)
+				require.Equal(t, c.kind, got.Kind, got.Reason)
+				require.Equal(t, c.attempts, f.attempts())
+				if c.kind == gateway.Answered {
+					require.Equal(t, c.status, got.Part.Status)
+				}
+				if c.kind == gateway.Refused {
+					require.Positive(t, got.RetryAfter)
+				}
+			})
+		})
+	}
+}
+
+// Guards against attempts that go on after the caller has left.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{behave: func(string, int) (time.Duration, query.Reply) { return time.Hour, query.Reply{} }}
+		s := service(t, f)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		ask(ctx, s, "/all/x")
+		synctest.Wait()
+		require.Equal(t, f.attempts(), f.cancelled)
+	})
+}
+
+// Guards against an instance that says that a route does not exist before it knows any.
+func TestNotReady(t *testing.T) {
+	bus := kernel.NewBus()
+	s := gateway.New(gateway.Config{
+		Extra: hedge.Terms{Span: time.Second}, Sender: &fleet{}, Log: slog.New(slog.DiscardHandler),
+		Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Bus: bus, Members: one{},
+	})
+	require.False(t, s.Ready())
+	require.Equal(t, gateway.Refused, ask(t.Context(), s, "/all/x").Kind)
+	require.NoError(t, bus.Close())
+}
--- a/instance/gateway/share.go
+++ b/instance/gateway/share.go
@@ -30,7 +30,7 @@
 // in all. Instances near the target get what those far away leave, since they send most of the attempts.
 func (s share) connections(most int, near bool) int {
 	usable := connectionShare * float64(most)
-	n := int(usable / float64(s.instances))
+	n := max(int(usable/float64(s.instances)), 1)
 	if near {
 		n = int((usable - float64(n*(s.instances-s.neighbours))) / float64(s.neighbours))
 	}
--- /dev/null
+++ b/instance/gateway/share_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/control/membership"
+)
+
+// Guards against a fleet that opens more connections to a target than it accepts, and against targets
+// whose connections the instances near them cannot use.
+func TestConnectionsStayBelowTheLimit(t *testing.T) {
+	for _, c := range []struct {
+		most    int
+		domains []int // instances by failure domain; the target is in the first one
+		near    int   // at least
+	}{
+		{25, []int{3, 1, 2}, 3}, {25, []int{1, 3, 2}, 7}, {26, []int{3, 3, 2}, 3}, {26, []int{4, 4, 3}, 2},
+		{62, []int{11, 10, 9, 10, 10, 10}, 1}, {96, []int{3, 1, 2}, 8}, {51, []int{3, 3, 2}, 5},
+	} {
+		sum := 0
+		for d, n := range c.domains {
+			var list []membership.Member
+			for domain, count := range c.domains {
+				for range count {
+					list = append(list, membership.Member{FailureDomain: string(rune('a' + domain)), State: membership.Live})
+				}
+			}
+			s := shareOf(list, string(rune('a'+d)))
+			share := s.connections(c.most, d == 0)
+			sum += n * share
+			if d == 0 {
+				require.GreaterOrEqual(t, share, c.near, "%v", c)
+			}
+		}
+		require.LessOrEqual(t, sum, c.most, "%v", c)
+	}
+}
+
+// Guards against instances that count as gone while they may still send.
+func TestShareCountsAllButTheDead(t *testing.T) {
+	var list []membership.Member
+	for range 3 {
+		for _, state := range []membership.State{membership.Starting, membership.Live, membership.Suspect, membership.Leaving, membership.Dead} {
+			list = append(list, membership.Member{FailureDomain: "a", State: state})
+		}
+	}
+	require.Equal(t, share{instances: 12, neighbours: 12}, shareOf(list, "a"))
+	require.Equal(t, share{instances: 6, neighbours: 1}, shareOf(nil, "a"))
+}
--- a/query/scatter/machine_test.go
+++ b/query/scatter/machine_test.go
@@ -195,3 +195,110 @@
 	h.reply(20*time.Millisecond, 1, query.OutcomeAnswered)
 	require.Empty(t, h.Abandon(start.Add(deadline)))
 }
+
+// newWide returns a machine over five shards whose policy always grants an attempt.
+func newWide(change func(*scatter.Config)) *harness {
+	h := &harness{policy: &script{verdict: replica.NoReplica}}
+	for range 20 {
+		h.policy.next = append(h.policy.next, query.TargetID("t"+string(rune('a'+len(h.policy.next)))))
+	}
+	h.request = query.Request{ID: 7, Deadline: start.Add(deadline), PreferCoverage: true}
+	cfg := scatter.Config{
+		Request: h.request, Map: query.Map{Version: 3, Shards: []query.Shard{1, 2, 3, 4, 5}}, Policy: h.policy,
+		NextAttempt: func() query.AttemptID { h.last++; return h.last },
+	}
+	change(&cfg)
+	h.Machine = scatter.New(cfg)
+	h.take(h.Start(start))
+	return h
+}
+
+// end reports what became of the n-th attempt.
+func (h *harness) end(after time.Duration, n int, o query.Outcome) {
+	s := h.sends[n]
+	h.take(h.OnReply(start.Add(after), s.Attempt, query.Reply{Attempt: s.Attempt, Request: 7, Shard: s.Shard, Snapshot: 3, Outcome: o}))
+}
+
+func (h *harness) finishes() int {
+	n := 0
+	for _, k := range h.kinds {
+		if k == scatter.Finish {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a query that waits for its last shard until it is late although enough shards are in,
+// that answers with fewer, or that waits although too many are lost.
+func TestEnoughShards(t *testing.T) {
+	const answerBy = 60 * time.Millisecond
+	enough := func(cfg *scatter.Config) {
+		cfg.Enough, cfg.AnswerBy, cfg.MaxAttempts = 4, start.Add(answerBy), 1
+	}
+	t.Run("at its time", func(t *testing.T) {
+		h := newWide(enough)
+		for n := range 4 {
+			h.end(time.Millisecond, n, query.OutcomeAnswered)
+		}
+		require.Zero(t, h.finishes())
+		for !h.NextWake().After(start.Add(answerBy)) && h.finishes() == 0 {
+			h.take(h.OnWake(h.NextWake()))
+		}
+		require.Equal(t, 1, h.finishes())
+		require.Equal(t, 4, h.Covered())
+	})
+	t.Run("with the part that makes it enough", func(t *testing.T) {
+		h := newWide(enough)
+		for n := range 3 {
+			h.end(time.Millisecond, n, query.OutcomeAnswered)
+		}
+		h.take(h.OnWake(start.Add(answerBy)))
+		require.Zero(t, h.finishes())
+		require.True(t, h.NextWake().After(start.Add(answerBy)), "does not wake for the same time again")
+		h.end(answerBy+time.Millisecond, 3, query.OutcomeAnswered)
+		require.Equal(t, 1, h.finishes())
+	})
+	t.Run("out of reach", func(t *testing.T) {
+		h := newWide(enough)
+		h.end(time.Millisecond, 0, query.OutcomeUnknown)
+		require.Zero(t, h.finishes())
+		h.end(2*time.Millisecond, 1, query.OutcomeUnknown)
+		require.Equal(t, 1, h.finishes())
+	})
+}
+
+// Guards against more attempts at a shard than its route allows; one that was not sent does not count.
+func TestMaxAttempts(t *testing.T) {
+	h := newWide(func(cfg *scatter.Config) { cfg.MaxAttempts = 2 })
+	h.end(time.Millisecond, 0, query.OutcomeNotRun)
+	h.end(2*time.Millisecond, 5, query.OutcomeShed)
+	h.end(3*time.Millisecond, 6, query.OutcomeUnknown)
+	require.Len(t, h.sends, 7)
+}
+
+// Guards against a request that runs twice: it is neither hedged nor sent again once it may have run.
+func TestOnce(t *testing.T) {
+	h := newWide(func(cfg *scatter.Config) { cfg.Once = true })
+	h.take(h.OnWake(start.Add(2 * hedgeAfter)))
+	require.Len(t, h.sends, 5, "no hedge")
+	h.end(25*time.Millisecond, 0, query.OutcomeShed)
+	require.Len(t, h.sends, 6, "certainly not run")
+	for n, o := range []query.Outcome{query.OutcomeUnknown, query.OutcomeFailed, query.OutcomeAborted, query.OutcomeUnknown} {
+		h.end(30*time.Millisecond, n+1, o)
+	}
+	require.Len(t, h.sends, 6)
+}
+
+// Guards against waiting shards that look for a place every millisecond, which took an instance all of
+// its processor time while the targets of its routes were gone.
+func TestWaitForAPlaceBacksOff(t *testing.T) {
+	h := newHarness(true, replica.Limited)
+	looks := 0
+	for h.NextWake().Before(start.Add(deadline)) {
+		looks++
+		h.take(h.OnWake(h.NextWake()))
+	}
+	require.LessOrEqual(t, looks, 8)
+	require.GreaterOrEqual(t, looks, 5)
+}
