Leave room at targets for the recovery from a loss of power

Change: connections ahead of second attempts only where every service accepts two for each instance; a target that closes a new connection without an answer is paused, and does not count as crashed by the request.

Conclusion: first attempts keep their connections ahead everywhere.

--- a/adapter/http1/request.go
+++ b/adapter/http1/request.go
@@ -40,9 +40,11 @@
 	Sent
 	// Closed means the same; besides, the target ended the connection before it answered.
 	Closed
+	// Refused means the same, and that the connection was a new one.
+	Refused
 )
 
-var stageNames = [...]string{"not_sent", "sent", "closed"}
+var stageNames = [...]string{"not_sent", "sent", "closed", "refused"}
 
 // String returns the name used in logs.
 func (s Stage) String() string { return stageNames[s] }
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,6 +76,7 @@
 	listed   bool // a list of targets was read
 	routes   map[string]*lockedPolicy
 	share    share
+	ample    bool // targets of all services have room for connections ahead of second attempts
 	cancel   context.CancelFunc
 }
 
@@ -195,6 +197,9 @@
 
 // place hands the usable targets to the fleet. It must be called with mu held.
 func (s *Service) place() {
+	s.ample = s.table != nil && !slices.ContainsFunc(s.table.Services, func(v routing.Service) bool {
+		return !s.share.ample(v.Connections)
+	})
 	now := time.Now()
 	entries := s.roster.Entries(now)
 	limits := make(map[string]int, len(entries))
--- a/instance/gateway/share.go
+++ b/instance/gateway/share.go
@@ -26,6 +26,9 @@
 	return share{instances: max(s.instances, fewestInstances), neighbours: max(s.neighbours, 1)}
 }
 
+// ample reports whether a target that accepts most connections has room for two of each instance.
+func (s share) ample(most int) bool { return connectionShare*float64(most) >= 2*float64(s.instances) }
+
 // connections returns the number of connections that this instance opens to a target which accepts most
 // in all. Instances near the target get what those far away leave, since they send most of the attempts.
 func (s share) connections(most int, near bool) int {
--- a/instance/gateway/warm.go
+++ b/instance/gateway/warm.go
@@ -49,10 +49,13 @@
 	return true
 }
 
+// likelyAddresses leaves out second attempts where targets accept too few connections: after a loss of
+// power they count those of the earlier lives until their idle time of 10 s has passed, and need the
+// rest for first attempts.
 func (s *Service) likelyAddresses() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ids := s.fleet.Likely(time.Now())
+	ids := s.fleet.Likely(time.Now(), s.ample)
 	addresses := make([]string, 0, len(ids))
 	for _, id := range ids {
 		addresses = append(addresses, s.targets[query.TargetID(id)].Address)
--- a/query/balance/fleet.go
+++ b/query/balance/fleet.go
@@ -132,9 +132,9 @@
 }
 
 // Likely returns the targets that the next attempts at each shard are likely to go to: the one that a
-// first attempt would take and the one that a second attempt would, all first ones before the second
-// ones. A second attempt that has to open a connection first comes two round trips later.
-func (f *Fleet) Likely(now time.Time) []query.TargetID {
+// first attempt would take and, with seconds, the one that a second attempt would, all first ones before
+// the second ones. A second attempt that has to open a connection first comes two round trips later.
+func (f *Fleet) Likely(now time.Time, withSeconds bool) []query.TargetID {
 	firsts := make([]query.TargetID, 0, 2*len(f.byShard))
 	seconds := make([]query.TargetID, 0, len(f.byShard))
 	for _, list := range f.byShard {
@@ -143,7 +143,7 @@
 		if len(ranked) > 0 {
 			firsts = append(firsts, ranked[0].id)
 		}
-		if len(ranked) > 1 {
+		if withSeconds && len(ranked) > 1 {
 			seconds = append(seconds, ranked[1].id)
 		}
 	}
@@ -240,7 +240,7 @@
 	case e.Outcome == query.OutcomeAnswered:
 		s.answered(now, e.Elapsed)
 		p.times.median[s.distance].Record(now, e.Elapsed)
-	case e.Outcome.CertainlyNotRun():
+	case e.Outcome.CertainlyNotRun(), e.Outcome == query.OutcomeRefused:
 		s.refuse(now)
 	default:
 		s.learn(now, max(e.Elapsed, failurePenalty))
--- a/query/query.go
+++ b/query/query.go
@@ -120,12 +120,15 @@
 	OutcomeAborted
 	// OutcomeCrashed means that the target ended all its streams while the request ran on it.
 	OutcomeCrashed
+	// OutcomeRefused means that the target closed a new connection without an answer, as one does that has
+	// as many as it accepts. Nothing proves that the request did not run.
+	OutcomeRefused
 	// OutcomeFailed means that the target ran the request and answered that it failed.
 	OutcomeFailed
 )
 
 var outcomeNames = [...]string{
-	"unknown", "answered", "not_run", "shed", "draining", "snapshot_gone", "wrong_shard", "aborted", "crashed", "failed",
+	"unknown", "answered", "not_run", "shed", "draining", "snapshot_gone", "wrong_shard", "aborted", "crashed", "refused", "failed",
 }
 
 // String returns the name used in counters and logs.
