Log the attempts of requests that fail and explain one from its id

Cause: the line of a failed request named the slowest shard only, so that its cause could not be told from the logs.

Changes of members are logged. hyssopctl explain prints the line of a request, what its instance believed, and what happened to the targets.

Ruled out: a line for each attempt (1,800 a second at today's load).

--- a/cmd/hyssopctl/main.go
+++ b/cmd/hyssopctl/main.go
@@ -20,6 +20,7 @@
 	Demo     demoCmd     `cmd:"" help:"Run the whole path in one process: stand-ins, two instances and one query."`
 	Standins standinsCmd `cmd:"" help:"Run the stand-ins for the platform and the targets."`
 	Check    checkCmd    `cmd:"" help:"Check a settings file without starting an instance."`
+	Explain  explainCmd  `cmd:"" help:"Print what the logs of instances say of one request."`
 	Load     loadCmd     `cmd:"" help:"Drive running instances with a workload."`
 
 	SettingsReference settingsReferenceCmd `cmd:"" help:"Print the page docs/settings.md from the schema."`
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -1,10 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"log/slog"
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"hyssopcroft.example/query"
@@ -46,44 +42,3 @@
 }
 
 func (m *Metrics) attempt(o query.Outcome) { m.attempts[o].Inc() }
-
-// observe counts a request and logs it unless it was answered whole and in time.
-func (s *Service) observe(ctx context.Context, r *Request, q *run, resp Response, took time.Duration) {
-	kind := resp.Kind.String()
-	gone := ctx.Err() != nil
-	if gone {
-		kind = "caller_gone"
-	}
-	m := s.cfg.Metrics
-	m.requests.WithLabelValues(kind).Inc()
-	m.latency.WithLabelValues(kind).Observe(took.Seconds())
-	m.missing.Add(float64(resp.Missing))
-	if gone || q != nil && resp.Kind <= Merged && resp.Missing == 0 && took <= q.terms.route.Objective {
-		return
-	}
-	attrs := []slog.Attr{
-		slog.String("request", r.ID), slog.String("outcome", kind), slog.Duration("took", took),
-		slog.Duration("time_left", r.TimeLeft),
-	}
-	if resp.Reason != "" {
-		attrs = append(attrs, slog.String("reason", resp.Reason))
-	}
-	if q != nil {
-		slowest := q.machine.Slowest()
-		attrs = append(attrs,
-			slog.String("route", q.terms.route.Name), slog.Uint64("config_version", uint64(q.terms.table.Version)),
-			slog.Int("shards", len(q.terms.shards)), slog.Int("covered", q.machine.Covered()),
-			slog.String("slowest_service", q.terms.serviceOf(slowest.Shard)), slog.String("target", string(slowest.Target)),
-			slog.Int("attempts", slowest.Attempts), slog.String("cause", string(slowest.Cause)))
-	}
-	s.cfg.Log.LogAttrs(ctx, slog.LevelWarn, "request not answered whole and in time", attrs...)
-}
-
-func (t terms) serviceOf(shard query.Shard) string {
-	for i, s := range t.shards {
-		if s == shard {
-			return t.services[i]
-		}
-	}
-	return ""
-}
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -38,6 +38,7 @@
 	records  *merge.Records // collects the parts of a gathered answer, else nil
 	replies  chan sentReply
 	cancels  map[query.AttemptID]context.CancelFunc
+	history  []attemptRecord // in the order of sending
 }
 
 type sentReply struct {
@@ -46,6 +47,25 @@
 	reply   query.Reply
 }
 
+// attemptRecord is what the log says of an attempt.
+type attemptRecord struct {
+	id     query.AttemptID
+	shard  query.Shard
+	target query.TargetID
+	sent   time.Duration // since the start of the request
+	took   time.Duration
+	ended  string // outcome, "" while in flight
+}
+
+// ended notes what became of an attempt.
+func (q *run) ended(id query.AttemptID, outcome string) {
+	for i := range q.history {
+		if r := &q.history[i]; r.id == id && r.ended == "" {
+			r.took, r.ended = time.Since(q.start)-r.sent, outcome
+		}
+	}
+}
+
 // Do runs a request.
 func (s *Service) Do(ctx context.Context, r *Request) Response {
 	start := time.Now()
@@ -134,6 +154,7 @@
 
 func (q *run) onReply(r sentReply) []scatter.Action {
 	q.service.cfg.Metrics.attempt(r.reply.Outcome)
+	q.ended(r.attempt, r.reply.Outcome.String())
 	if r.reply.Outcome == query.OutcomeWrongShard {
 		q.service.misplaced(r.target)
 	}
@@ -158,6 +179,7 @@
 			q.send(ctx, a)
 		case scatter.Cancel:
 			q.cancels[a.Attempt]()
+			q.ended(a.Attempt, "cancelled")
 		case scatter.Finish:
 			finished = true
 		}
@@ -168,6 +190,7 @@
 func (q *run) send(ctx context.Context, a scatter.Action) {
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	q.cancels[a.Attempt] = cancel
+	q.history = append(q.history, attemptRecord{id: a.Attempt, shard: a.Shard, target: a.Target, sent: time.Since(q.start)})
 	shard, version := a.Shard, q.terms.table.Version
 	entry, known := q.service.target(a.Target)
 	go func() {
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -183,6 +183,7 @@
 	s.mu.Unlock()
 	for _, m := range changed {
 		s.ring.Add("member_changed", m.ID, m.State.String())
+		s.log.Info("member changed", "member", m.ID, "state", m.State.String(), "incarnation", m.Incarnation)
 		if err := s.bus.Publish(Changed{ID: m.ID, State: m.State.String()}); err != nil {
 			s.log.Error("event not published", "topic", "member_changed", "error", err)
 		}
