Show how to get from the id of a failed request to its cause

Cause: the on-call engineers have only logs and metrics.

Refusals log the numbers that decided them. The back-off is a field of scatter.Config that the gateway sets; searches wait as before.

--- a/cmd/hyssopctl/explain.go
+++ b/cmd/hyssopctl/explain.go
@@ -17,10 +17,11 @@
 )
 
 const (
-	// explainBefore and explainAfter bound the lines about targets and members around a request: a target
-	// serves on for some seconds after it has left the list.
+	// explainBefore and explainAfter bound the lines about targets around a request: a target serves on for
+	// some seconds after it has left the list, and one that is lost leaves it after three silent
+	// heartbeats of 1.2 s.
 	explainBefore = 15 * time.Second
-	explainAfter  = 2 * time.Second
+	explainAfter  = 6 * time.Second
 	// maxLogLine bounds a line of a log.
 	maxLogLine = 1 << 20
 )
--- /dev/null
+++ b/cmd/hyssopctl/explain_test.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against commands of docs/OPERATIONS.md that do not work as pasted, and against logs from which
+// the causes that the page names cannot be told.
+func TestOperationsPageExplains(t *testing.T) {
+	page := read(t, "docs/OPERATIONS.md")
+	commands := regexp.MustCompile(`(?m)^    hyssopctl explain ([0-9a-f]{16}) (cmd/hyssopctl/testdata/\S+)$`).FindAllStringSubmatch(page, -1)
+	require.Len(t, commands, 3)
+	// What an engineer reads first for each of the three, in the order of the page.
+	wanted := [][]string{
+		{"request answered short", "cancelled after 111.1 ms", `"covered":9`, "routes in force"},
+		{"request refused", "lets in fewer", `"in_flight":7`, `"retry_after_ms"`},
+		{"request failed", "crashed after 373.7 ms", "another target has this address"},
+	}
+	for i, c := range commands {
+		f, err := os.Open(filepath.Join("..", "..", filepath.FromSlash(c[2])))
+		require.NoError(t, err)
+		lines, err := readLog(f, nil)
+		require.NoError(t, err)
+		require.NoError(t, f.Close())
+		s := explain(c[1], lines)
+		all := strings.Join(append(append(append(s.Ends, s.Attempts...), s.Believed...), s.Targets...), "\n")
+		for _, text := range wanted[i] {
+			require.Contains(t, all, text, c[0])
+		}
+	}
+}
+
+// Guards against a line that hides those behind it, and against a story that takes another instance's
+// beliefs for those of the request's.
+func TestExplainTakesTheInstancesOwnBeliefs(t *testing.T) {
+	lines, err := readLog(strings.NewReader(strings.Join([]string{
+		`{"time":"2026-01-01T00:00:00Z","msg":"routes in force","instance":"a","version":1}`,
+		`{"time":"2026-01-01T00:00:09Z","msg":"routes in force","instance":"b","version":2}`,
+		`not JSON {"msg":`, `  12.5 a {"time":"2026-01-01T00:00:10Z","msg":"request failed","instance":"a","request":"r","attempts":[{"service":"s","target":"t"}]}`,
+		`{"time":"2026-01-01T00:00:11Z","msg":"target left the list","instance":"b","target":"t"}`,
+		`{"time":"2026-01-01T00:01:11Z","msg":"target left the list","instance":"b","target":"t"}`,
+		`{"time":"2026-01-01T00:00:11Z","msg":"target left the list","instance":"b","target":"u"}`,
+	}, "\n")), nil)
+	require.NoError(t, err)
+	s := explain("r", lines)
+	require.Len(t, s.Ends, 1)
+	require.Len(t, s.Believed, 1)
+	require.Contains(t, s.Believed[0], `"version":1`)
+	require.Contains(t, s.Believed[0], "10.000 s old")
+	require.Len(t, s.Targets, 1)
+	require.Empty(t, explain("unknown", lines).Ends)
+}
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -66,6 +67,7 @@
 	RetryAfter time.Duration
 	// Reason says why a request was not answered.
 	Reason string
+	inputs []slog.Attr // of the decision, for the log
 }
 
 // Attempt is one request to one target.
--- a/instance/gateway/observe.go
+++ b/instance/gateway/observe.go
@@ -41,6 +41,10 @@
 	if resp.Reason != "" {
 		attrs = append(attrs, slog.String("reason", resp.Reason))
 	}
+	if resp.RetryAfter > 0 {
+		attrs = append(attrs, slog.Float64("retry_after_ms", millis(resp.RetryAfter)))
+	}
+	attrs = append(attrs, resp.inputs...)
 	if q != nil {
 		attrs = append(attrs,
 			slog.String("route", q.terms.route.Name), slog.Uint64("routes_version", uint64(q.terms.table.Version)),
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -21,6 +21,8 @@
 	deadlineReserve = 10 * time.Millisecond
 	// longestWait is the time for a request whose caller and route state none.
 	longestWait = 30 * time.Second
+	// longestPlaceWait bounds the time between two looks for a free connection: a few service times.
+	longestPlaceWait = 32 * time.Millisecond
 	// crashLimit is the number of targets that have to crash on a query before it ends. Targets that
 	// lose some of their answers end connections as well.
 	crashLimit = 3
@@ -108,7 +110,7 @@
 			ID: q.id, Plan: t.route.Name, Index: t.route.Name, Deadline: q.deadline, PreferCoverage: true,
 		},
 		Map:    query.Map{Version: t.table.Version, Shards: t.shards},
-		Policy: t.policy, NextAttempt: s.nextAttempt, Distinct: true,
+		Policy: t.policy, NextAttempt: s.nextAttempt, Distinct: true, LongestWait: longestPlaceWait,
 		MaxAttempts: max(1, t.route.MaxAttempts), Once: !t.route.Repeatable, Crashes: crashLimit,
 	}
 	if t.route.Gather {
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -282,11 +282,18 @@
 		}
 	}
 	if served < t.least() {
-		return terms{}, &Response{Kind: Refused, Reason: reasonNoTarget, RetryAfter: noTargetRetryAfter}
+		return terms{}, &Response{Kind: Refused, Reason: reasonNoTarget, RetryAfter: noTargetRetryAfter, inputs: []slog.Attr{
+			slog.String("route", route.Name), slog.Uint64("routes_version", uint64(s.table.Version)),
+			slog.Int("shards", len(t.shards)), slog.Int("least", t.least()), slog.Int("served", served),
+		}}
 	}
 	t.gate = s.gate(t.shards[0])
 	if !t.gate.Admit(route.Rank) {
-		return terms{}, &Response{Kind: Refused, Reason: reasonOverload, RetryAfter: t.gate.RetryAfter(rand.Float64())}
+		inFlight, limit := t.gate.State()
+		return terms{}, &Response{Kind: Refused, Reason: reasonOverload, RetryAfter: t.gate.RetryAfter(rand.Float64()), inputs: []slog.Attr{
+			slog.String("route", route.Name), slog.Uint64("routes_version", uint64(s.table.Version)),
+			slog.Int("rank", route.Rank), slog.Int("in_flight", inFlight), slog.Float64("limit", limit),
+		}}
 	}
 	return t, nil
 }
--- a/query/admission/gate.go
+++ b/query/admission/gate.go
@@ -97,6 +97,9 @@
 	g.limit = max(min(g.limit, float64(g.inFlight+1))*factor, leastGate)
 }
 
+// State returns the number of requests in flight and the number allowed.
+func (g *Gate) State() (inFlight int, limit float64) { return g.inFlight, g.limit }
+
 // RetryAfter returns when a refused request may find room. random is from 0 to 1.
 func (g *Gate) RetryAfter(random float64) time.Duration {
 	return max(time.Duration((1+random*(spread-1))*float64(g.mean)), shortestReturn)
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -58,6 +58,10 @@
 	// Once is set if the query may run at most once: it is not hedged, and not sent again unless it
 	// certainly did not run.
 	Once bool
+	// LongestWait bounds the time after which a shard looks again for a replica below its limit. The time
+	// doubles from 1 ms on; at 0 it does not grow. While all replicas are slow, hundreds of shards that
+	// look every millisecond take all the processor time of a small instance.
+	LongestWait time.Duration
 	// Distinct is set if no target gets a second attempt while the first one is in flight.
 	Distinct bool
 	// Enough is the number of shards that a useful answer needs. From AnswerBy on, the query finishes as
--- a/query/scatter/machine_test.go
+++ b/query/scatter/machine_test.go
@@ -293,7 +293,11 @@
 // Guards against waiting shards that look for a place every millisecond, which took an instance all of
 // its processor time while the targets of its routes were gone.
 func TestWaitForAPlaceBacksOff(t *testing.T) {
-	h := newHarness(true, replica.Limited)
+	h := newWide(func(cfg *scatter.Config) {
+		cfg.LongestWait = 32 * time.Millisecond
+		cfg.Map.Shards = []query.Shard{1}
+		cfg.Policy = &script{verdict: replica.Limited}
+	})
 	looks := 0
 	for h.NextWake().Before(start.Add(deadline)) {
 		looks++
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -9,11 +9,8 @@
 
 const (
 	// limitedWait is the time after which a shard whose replicas were all at their limits is tried
-	// again. It is below the mean service time, so that a freed place is soon used. It doubles up to
-	// longestLimitedWait, a few service times: while all replicas are slow, hundreds of waiting shards
-	// that look for a place every millisecond would take all the processor time of an instance.
-	limitedWait        = time.Millisecond
-	longestLimitedWait = 32 * time.Millisecond
+	// again. It is below the mean service time, so that a freed place is soon used.
+	limitedWait = time.Millisecond
 	// tokenWait is the time after which a plan that prefers coverage asks for a token again.
 	tokenWait = 5 * time.Millisecond
 	// firstRound and longestRound bound the pause before all replicas of a shard are tried again. It
@@ -147,7 +144,7 @@
 	switch m.send(now, i, replica.First, false) {
 	case replica.Limited:
 		sh.cause = query.CauseShed
-		m.arm(now.Add(sh.nextLimitedWait()), i)
+		m.arm(now.Add(m.nextLimitedWait(sh)), i)
 	case replica.NoReplica:
 		sh.cause = query.CauseNoReplica
 		m.nextRound(now, i)
@@ -163,7 +160,7 @@
 	sh.free = free
 	switch m.send(now, i, replica.Retry, free) {
 	case replica.Limited:
-		m.arm(now.Add(sh.nextLimitedWait()), i)
+		m.arm(now.Add(m.nextLimitedWait(sh)), i)
 	case replica.NoToken:
 		if m.cfg.Request.PreferCoverage {
 			m.arm(now.Add(tokenWait), i)
@@ -177,8 +174,9 @@
 	}
 }
 
-func (sh *shardState) nextLimitedWait() time.Duration {
-	sh.limited = min(max(2*sh.limited, limitedWait), longestLimitedWait)
+// nextLimitedWait doubles up to Config.LongestWait.
+func (m *Machine) nextLimitedWait(sh *shardState) time.Duration {
+	sh.limited = max(min(2*sh.limited, m.cfg.LongestWait), limitedWait)
 	return sh.limited
 }
 
