--- a/cmd/hyssopctl/check.go
+++ b/cmd/hyssopctl/check.go
@@ -7,11 +7,13 @@
 
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/instance/app"
+	"hyssopcroft.example/instance/edge"
 	"hyssopcroft.example/kernel/settings"
 )
 
 type checkCmd struct {
-	File string `arg:"" type:"path" help:"Settings file of an instance."`
+	File    string `arg:"" type:"path" help:"Settings file of an instance."`
+	Gateway bool   `help:"The file is for hyssopcroft gateway."`
 }
 
 // Help implements kong.HelpProvider.
@@ -23,12 +25,17 @@
 
     hyssopctl check examples/entry-1.json
 
-    hyssopctl --json check examples/entry-1.json`
+    hyssopctl --json check examples/entry-1.json
+
+    hyssopctl check --gateway examples/gateway-1.json`
 }
 
 // Run prints all faults of a settings file.
 func (k checkCmd) Run(c *cli) error {
 	_, err := app.LoadSettings(k.File)
+	if k.Gateway {
+		_, err = edge.LoadSettings(k.File)
+	}
 	var faults *settings.FaultsError
 	switch {
 	case err == nil && c.JSON:
@@ -44,18 +51,26 @@
 	return &problem.Problem{Code: problem.Invalid, Message: err.Error()}
 }
 
-type settingsReferenceCmd struct{}
+type settingsReferenceCmd struct {
+	Gateway bool `help:"Print the page of hyssopcroft gateway."`
+}
 
 // Help implements kong.HelpProvider.
 func (settingsReferenceCmd) Help() string {
 	return `Examples:
 
-    hyssopctl settings-reference > docs/settings.md`
+    hyssopctl settings-reference > docs/settings.md
+
+    hyssopctl settings-reference --gateway > docs/settings-gateway.md`
 }
 
 // Run prints the reference of the settings.
-func (settingsReferenceCmd) Run(c *cli) error {
-	page, err := settingsReference()
+func (r settingsReferenceCmd) Run(c *cli) error {
+	reference := settingsReference
+	if r.Gateway {
+		reference = gatewayReference
+	}
+	page, err := reference()
 	if err != nil {
 		return err
 	}
@@ -71,3 +86,11 @@
 		"`hyssopctl settings-reference` makes this page from `instance/app/settings.schema.json`. An instance reads\n"+
 			"one JSON file at its start; `hyssopctl check FILE` reports all faults of a file at once.", app.Schema)
 }
+
+func gatewayReference() (string, error) {
+	return settings.Reference("Settings of a gateway instance",
+		"`hyssopctl settings-reference --gateway` makes this page from `instance/edge/settings.schema.json`.\n"+
+			"`hyssopcroft gateway` reads one JSON file at its start, whose path is in `HYSSOPCROFT_CONFIG`; the platform\n"+
+			"renders it from `deploy/settings.json.tmpl`. `hyssopctl check --gateway FILE` reports all faults at once.\n"+
+			"SIGHUP checks the file again: settings of a process take effect at its next start, and the log says so.", edge.Schema)
+}
--- a/cmd/hyssopctl/pages_test.go
+++ b/cmd/hyssopctl/pages_test.go
@@ -97,6 +97,13 @@
 	require.Equal(t, want, read(t, "docs/settings.md"), "run: go run ./cmd/hyssopctl settings-reference > docs/settings.md")
 }
 
+// Guards against a page of the gateway's settings that lacks one or describes it as it was.
+func TestGatewaySettingsPageIsCurrent(t *testing.T) {
+	want, err := gatewayReference()
+	require.NoError(t, err)
+	require.Equal(t, want, read(t, "docs/settings-gateway.md"), "run: go run ./cmd/hyssopctl settings-reference --gateway > docs/settings-gateway.md")
+}
+
 // Guards against fields of the two lists that the operators' page lacks.
 func TestOperatingPageHasEveryField(t *testing.T) {
 	page := rowNames(read(t, "docs/operating.md"))
