Add a soak that harms gateways running as processes

Cause: the stand-ins so far speak the product's own interface; nothing harmed real gateways from outside.

Change: emulator/soak has stand-ins for the platform's store and its targets, a loopback proxy that delays, silences or resets connections, and callers that keep connections; hyssopctl soak stops, kills, pauses and reloads four gateways, harms paths, store and targets at random and checks answers, coverage, refusals, at most once, drain, cuts, versions of the routes and recovery.

Conclusion: the checks have to be shown to fail next.

--- a/cmd/hyssopctl/main.go
+++ b/cmd/hyssopctl/main.go
@@ -32,6 +32,7 @@
 	PathCost          pathCostCmd          `cmd:"" help:"Measure what a sub-request costs an instance, against a bare net/http scatter."`
 	Timeline          timelineCmd          `cmd:"" help:"Merge the events of instances and stand-ins into one timeline."`
 	Measure           measureCmd           `cmd:"" help:"Run a measure of the decisions, or list the measures."`
+	Soak              soakCmd              `cmd:"" help:"Harm gateways that run as processes and check what callers and targets see."`
 	Replay            replayCmd            `cmd:"" help:"Replay recorded traces against the present decisions."`
 }
 
--- /dev/null
+++ b/cmd/hyssopctl/soak.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hyssopcroft.example/emulator/soak"
+)
+
+type soakCmd struct {
+	Seed    uint64        `default:"1" help:"Seed of the faults."`
+	For     time.Duration `default:"20s" help:"Time during which faults are injected; calm times before and after come on top."`
+	Program string        `type:"path" help:"Path of hyssopcroft; beside this program if it is not given."`
+	Keep    string        `type:"existingdir" help:"Folder for the output of the instances after a failure."`
+}
+
+// Help implements kong.HelpProvider.
+func (soakCmd) Help() string {
+	return `Runs four gateways as processes of their own before stand-ins on the loopback, harms them at random and
+checks what callers and targets see. Exits with 1 and prints the violations if there are any.
+
+Examples:
+
+    hyssopctl soak --seed 7 --for 30s --program ./hyssopcroft`
+}
+
+// Run runs one soak.
+func (k soakCmd) Run(c *cli) error {
+	if k.Program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return errors.Wrap(err, "find hyssopcroft")
+		}
+		k.Program = filepath.Join(filepath.Dir(self), "hyssopcroft")
+	}
+	r, err := soak.Run(soak.Config{Seed: k.Seed, For: k.For, Program: k.Program, Keep: k.Keep})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		if err := printJSON(r); err != nil {
+			return err
+		}
+	} else {
+		fmt.Printf("seed %d: %d requests, %d served, faults %v, %d violations\n", k.Seed, r.Asked, r.Served, r.Faults, len(r.Violations))
+	}
+	if len(r.Violations) > 0 {
+		return errors.Errorf("the soak with seed %d found:\n%s", k.Seed, strings.Join(r.Violations, "\n"))
+	}
+	return nil
+}
--- /dev/null
+++ b/emulator/soak/soak.go
@@ -0,0 +1,394 @@
+// Package soak runs gateways as separate processes before stand-ins for the platform, harms them from
+// outside at random, and checks what callers and targets see: own answers only, true coverage, true "not
+// run", at most once, no request to a target that has left, no cut around a graceful stop, no version of
+// the routes that goes back, and recovery.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	instances   = 4
+	callerCount = 12
+	// settle is the calm time at the start and at the end; the last half of it is for the recovery check.
+	settle = 6 * time.Second
+	// longestPause bounds the time between two faults, longestFault that of one fault.
+	longestPause = 1200 * time.Millisecond
+	longestFault = 2500 * time.Millisecond
+	// movedServices is the number of services that the moved route goes to by turns.
+	movedServices = 4
+	// applyTime is the time after which calm instances have a version in force.
+	applyTime = 3 * time.Second
+	// leastServed is the share that has to be served after the last fault.
+	leastServed = 0.95
+)
+
+// Config describes a run.
+type Config struct {
+	Seed uint64
+	For  time.Duration
+	// Program is the path of hyssopcroft.
+	Program string
+	// Keep is the folder that the output of the instances is written to after a failure.
+	Keep string
+}
+
+// Result is what a run came to.
+type Result struct {
+	Asked, Served int64
+	Faults        map[string]int
+	Violations    []string
+}
+
+type soak struct {
+	random    *rand.Rand
+	store     *store
+	ledger    *ledger
+	instances []*instance
+	asked     atomic.Int64
+	served    atomic.Int64
+	faults    map[string]int
+
+	mu        sync.Mutex // guards the fields below
+	searchers map[string][]*searcher
+	lives     int
+	version   int // of the routes
+	inForce   int // of the routes that every calm instance has
+	storeAt   time.Time
+}
+
+// Run runs a soak.
+func Run(cfg Config) (Result, error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return Result{}, errors.Wrap(err, "make a folder")
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // A rest in the temporary folder harms nothing.
+	s := &soak{
+		random: rand.New(rand.NewPCG(cfg.Seed, 1)), store: newStore(), ledger: newLedger(), faults: map[string]int{},
+		searchers: map[string][]*searcher{},
+	}
+	if err := s.start(dir, cfg.Program); err != nil {
+		return Result{}, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for n := range callerCount {
+		c := &caller{soak: s, client: &http.Client{Transport: &http.Transport{}}, random: rand.New(rand.NewPCG(cfg.Seed, uint64(n)+2))}
+		callers.Go(func() { c.run(ctx) })
+	}
+	done := make(chan struct{})
+	for _, i := range s.instances {
+		go i.watchReady(done)
+	}
+	time.Sleep(settle)
+	s.harm(cfg.For)
+	time.Sleep(settle + calmBefore)
+	asked, served := s.asked.Load(), s.served.Load()
+	time.Sleep(settle / 2)
+	asked, served = s.asked.Load()-asked, s.served.Load()-served
+	cancel()
+	callers.Wait()
+	close(done)
+	for _, i := range s.instances {
+		i.end()
+	}
+	if float64(served) < leastServed*float64(asked) || asked == 0 {
+		s.ledger.fail("recovery: %d of %d requests served after the last fault", served, asked)
+	}
+	r := Result{Asked: s.asked.Load(), Served: s.served.Load(), Faults: s.faults, Violations: s.ledger.close()}
+	if len(r.Violations) > 0 && cfg.Keep != "" {
+		return r, s.keep(cfg.Keep)
+	}
+	return r, nil
+}
+
+// keep writes the output of the instances.
+func (s *soak) keep(dir string) error {
+	for _, i := range s.instances {
+		if err := os.WriteFile(filepath.Join(dir, i.name+".log"), i.log.buf.Bytes(), 0o600); err != nil {
+			return errors.Wrap(err, "keep the output of an instance")
+		}
+	}
+	return nil
+}
+
+func (s *soak) start(dir, program string) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen for the store")
+	}
+	go func() { _ = http.Serve(l, s.store) }() // Ends with the process of the soak.
+	for _, service := range services() {
+		for range 2 {
+			if _, err := s.addSearcher(service); err != nil {
+				return err
+			}
+		}
+	}
+	s.nextVersion()
+	ports, err := freePorts(4 * instances)
+	if err != nil {
+		return err
+	}
+	seeds := []string{fmt.Sprintf("127.0.0.1:%d", ports[2]), fmt.Sprintf("127.0.0.1:%d", ports[6])}
+	for n := range instances {
+		i, err := newInstance(n, dir, program, l.Addr().String(), seeds, ports[4*n:4*n+4])
+		if err != nil {
+			return err
+		}
+		s.instances = append(s.instances, i)
+		if err := i.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func shardNames() []string {
+	var names []string
+	for n := range shardCount {
+		names = append(names, fmt.Sprintf("shard%d", n))
+	}
+	return names
+}
+
+func services() []string {
+	names := append(shardNames(), "single")
+	for v := range movedServices {
+		names = append(names, movedService(v))
+	}
+	return names
+}
+
+// movedService returns the service of the moved route in a version.
+func movedService(version int) string { return fmt.Sprintf("moved%d", version%movedServices) }
+
+// addSearcher starts a searcher and registers it.
+func (s *soak) addSearcher(service string) (*searcher, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for a searcher")
+	}
+	p, err := newProxy(l.Addr().String())
+	if err != nil {
+		return nil, errors.Wrap(err, "proxy to a searcher")
+	}
+	s.mu.Lock()
+	s.lives++
+	sr := &searcher{id: fmt.Sprintf("%s-%d", service, s.lives), service: service, ledger: s.ledger, proxy: p}
+	s.searchers[service] = append(s.searchers[service], sr)
+	s.mu.Unlock()
+	go func() { _ = http.Serve(l, sr) }() // Ends with the process of the soak.
+	s.register(sr, "ready")
+	return sr, nil
+}
+
+func (s *soak) register(sr *searcher, state string) {
+	s.store.put("servers", sr.id, map[string]any{
+		"backend": sr.service, "address": sr.proxy.Addr().String(), "zone": "d0", "state": state, "slots": 4, "born": time.Now().UnixMilli(),
+	})
+}
+
+// nextVersion stores a version in which the moved route has its next service. Calm instances have it in
+// force after applyTime.
+func (s *soak) nextVersion() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	v := s.version
+	time.AfterFunc(applyTime, func() {
+		if s.calm() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.inForce = max(s.inForce, v)
+		}
+	})
+	route := func(name, path, kind string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": host, "path-prefix": path, "type": kind, "timeout-ms": 1200, "target-latency-ms": 200, "max-attempts": 2, "priority": 1,
+		}
+		for k, value := range more {
+			r[k] = value
+		}
+		return r
+	}
+	var list []map[string]any
+	for _, name := range services() {
+		list = append(list, map[string]any{"name": name, "max-connections": 50})
+	}
+	s.store.put("config", "main", map[string]any{
+		"version": v,
+		"routes": []any{
+			route("all", "/all/", "idempotent", map[string]any{"gather": shardNames(), "top-k": topRecords, "min-coverage": float64(leastParts) / shardCount}),
+			route("once", "/once/", "non_idempotent", map[string]any{"backend": "single"}),
+			route("moved", "/moved/", "idempotent", map[string]any{"backend": movedService(v)}),
+		},
+		"services": list, "limits": map[string]any{"max-body-bytes": 10000, "header-timeout-ms": 3000},
+	})
+}
+
+// allows reports whether a version from before on lets the moved route go to the service.
+func (s *soak) allows(before int, service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for v := before; v <= s.version; v++ {
+		if movedService(v) == service {
+			return true
+		}
+	}
+	return before == 0
+}
+
+// versionInForce returns the version of the routes that a calm instance has at least, 0 if that is not
+// known.
+func (s *soak) versionInForce() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inForce
+}
+
+// choose returns a ready instance, as the balancer does, or nil.
+func (s *soak) choose(random *rand.Rand) *instance {
+	var ready []*instance
+	for _, i := range s.instances {
+		if i.isReady() {
+			ready = append(ready, i)
+		}
+	}
+	if len(ready) == 0 {
+		return nil
+	}
+	return ready[random.IntN(len(ready))]
+}
+
+// harm injects faults, which overlap, for the time.
+func (s *soak) harm(d time.Duration) {
+	var open sync.WaitGroup
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		f := faults[s.random.IntN(len(faults))]
+		s.faults[f.name]++
+		undo := f.start(s)
+		length := time.Duration(s.random.Int64N(int64(longestFault)))
+		open.Go(func() {
+			time.Sleep(length)
+			undo()
+		})
+		time.Sleep(time.Duration(s.random.Int64N(int64(longestPause))))
+	}
+	open.Wait()
+}
+
+type fault struct {
+	name string
+	// start begins the fault and returns what ends it.
+	start func(s *soak) func()
+}
+
+func nothing() {}
+
+var faults = []fault{
+	{"stop", func(s *soak) func() { s.anyInstance().signal(syscall.SIGTERM); return nothing }},
+	{"kill", func(s *soak) func() { s.anyInstance().signal(syscall.SIGKILL); return nothing }},
+	{"reload", func(s *soak) func() { s.anyInstance().signal(syscall.SIGHUP); return nothing }},
+	{"pause", func(s *soak) func() {
+		i := s.anyInstance()
+		i.signal(syscall.SIGSTOP)
+		return func() { i.signal(syscall.SIGCONT) }
+	}},
+	{"kill all", func(s *soak) func() {
+		for _, i := range s.instances {
+			i.signal(syscall.SIGKILL)
+		}
+		return nothing
+	}},
+	{"store down", func(s *soak) func() {
+		s.touchStore()
+		s.store.setDown(true)
+		return func() { s.store.setDown(false); s.touchStore() }
+	}},
+	{"store path", func(s *soak) func() {
+		i := s.anyInstance()
+		i.disturb()
+		s.touchStore()
+		i.store.set(path(s.random.IntN(int(paths))))
+		return func() { i.store.set(pass); i.store.resetAll(); i.disturb(); s.touchStore() }
+	}},
+	{"searcher path", func(s *soak) func() {
+		sr := s.anySearcher()
+		sr.proxy.set(path(s.random.IntN(int(paths))))
+		return func() { sr.proxy.set(pass); sr.proxy.resetAll() }
+	}},
+	{"searcher resets", func(s *soak) func() { s.anySearcher().proxy.resetAll(); return nothing }},
+	{"searcher behaves", func(s *soak) func() {
+		sr := s.anySearcher()
+		sr.set(behaviour(1 + s.random.IntN(int(behaviours)-1)))
+		return func() { sr.set(well) }
+	}},
+	{"searcher leaves", (*soak).replaceSearcher},
+	{"routes", func(s *soak) func() { s.nextVersion(); return nothing }},
+}
+
+func (s *soak) anyInstance() *instance { return s.instances[s.random.IntN(len(s.instances))] }
+
+func (s *soak) anySearcher() *searcher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.searchers[services()[s.random.IntN(len(services()))]]
+	return list[s.random.IntN(len(list))]
+}
+
+func (s *soak) touchStore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeAt = time.Now()
+}
+
+// calm reports whether neither the store nor any instance was harmed lately.
+func (s *soak) calm() bool {
+	s.mu.Lock()
+	at := s.storeAt
+	s.mu.Unlock()
+	for _, i := range s.instances {
+		i.mu.Lock()
+		if i.disturbed.After(at) {
+			at = i.disturbed
+		}
+		i.mu.Unlock()
+	}
+	return time.Since(at) > drainTime+calmBefore
+}
+
+// replaceSearcher starts a searcher, lets an older one of its service report that it leaves, and removes
+// its entry later.
+func (s *soak) replaceSearcher() func() {
+	old := s.anySearcher()
+	if _, err := s.addSearcher(old.service); err != nil {
+		s.ledger.fail("stand-in: %v", err)
+		return nothing
+	}
+	s.mu.Lock()
+	list := s.searchers[old.service]
+	for n, sr := range list {
+		if sr == old {
+			s.searchers[old.service] = append(list[:n:n], list[n+1:]...)
+		}
+	}
+	s.mu.Unlock()
+	s.register(old, "draining")
+	old.drain(func() bool { return !s.calm() })
+	return func() { s.store.put("servers", old.id, nil) }
+}
--- /dev/null
+++ b/emulator/soak/store.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// object is one object of the store.
+type object struct {
+	Meta meta            `json:"meta"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+type meta struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+}
+
+type change struct {
+	kind    string
+	object  object
+	deleted bool
+}
+
+// store is a stand-in for the platform's store: lists, watches, creates and replaces. It keeps a short
+// history, so that slow watches have to read the list again.
+type store struct {
+	mu       sync.Mutex // guards the fields below
+	revision uint64
+	objects  map[string]map[string]object
+	history  []change // one for each revision, the last ones
+	changed  chan struct{}
+	down     bool
+}
+
+// historyKept is the number of changes that a watch may be behind.
+const historyKept = 40
+
+func newStore() *store {
+	return &store{objects: map[string]map[string]object{}, changed: make(chan struct{}), revision: 1}
+}
+
+// put writes an object, or removes it if spec is nil.
+func (s *store) put(kind, name string, spec any) {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // Specs are made here.
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.putLocked(kind, name, raw, spec == nil)
+}
+
+func (s *store) putLocked(kind, name string, raw json.RawMessage, deleted bool) {
+	s.revision++
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]object{}
+	}
+	o := object{Meta: meta{Name: name, Revision: s.revision}, Spec: raw}
+	if deleted {
+		delete(s.objects[kind], name)
+	} else {
+		s.objects[kind][name] = o
+	}
+	s.history = append(s.history, change{kind, o, deleted})
+	s.history = s.history[max(0, len(s.history)-historyKept):]
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// ServeHTTP implements http.Handler.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	kind, name, named := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	switch {
+	case down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.Method == http.MethodPost || r.Method == http.MethodPut:
+		s.write(w, r, kind, name)
+	case named:
+		w.WriteHeader(http.StatusNotFound)
+	case r.URL.Query().Get("watch") != "":
+		s.watch(w, r, kind)
+	default:
+		s.list(w, kind)
+	}
+}
+
+func (s *store) write(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var o object
+	raw, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(raw, &o)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, exists := s.objects[kind][o.Meta.Name]
+	switch {
+	case err != nil:
+		w.WriteHeader(http.StatusBadRequest)
+	case r.Method == http.MethodPost && exists:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		s.putLocked(kind, o.Meta.Name, o.Spec, false)
+		respond(w, s.objects[kind][o.Meta.Name])
+	}
+}
+
+func (s *store) list(w http.ResponseWriter, kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := make([]object, 0, len(s.objects[kind]))
+	for _, o := range s.objects[kind] {
+		items = append(items, o)
+	}
+	slices.SortFunc(items, func(a, b object) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
+	respond(w, map[string]any{"items": items, "more": false, "at": s.revision})
+}
+
+func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, waitErr := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	if err != nil || waitErr != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		events, at, changed, gone := s.since(kind, after)
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			respond(w, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-end:
+			respond(w, map[string]any{"events": events, "at": at})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *store) since(kind string, after uint64) (events []map[string]any, at uint64, changed chan struct{}, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	oldest := s.revision - uint64(len(s.history))
+	events = []map[string]any{}
+	for _, c := range s.history {
+		if c.kind == kind && c.object.Meta.Revision > after {
+			events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
+		}
+	}
+	return events, s.revision, s.changed, after < oldest
+}
+
+func respond(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // A caller that has gone needs no answer.
+}
