Give each soak a loopback address of its own

While an instance was down, a stand-in of another soak got its port, since both used ports that the system hands out; the instance's output says 190 to 446 times that the address is in use, and callers were answered by the other soak.

Change: instances listen on a loopback address that follows from the process id. Tests show that each check finds a wrong answer.

Conclusion: a fault of the soak, not of what it checks.

--- a/emulator/soak/instance.go
+++ b/emulator/soak/instance.go
@@ -56,11 +56,18 @@
 	return b.buf.Write(p)
 }
 
-// freePorts returns ports that are free now.
-func freePorts(n int) ([]int, error) {
+// ownIP returns a loopback address that no other process uses. An instance that is down for a moment would
+// lose a port of 127.0.0.1 to the next listener that asks for any port, such as that of another soak.
+func ownIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>16)&0x7f, (pid>>8)&0xff, 1+(pid&0xff)%254)
+}
+
+// freePorts returns ports of an address that are free now.
+func freePorts(ip string, n int) ([]int, error) {
 	ports := make([]int, 0, n)
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, errors.Wrap(err, "find a free port")
 		}
@@ -70,19 +77,19 @@
 	return ports, nil
 }
 
-func newInstance(n int, dir, program, storeAddress string, seeds []string, ports []int) (*instance, error) {
+func newInstance(n int, dir, program, storeAddress, ip string, seeds []string, ports []int) (*instance, error) {
 	store, err := newProxy(storeAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy to the store")
 	}
-	address := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", ports[i]) }
+	address := func(i int) string { return fmt.Sprintf("%s:%d", ip, ports[i]) }
 	i := &instance{
 		name: fmt.Sprintf("gateway-%d", n), callers: address(0), readiness: address(1), program: program, store: store,
 		settings: filepath.Join(dir, fmt.Sprintf("gateway-%d.json", n)),
 	}
 	raw, err := json.Marshal(map[string]any{
 		"instance": i.name, "failure_domain": fmt.Sprintf("d%d", n%2), "region": "r", "regions": map[string]string{"d0": "r", "d1": "r"},
-		"callers": i.callers, "readiness": i.readiness, "control": address(2), "ip": "127.0.0.1", "metrics_port": ports[3],
+		"callers": i.callers, "readiness": i.readiness, "control": address(2), "ip": ip, "metrics_port": ports[3],
 		"store": store.Addr().String(), "seeds": seeds, "shutdown_seconds": grace.Seconds(),
 		"extra_share": 0.2, "extra_slack": 50, "extra_seconds": 10,
 	})
--- a/emulator/soak/soak.go
+++ b/emulator/soak/soak.go
@@ -140,13 +140,14 @@
 		}
 	}
 	s.nextVersion()
-	ports, err := freePorts(4 * instances)
+	ip := ownIP()
+	ports, err := freePorts(ip, 4*instances)
 	if err != nil {
 		return err
 	}
-	seeds := []string{fmt.Sprintf("127.0.0.1:%d", ports[2]), fmt.Sprintf("127.0.0.1:%d", ports[6])}
+	seeds := []string{fmt.Sprintf("%s:%d", ip, ports[2]), fmt.Sprintf("%s:%d", ip, ports[6])}
 	for n := range instances {
-		i, err := newInstance(n, dir, program, l.Addr().String(), seeds, ports[4*n:4*n+4])
+		i, err := newInstance(n, dir, program, l.Addr().String(), ip, seeds, ports[4*n:4*n+4])
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/emulator/soak/soak_test.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against checks that pass whatever the system does: each wrong answer below has to be found.
+func TestChecksFindWrongAnswers(t *testing.T) {
+	const id = "r1"
+	good := func() (*http.Response, string) {
+		var stamps, all []string
+		for _, service := range shardNames() {
+			stamps = append(stamps, stamp(service+"-1", id))
+			all = append(all, records(stamps[len(stamps)-1])...)
+		}
+		slices.Sort(all)
+		slices.Reverse(all)
+		w := httptest.NewRecorder()
+		w.Header().Set("Part-Stamps", strings.Join(stamps, ", "))
+		return w.Result(), strings.Join(all[:topRecords], "")
+	}
+	for name, c := range map[string]struct {
+		harm func(r *http.Response, body *string)
+		want string
+	}{
+		"none":          {func(*http.Response, *string) {}, ""},
+		"record lost":   {func(_ *http.Response, body *string) { *body = (*body)[16:] }, "merge"},
+		"not counted":   {func(r *http.Response, _ *string) { r.Header.Set("Missing-Parts", "1") }, "coverage"},
+		"another's":     {func(r *http.Response, _ *string) { replace(r, ".r1", ".r2") }, "mixed"},
+		"shard twice":   {func(r *http.Response, _ *string) { replace(r, "shard0-1", "shard1-2") }, "mixed"},
+		"shard missing": {func(r *http.Response, _ *string) { replace(r, "shard0-1.r1, ", "") }, "coverage"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &soak{ledger: newLedger()}
+			resp, body := good()
+			resp.Header.Add("Missing-Parts", "0")
+			c.harm(resp, &body)
+			(&caller{soak: s}).checkMerged(id, resp, body)
+			found := strings.Join(s.ledger.close(), "\n")
+			if c.want == "" {
+				require.Empty(t, found)
+				return
+			}
+			require.Contains(t, found, c.want)
+		})
+	}
+}
+
+func replace(r *http.Response, from, to string) {
+	r.Header.Set("Part-Stamps", strings.Replace(r.Header.Get("Part-Stamps"), from, to, 1))
+}
+
+// Guards against a ledger that misses a request which ran twice, or ran although it was refused.
+func TestLedger(t *testing.T) {
+	l := newLedger()
+	l.run("a", "single", pathOnce)
+	l.run("b", "shard1", pathAll)
+	l.run("b", "shard2", pathAll)
+	l.refused("c")
+	require.Empty(t, l.close())
+	l.run("a", "single", pathOnce)
+	l.run("c", "single", pathOnce)
+	found := strings.Join(l.close(), "\n")
+	require.Contains(t, found, "twice: request a")
+	require.Contains(t, found, "refused: request c")
+}
+
+// Guards against a version of the routes that goes back unnoticed.
+func TestAllows(t *testing.T) {
+	s := &soak{version: 6}
+	require.True(t, s.allows(5, movedService(5)))
+	require.True(t, s.allows(5, movedService(6)))
+	require.False(t, s.allows(5, movedService(4)))
+	require.False(t, s.allows(6, movedService(5)))
+	require.True(t, s.allows(0, movedService(4)), "nothing is known to be in force")
+}
