Bound how long a caller may take to send a body

Cause: a caller that sent a header and one byte of a body of 500 was still held after 40 s; only the header was bounded.

Change: body_timeout (5 s) and idle_timeout (120 s) for callers and operators. A body that does not arrive is refused with 408 and body_late; the deadline ends with the body, so that it does not end a long request.

--- a/adapter/problem/decode.go
+++ b/adapter/problem/decode.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 
 	"github.com/pkg/errors"
 )
@@ -27,6 +28,11 @@
 			Message: errors.Errorf("the body has more than %d bytes", limit).Error(),
 		}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &Problem{
+			Status: http.StatusRequestTimeout, Code: BodyLate, Run: NotRun, Message: "the body did not arrive in time",
+		}
+	}
 	return &Problem{Status: http.StatusBadRequest, Code: BadRequest, Run: NotRun, Message: "body: " + err.Error()}
 }
 
--- a/adapter/problem/problem.go
+++ b/adapter/problem/problem.go
@@ -16,6 +16,8 @@
 	BadRequest Code = "bad_request"
 	// TooLarge says that the body exceeds the size limit.
 	TooLarge Code = "too_large"
+	// BodyLate says that the body did not arrive in time.
+	BodyLate Code = "body_late"
 	// UnknownPlan says that no plan has the given name.
 	UnknownPlan Code = "unknown_plan"
 	// PlanRefused says that the plan is suspended or may not do this.
--- a/cmd/hyssopctl/exit.go
+++ b/cmd/hyssopctl/exit.go
@@ -28,6 +28,7 @@
 	problem.Invalid:             exitInvalid,
 	problem.BadRequest:          exitInvalid,
 	problem.TooLarge:            exitInvalid,
+	problem.BodyLate:            exitInvalid,
 	problem.PlatformUnavailable: exitUnavailable,
 	problem.NotReady:            exitUnavailable,
 	problem.PlanRefused:         exitRefused,
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -109,7 +109,7 @@
 	})
 	rel.UseDrain(d.start, d.end)
 	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), store: store, listener: listener, closeTrace: closeTrace}
-	a.server = newServer(op, d, c,
+	a.server = newServer(s, op, d, c,
 		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)).stamped(stamps),
 		route(peer.LendingHandler(li)).stamped(stamps), route(peer.RelayHandler(rel)).stamped(stamps))
 	a.server.ConnState = a.connections.follow
@@ -130,20 +130,23 @@
 	return peerRoute{p.prefix, stamps.Handler(p.handler)}
 }
 
-func newServer(operators admin.Backend, callers *drainer, c *counters.Set, peers ...peerRoute) *http.Server {
+func newServer(s Settings, operators admin.Backend, callers *drainer, c *counters.Set, peers ...peerRoute) *http.Server {
 	r := chi.NewRouter()
 	r.Group(func(r chi.Router) {
-		r.Use(callers.closeWhileLeaving)
-		caller.Routes(r, callers)
+		r.Use(bodyWithin(time.Duration(s.BodyTimeout)))
+		r.Group(func(r chi.Router) {
+			r.Use(callers.closeWhileLeaving)
+			caller.Routes(r, callers)
+		})
+		admin.Routes(r, operators, c)
 	})
-	admin.Routes(r, operators, c)
 	for _, p := range peers {
 		r.Handle(p.prefix+"*", p.handler)
 	}
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: r, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: r, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Duration(s.IdleTimeout)}
 }
 
 // readHeaderTimeout ends connections whose peer sends no complete request header.
--- a/instance/app/settings.go
+++ b/instance/app/settings.go
@@ -17,6 +17,8 @@
 	defaultShutdownTimeout = 30 * time.Second
 	defaultBalancerLag     = 5 * time.Second
 	defaultTimelineEvents  = 4096
+	defaultBodyTimeout     = 5 * time.Second
+	defaultIdleTimeout     = 2 * time.Minute
 )
 
 // Settings are the contents of a settings file.
@@ -34,6 +36,10 @@
 	TimelineEvents int               `json:"timeline_events"`
 	// SlowQuery is the time after which a query is recorded in the timeline.
 	SlowQuery settings.Duration `json:"slow_query"`
+	// BodyTimeout is the time in which a caller sends the body of a request.
+	BodyTimeout settings.Duration `json:"body_timeout"`
+	// IdleTimeout is the time after which an idle connection is closed.
+	IdleTimeout settings.Duration `json:"idle_timeout"`
 	// TraceFile is the file that decisions are recorded to, "" for none.
 	TraceFile string `json:"trace_file"`
 }
@@ -54,6 +60,12 @@
 	if s.SlowQuery == 0 {
 		s.SlowQuery = settings.Duration(entry.DefaultSlowQuery)
 	}
+	if s.BodyTimeout == 0 {
+		s.BodyTimeout = settings.Duration(defaultBodyTimeout)
+	}
+	if s.IdleTimeout == 0 {
+		s.IdleTimeout = settings.Duration(defaultIdleTimeout)
+	}
 	if s.TimelineEvents == 0 {
 		s.TimelineEvents = defaultTimelineEvents
 	}
