Take entries that vanish together for lapsed until a later list says otherwise

The outage lay within one watch: its answer came when the store was back, no call had failed, and it said that all entries had vanished. Where the outage was noticed, lapsed entries were dropped 2 s after the return although nothing had been heard of the store since. Besides, routes reached an instance 1.25 s after its neighbour: its own watcher was turned away by the store.

Change: an answer that is late by 0.3 s, or with which more than a quarter of the entries vanish, means that the store was away. Lists within 2 s of the return are marked lapsed and remove no entry; the list is then read again, and that one decides. What a watcher reads goes to the other watchers of its failure domain too, and one without the store asks a watcher elsewhere.

Ruled out: the time alone (a watch that hears nothing proves nothing).

TestOutageWithinAWatch, TestListAfterAnOutage and TestVanishedEntries fail before.

Conclusion: entries go when a list says so.

--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -200,6 +200,14 @@
 	}
 }
 
+// offerStored takes an object that was read from the store. It also goes to the other watchers of the
+// failure domain, since the store may turn one of them away, and with it those that it hands objects to.
+func (s *Service) offerStored(o config.Object) {
+	if s.offer(o) && s.Watching() {
+		s.push(o, s.fellowWatchers())
+	}
+}
+
 // offer takes an object if it is newer than the one held. If this instance watches the store, it
 // hands the object on to its share of the failure domain.
 func (s *Service) offer(o config.Object) bool {
--- a/instance/configsync/watch.go
+++ b/instance/configsync/watch.go
@@ -88,6 +88,7 @@
 		if err != nil {
 			s.counters.Counter("platform_watch_failures").Add(1)
 			s.noteStore(kind, false)
+			s.askElsewhere(ctx, kind)
 			kernel.Sleep(ctx, retryDelay/2+rand.N(retryDelay))
 			continue
 		}
@@ -97,10 +98,21 @@
 	}
 }
 
+// askElsewhere asks a watcher of another failure domain for what is new while the store does not answer.
+// The exchange would bring it too, but only after a second for each instance on the way.
+func (s *Service) askElsewhere(ctx context.Context, kind string) {
+	watchers := s.otherWatchers()
+	if kind != s.schema.Required || len(watchers) == 0 {
+		return
+	}
+	// An error is counted; the exchange brings what is new a little later.
+	_, _ = s.fetchFrom(ctx, watchers[rand.IntN(len(watchers))], repairTimeout)
+}
+
 func (s *Service) takeAll(changes platform.Changes) {
 	for _, obj := range changes.Objects {
 		if o, ok := objectOf(obj); ok {
-			s.offer(o)
+			s.offerStored(o)
 		}
 	}
 }
@@ -157,6 +169,20 @@
 	return out
 }
 
+// fellowWatchers returns the addresses of the other watchers of the instance's failure domain.
+func (s *Service) fellowWatchers() []string {
+	self := s.fleet.Self()
+	members := s.candidates()[self.FailureDomain]
+	watchers := config.Watchers(self.FailureDomain, ids(members))
+	var out []string
+	for _, m := range members {
+		if m.ID != self.ID && slices.Contains(watchers, m.ID) {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
 // share returns the addresses of the members that this instance hands new objects to as a watcher.
 func (s *Service) share() []string {
 	self := s.fleet.Self()
--- a/instance/directory/directory.go
+++ b/instance/directory/directory.go
@@ -30,6 +30,9 @@
 // calm again. Each call is charged for, so that it is not much below.
 const watchWait = 3500 * time.Millisecond
 
+// lapseGrace is the time after the store's return after which targets that live have registered again.
+const lapseGrace = 2 * time.Second
+
 // Revision counts the changes of the platform's store.
 type Revision uint64
 
@@ -62,9 +65,9 @@
 // TargetsChanged is published when the list of targets changed.
 type TargetsChanged struct {
 	Entries []roster.Entry `json:"entries"`
-	// BackFor is the time since the instance that read the list regained the store, 0 if it was not lost.
-	// Until roster.LapseGrace, entries may be missing only because they have lapsed meanwhile.
-	BackFor time.Duration `json:"back_for,omitempty"`
+	// Lapsed is set if the list was read within lapseGrace after its reader regained the store. Another
+	// list follows.
+	Lapsed bool `json:"lapsed,omitempty"`
 }
 
 // Topic implements kernel.Event.
--- a/instance/directory/source.go
+++ b/instance/directory/source.go
@@ -15,6 +15,16 @@
 	"hyssopcroft.example/query/routing"
 )
 
+const (
+	// lateAnswer is the time beyond its wait after which the answer to a watch shows that the store was
+	// away meanwhile. A slow store takes 60 times 4 ms.
+	lateAnswer = 300 * time.Millisecond
+	// lapsedShare is the share of the entries that vanish with one answer above which they have lapsed
+	// together. An outage of 2.4 s is enough for that, and may lie within one watch. Targets that are
+	// replaced or lost are fewer at a time.
+	lapsedShare = 0.25
+)
+
 // targetsPause is the least time between two watches that found changes of the list, so that changes in
 // quick succession share a call and a push. Draining targets get new work for 3 s at most.
 const targetsPause = 250 * time.Millisecond
@@ -28,7 +38,9 @@
 	mu     sync.Mutex     // guards the fields below
 	roster *roster.Roster // the list as the store has it
 	away   bool
-	backAt time.Time // when the store answered again after it was away
+	// recheckAt is when the list has to be read again because entries had lapsed while the store was away,
+	// the zero time if that is not so.
+	recheckAt time.Time
 }
 
 // NewSource returns a source that has read nothing.
@@ -85,16 +97,25 @@
 		return platform.Changes{}, s.lost(err)
 	}
 	return s.update(at, func(now time.Time) bool {
-		s.roster.Replace(now, list)
+		s.roster.Replace(now, list, false)
 		return true
 	})
 }
 
 func (s *Source) watchTargets(ctx context.Context, after Revision, wait time.Duration) (platform.Changes, error) {
+	wait, recheck := s.untilRecheck(wait)
+	if recheck {
+		return s.listTargets(ctx)
+	}
+	asked := time.Now()
 	changes, at, err := s.store.WatchTargets(ctx, after, wait)
 	if err != nil {
 		return platform.Changes{}, s.lost(err)
 	}
+	if time.Since(asked) > wait+lateAnswer {
+		s.log.Warn("the store answered a watch late; it was away", "took", time.Since(asked).String(), "wait", wait.String())
+		s.noteAway()
+	}
 	for _, c := range changes {
 		s.logChange(c)
 	}
@@ -102,7 +123,12 @@
 		defer kernel.Sleep(ctx, targetsPause)
 	}
 	return s.update(at, func(now time.Time) bool {
+		before := s.roster.Ready()
 		s.roster.Apply(now, changes)
+		if after := s.roster.Ready(); float64(before-after) > lapsedShare*float64(before) {
+			s.log.Warn("many entries vanished at once; they are taken to have lapsed", "before", before, "after", after)
+			s.recheckAt = now.Add(lapseGrace)
+		}
 		return len(changes) > 0
 	})
 }
@@ -115,6 +141,24 @@
 	s.log.Info("target changed", "target", c.ID, "service", c.Entry.Service, "address", c.Entry.Address, "draining", c.Entry.Draining)
 }
 
+// untilRecheck shortens a wait to the time at which the list has to be read again, and reports whether
+// that time has come.
+func (s *Source) untilRecheck(wait time.Duration) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away || s.recheckAt.IsZero() {
+		return wait, false
+	}
+	left := time.Until(s.recheckAt)
+	return min(wait, left), left <= 0
+}
+
+func (s *Source) noteAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+}
+
 // lost notes that the store does not answer, unless the history is all that it lacks.
 func (s *Source) lost(err error) error {
 	s.mu.Lock()
@@ -123,20 +167,24 @@
 	return err
 }
 
-// update changes the roster and returns it as an object if change reports that it did.
+// update changes the roster and returns it as an object if change reports that it did. Of two objects of
+// one revision, the one that is not lapsed is the newer one.
 func (s *Source) update(at Revision, change func(now time.Time) bool) (platform.Changes, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	if s.away {
-		s.away, s.backAt = false, now
+		s.away, s.recheckAt = false, now.Add(lapseGrace)
 	}
 	if !change(now) {
 		return platform.Changes{Revision: platform.Version(at)}, nil
 	}
-	ev := TargetsChanged{Entries: s.roster.Entries(now)}
-	if back := now.Sub(s.backAt); !s.backAt.IsZero() && back < roster.LapseGrace {
-		ev.BackFor = max(back, 1)
+	ev, v := TargetsChanged{Entries: s.roster.Entries(now)}, 2*platform.Version(at)+1
+	if !s.recheckAt.IsZero() && now.Before(s.recheckAt) {
+		ev.Lapsed = true
+		v--
+	} else {
+		s.recheckAt = time.Time{}
 	}
-	return changesOf(KindTargets, at, platform.Version(at), ev)
+	return changesOf(KindTargets, at, v, ev)
 }
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -72,7 +72,6 @@
 	splitter routing.Splitter
 	shards   map[string]query.Shard // by service; never forgotten, so that ids stay unique
 	roster   *roster.Roster
-	lapse    *time.Timer // removes entries that have lapsed
 	targets  map[query.TargetID]roster.Entry
 	listed   bool // a list of targets was read
 	routes   map[string]*lockedPolicy
@@ -157,28 +156,9 @@
 func (s *Service) SetTargets(ev directory.TargetsChanged) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	if ev.BackFor > 0 {
-		s.roster.Back(now.Add(-ev.BackFor))
-	}
-	s.roster.Replace(now, ev.Entries)
+	s.roster.Replace(time.Now(), ev.Entries, ev.Lapsed)
 	s.listed = true
 	s.place()
-	if s.lapse != nil {
-		s.lapse.Stop()
-	}
-	if next := s.roster.NextWake(); !next.IsZero() {
-		s.lapse = time.AfterFunc(next.Sub(now), s.removeLapsed)
-	}
-}
-
-func (s *Service) removeLapsed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.roster.OnWake(time.Now()) {
-		s.cfg.Log.Info("entries that were not back after the list's return are left out")
-		s.place()
-	}
 }
 
 // Ready reports whether the instance knows routes and targets.
