Serve the product's counters beside the metrics

Cause: the counters of members and of what instances hand each other were kept by a gateway but served nowhere; a constant and a field were left over.

Change: /debug/vars on the metrics address; the leftovers go.

Conclusion: no decision changed.

--- a/emulator/soak/searcher.go
+++ b/emulator/soak/searcher.go
@@ -38,11 +38,11 @@
 	ledger      *ledger
 	proxy       *proxy
 
-	mu       sync.Mutex // guards the fields below
-	behave   behaviour
-	drained  time.Time // when it reported that it leaves, the zero time if it has not
-	excused  func() bool
-	replaced bool
+	mu      sync.Mutex // guards the fields below
+	behave  behaviour
+	drained time.Time // when it reported that it leaves, the zero time if it has not
+	// excused reports whether instances may not know yet that it leaves.
+	excused func() bool
 }
 
 // stamp signs the answer to a request.
@@ -96,7 +96,7 @@
 	}
 	time.Sleep(time.Duration(float64(wait) * (0.5 + rand.Float64())))
 	if behave == losing && rand.IntN(3) == 0 {
-		s.hijack(w, func() string { return "" })
+		s.hijack(w, "")
 		return
 	}
 	sign := stamp(s.id, request)
@@ -105,10 +105,8 @@
 		body += rec
 	}
 	if behave == extra && rand.IntN(10) == 0 {
-		s.hijack(w, func() string {
-			one := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", request, sign, len(body), body)
-			return one + one
-		})
+		one := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\nContent-Length: %d\r\n\r\n%s", request, sign, len(body), body)
+		s.hijack(w, one+one)
 		return
 	}
 	w.Header().Set("Request-Id", request)
@@ -117,13 +115,12 @@
 }
 
 // hijack writes raw bytes and keeps the connection open; it resets it if there are none.
-func (s *searcher) hijack(w http.ResponseWriter, text func() string) {
+func (s *searcher) hijack(w http.ResponseWriter, raw string) {
 	c, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		s.ledger.fail("stand-in: %v", err)
 		return
 	}
-	raw := text()
 	if raw == "" {
 		reset(c)
 		_ = c.Close() // It is reset.
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -107,6 +107,7 @@
 	ready.Get("/ready", e.answerReady)
 	metrics := chi.NewRouter()
 	metrics.Handle("/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	metrics.Handle("/debug/vars", c)
 	for address, handler := range map[string]http.Handler{
 		s.Readiness: ready,
 		net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)): metrics,
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -99,7 +99,6 @@
 	reasonNoTarget  = "no target of the service is known"
 	reasonOverload  = "targets refuse requests; the instance lets in fewer"
 	reasonBusy      = "the instance has as many requests in flight as it can hold"
-	reasonCrashing  = "the request crashed the targets that ran it"
 	reasonUnreached = "no target of the service could be reached"
 	reasonShort     = "fewer shards answered than the route demands"
 	reasonNoAnswer  = "no target gave an answer"
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -312,7 +312,7 @@
 	return p
 }
 
-// address returns the entry of a target that is still known.
+// target returns the entry of a target that is still known.
 func (s *Service) target(id query.TargetID) (roster.Entry, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
