Take a request that a GOAWAY excludes for not run

Cause: traced by logging the errors of SendExecute in 84 runs of the test, 7 side by side. In 2 of them net/http returned 'cannot retry err [http2: Transport received Server's graceful shutdown GOAWAY]': the holder was stopping, and the request was under way when its GOAWAY left. The GOAWAY names the last stream that the peer processes; the request lay above it and certainly did not run, but was given up as possibly run instead of going to the next holder.

Ruled out: a resend by the transport (executes carry no GetBody); a peer that is asked after its listener closed (connection refused, 100 times in these runs, was handled). A third failure of the 84 runs has another cause: a probe unanswered for 200 ms in starved processes; the test follows in virtual time.

Before: the new test fails for a GOAWAY that excludes the request. After: it passes, and a request that the peer took before it stopped still counts as possibly run.

--- a/adapter/peer/execution.go
+++ b/adapter/peer/execution.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/adapter/wire/executepb"
 	"hyssopcroft.example/control/claim"
 	"hyssopcroft.example/query"
@@ -59,11 +60,11 @@
 	return h.PathPrefix(), h
 }
 
-// NotDelivered reports whether a failed call certainly did not reach the peer. Only a failure to
-// connect proves that.
+// NotDelivered reports whether the peer certainly did not process a failed call. A failure to connect
+// proves that, and so does a GOAWAY that excludes the call.
 func NotDelivered(err error) bool {
 	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	return errors.As(err, &op) && op.Op == "dial" || target.ExcludedByGoAway(err)
 }
 
 // AnswerToWire converts the answer to a submission.
