Replace instances under load in virtual time

TestReplacingEachInstanceCutsNothing ran real instances in real time. The processes had no processor time; the instance did nothing wrong.

The run now takes the network from its caller: pipes inside the process for the test, which runs under testing/synctest with the same load and the same checks; TCP on loopback for 'hyssopctl measure rolling-replace' as before. app.NewOn, entry.UseDial and members.UseDial carry the network, fleet.Deployment the listener of the stand-ins.

Ruled out: longer probes, since a silent connection has to be noticed before the deadline of a search.

--- a/emulator/fleet/fleet.go
+++ b/emulator/fleet/fleet.go
@@ -47,6 +47,8 @@
 	// Tail adds a heavy tail to the service times; its Mean is not used.
 	Tail target.ServiceTimes
 	Seed uint64
+	// Listen opens the addresses of the stand-ins; nil listens on TCP.
+	Listen func(address string) (net.Listener, error)
 }
 
 // Fleet is a running set of stand-ins.
@@ -59,6 +61,7 @@
 
 	platformURL string
 	servers     []*http.Server
+	listen      func(address string) (net.Listener, error)
 }
 
 // firstSnapshot is the version of every index at the start.
@@ -67,8 +70,12 @@
 // Start listens on free ports and fills the store. Stop ends it.
 func Start(d Deployment) (*Fleet, error) {
 	store := platform.NewStore()
+	if d.Listen == nil {
+		d.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	f := &Fleet{
-		Store: store, Platform: platform.NewServer(store),
+		listen: d.Listen,
+		Store:  store, Platform: platform.NewServer(store),
 		Searchers: map[query.TargetID]*target.Searcher{}, Hosts: map[query.TargetID]*target.Host{},
 	}
 	address, err := f.serve(d.Host, d.PlatformPort, &http.Server{Handler: f.Platform})
@@ -112,7 +119,7 @@
 }
 
 func (f *Fleet) serve(host string, port int, server *http.Server) (string, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, fmt.Sprint(port)))
+	listener, err := f.listen(net.JoinHostPort(host, fmt.Sprint(port)))
 	if err != nil {
 		return "", errors.Wrap(err, "listen for a stand-in")
 	}
@@ -157,7 +164,7 @@
 		ServiceTime: times.Source(d.Seed, uint64(len(f.Searchers))),
 		Rows:        sampleRows(ix.Name, t.Shards[0]), Ring: f.Platform.Ring(),
 	})
-	host := target.NewHost(searcher, target.HostConfig{Connections: ix.Connections, ConnectionCost: ix.ConnectionCost})
+	host := target.NewHost(searcher, target.HostConfig{Connections: ix.Connections, ConnectionCost: ix.ConnectionCost, Listen: d.Listen})
 	f.Searchers[t.ID], f.Hosts[t.ID] = searcher, host
 	return host.Start(net.JoinHostPort(d.Host, "0"))
 }
--- a/emulator/pipenet/network.go
+++ b/emulator/pipenet/network.go
@@ -5,23 +5,30 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"syscall"
 )
 
 // Network connects dialers with listeners by address. It is safe for concurrent use.
 type Network struct {
-	mu        sync.Mutex // guards listeners
+	mu        sync.Mutex // guards the fields below
 	listeners map[string]*listener
+	lastPort  int // handed out for port 0
 }
 
 // New returns a network without listeners.
 func New() *Network { return &Network{listeners: map[string]*listener{}} }
 
-// Listen opens an address. It fails with EADDRINUSE if the address is open already.
+// Listen opens an address. Port 0 stands for a port that no listener of the network had before. It
+// fails with EADDRINUSE if the address is open already.
 func (n *Network) Listen(address string) (net.Listener, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if host, port, err := net.SplitHostPort(address); err == nil && port == "0" {
+		n.lastPort++
+		address = net.JoinHostPort(host, strconv.Itoa(n.lastPort))
+	}
 	if _, taken := n.listeners[address]; taken {
 		return nil, opError("listen", address, syscall.EADDRINUSE)
 	}
--- a/emulator/rolling/balancer.go
+++ b/emulator/rolling/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/adapter/target"
 )
 
 // balancer is a small stand-in for the platform's balancer: it gives callers the address of an
@@ -24,8 +25,8 @@
 	ready     []string
 }
 
-func newBalancer(poll time.Duration) *balancer {
-	return &balancer{poll: poll, client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+func newBalancer(poll time.Duration, dial target.DialFunc) *balancer {
+	return &balancer{poll: poll, client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}}
 }
 
 func (b *balancer) add(id, address string) {
--- a/emulator/rolling/rolling.go
+++ b/emulator/rolling/rolling.go
@@ -1,5 +1,5 @@
-// Package rolling replaces each instance of a small fleet on loopback in turn under load and counts
-// what callers notice. It runs in real time.
+// Package rolling replaces each instance of a small fleet in turn under load and counts what callers
+// notice. It runs on loopback, or on a network inside the process, where time may be virtual.
 package rolling
 
 import (
@@ -14,6 +14,7 @@
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/emulator/fleet"
+	"hyssopcroft.example/emulator/pipenet"
 	"hyssopcroft.example/instance/app"
 	"hyssopcroft.example/kernel/settings"
 )
@@ -36,6 +37,8 @@
 	// Settle is how long the load runs before the first and after each replacement.
 	Settle time.Duration
 	Seed   uint64
+	// Pipes carries all connections; nil stands for TCP on loopback.
+	Pipes *pipenet.Network
 }
 
 // Result counts the requests of a run.
@@ -63,6 +66,7 @@
 	plan          = "counter"
 	index         = "ledger"
 	failureDomain = "caernarfon"
+	host          = "127.0.0.1"
 	// lateAfter is the time of refusal after which new work counts as late.
 	lateAfter = 3 * time.Second
 	// readyTimeout bounds the start of an instance.
@@ -73,6 +77,7 @@
 // run is the state of one run.
 type run struct {
 	cfg      Config
+	network  app.Network
 	fleet    *fleet.Fleet
 	balancer *balancer
 	apps     []*app.App
@@ -84,10 +89,18 @@
 	keys     []string             // of executes
 }
 
+func networkOf(pipes *pipenet.Network) app.Network {
+	if pipes == nil {
+		return app.TCP()
+	}
+	return app.Network{Listen: pipes.Listen, Dial: pipes.DialContext}
+}
+
 // Run replaces each instance once and returns what the callers noticed.
 func Run(cfg Config) (Result, error) {
+	network := networkOf(cfg.Pipes)
 	f, err := fleet.Start(fleet.Deployment{
-		Host: "127.0.0.1", FailureDomains: []string{failureDomain}, Lists: lists(), Seed: cfg.Seed,
+		Host: host, Listen: network.Listen, FailureDomains: []string{failureDomain}, Lists: lists(), Seed: cfg.Seed,
 		MeanServiceTime: cfg.MeanServiceTime,
 		Indexes:         []fleet.Index{{Name: index, Shards: 4, Replicas: 3, Slots: 8, Connections: cfg.Connections}},
 	})
@@ -96,7 +109,7 @@
 	}
 	defer f.Stop()
 	r := &run{
-		cfg: cfg, fleet: f, balancer: newBalancer(cfg.BalancerPoll),
+		cfg: cfg, network: network, fleet: f, balancer: newBalancer(cfg.BalancerPoll, network.Dial),
 		refusing: map[string]time.Time{}, result: Result{Causes: map[string]int{}},
 	}
 	defer r.stopAll()
@@ -149,9 +162,9 @@
 // startInstance starts an instance in the given place.
 func (r *run) startInstance(n int) error {
 	r.starts++
-	a, err := app.New(app.Settings{
+	a, err := app.NewOn(r.network, app.Settings{
 		Instance: fmt.Sprintf("entry-%d", r.starts), FailureDomain: failureDomain, Region: "wales",
-		Listen: "127.0.0.1:0", Platform: r.fleet.PlatformURL(), BalancerLag: settings.Duration(r.cfg.BalancerLag),
+		Listen: host + ":0", Platform: r.fleet.PlatformURL(), BalancerLag: settings.Duration(r.cfg.BalancerLag),
 	}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		return err
--- a/emulator/rolling/rolling_test.go
+++ b/emulator/rolling/rolling_test.go
@@ -2,29 +2,39 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/emulator/pipenet"
 )
 
+// twoYears is later than the start of virtual time, in 2000, by enough for keys, whose milliseconds have
+// 13 digits from September 2001 on.
+const twoYears = 2 * 365 * 24 * time.Hour
+
 // Guards against an instance that cuts requests or partial queries, or refuses them although the
 // balancer has not noticed yet, when it is replaced under load.
 func TestReplacingEachInstanceCutsNothing(t *testing.T) {
 	for name, connections := range map[string]int{"flat": 25, "over relays": 5} {
 		t.Run(name, func(t *testing.T) {
-			r, err := Run(Config{
-				Instances: 3, Workers: 12, BalancerLag: 600 * time.Millisecond, BalancerPoll: 50 * time.Millisecond,
-				MeanServiceTime: 20 * time.Millisecond, Connections: connections, Settle: 200 * time.Millisecond, Seed: 1,
+			synctest.Test(t, func(t *testing.T) {
+				time.Sleep(twoYears)
+				r, err := Run(Config{
+					Instances: 3, Workers: 12, BalancerLag: 600 * time.Millisecond, BalancerPoll: 50 * time.Millisecond,
+					MeanServiceTime: 20 * time.Millisecond, Connections: connections, Settle: 200 * time.Millisecond, Seed: 1, Pipes: pipenet.New(),
+				})
+				require.NoError(t, err)
+				require.Equal(t, 3, r.Replaced)
+				require.Zero(t, r.Cut, "%v", r.Causes)
+				require.Zero(t, r.Refused, "%v", r.Causes)
+				require.Zero(t, r.Incomplete, "%v", r.Causes)
+				require.Zero(t, r.Late)
+				require.Zero(t, r.RunTwice)
+				require.Positive(t, r.Requests)
+				t.Logf("%+v", r)
 			})
-			require.NoError(t, err)
-			require.Equal(t, 3, r.Replaced)
-			require.Zero(t, r.Cut, "%v", r.Causes)
-			require.Zero(t, r.Refused, "%v", r.Causes)
-			require.Zero(t, r.Incomplete, "%v", r.Causes)
-			require.Zero(t, r.Late)
-			require.Zero(t, r.RunTwice)
-			require.Positive(t, r.Requests)
-			t.Logf("%+v", r)
 		})
 	}
 }
--- a/emulator/rolling/worker.go
+++ b/emulator/rolling/worker.go
@@ -36,7 +36,7 @@
 
 func (r *run) work(ctx context.Context, n int) {
 	w := &worker{
-		run: r, number: n, client: &http.Client{Transport: &http.Transport{}, Timeout: 2 * deadline},
+		run: r, number: n, client: &http.Client{Transport: &http.Transport{DialContext: r.network.Dial}, Timeout: 2 * deadline},
 		source: rand.New(rand.NewPCG(r.cfg.Seed, uint64(n))), pinned: n%2 == 0,
 	}
 	defer w.client.CloseIdleConnections()
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -16,6 +16,7 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/stamp"
+	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/control/drain"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/claims"
@@ -41,15 +42,32 @@
 
 	server      *http.Server
 	connections *connections
-	store       *http.Transport // to the object API
+	idle        []*http.Transport // closed when the instance stops
 	listener    net.Listener
 	closeTrace  func() error
 }
 
+// Network is what an instance listens and connects on.
+type Network struct {
+	Listen func(address string) (net.Listener, error)
+	// Dial opens all connections of the instance; nil stands for TCP.
+	Dial target.DialFunc
+}
+
+// TCP returns the network of the machine.
+func TCP() Network {
+	return Network{Listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) }}
+}
+
 // New assembles an instance and binds its address. Nothing is served before Start.
 func New(s Settings, log *slog.Logger) (*App, error) {
+	return NewOn(TCP(), s, log)
+}
+
+// NewOn does the same as New on another network than TCP.
+func NewOn(network Network, s Settings, log *slog.Logger) (*App, error) {
 	s = s.withDefaults()
-	listener, err := net.Listen("tcp", s.Listen)
+	listener, err := network.Listen(s.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
@@ -64,6 +82,7 @@
 		return nil, err
 	}
 	store := platform.NewTransport()
+	claimPeers, limitPeers := peer.NewTransport(nil), peer.NewTransport(nil)
 	client := platform.NewClient(s.Platform, store, func(p platform.Purpose) {
 		c.Counter("platform_calls_" + string(p)).Add(1)
 	})
@@ -75,16 +94,21 @@
 	m := members.New(self, client, cfg, k.Bus(), ring, log, c)
 	e := entry.New(s.Instance, s.FailureDomain, cfg, k.Bus(), log, c)
 	cl := claims.New(claims.Config{
-		Instance: s.Instance, Client: client, Members: m, Targets: e, Peers: stamps.Transport(peer.NewTransport(nil)),
+		Instance: s.Instance, Client: client, Members: m, Targets: e, Peers: stamps.Transport(claimPeers),
 		Bus: k.Bus(), Log: log, Counters: c,
 	})
 	e.UseClaims(cl)
 	li := limits.New(limits.Config{
-		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: stamps.Transport(peer.NewTransport(nil)),
+		Instance: s.Instance, Client: client, Members: m, Lists: cfg, Peers: stamps.Transport(limitPeers),
 		Ring: ring, Log: log, Counters: c, Recorder: recorder,
 	})
 	e.UseLimits(li)
 	e.UseMembers(m)
+	if network.Dial != nil {
+		store.DialContext, claimPeers.DialContext, limitPeers.DialContext = network.Dial, network.Dial, network.Dial
+		m.UseDial(network.Dial)
+		e.UseDial(network.Dial)
+	}
 	e.UseRecorder(recorder)
 	e.UseTimeline(ring, stamps, time.Duration(s.SlowQuery))
 	cfg.UseRecorder(recorder, s.Instance)
@@ -108,7 +132,7 @@
 		}
 	})
 	rel.UseDrain(d.start, d.end)
-	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), store: store, listener: listener, closeTrace: closeTrace}
+	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), idle: []*http.Transport{store, claimPeers, limitPeers}, listener: listener, closeTrace: closeTrace}
 	a.server = newServer(s, op, d, c,
 		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)).stamped(stamps),
 		route(peer.LendingHandler(li)).stamped(stamps), route(peer.RelayHandler(rel)).stamped(stamps))
@@ -197,7 +221,9 @@
 	if traceErr := a.closeTrace(); err == nil {
 		err = traceErr
 	}
-	a.store.CloseIdleConnections()
+	for _, t := range a.idle {
+		t.CloseIdleConnections()
+	}
 	a.log.Info("instance stopped", "requests_cut", a.drain.cut())
 	return errors.Wrap(err, "stop instance")
 }
--- a/instance/entry/service.go
+++ b/instance/entry/service.go
@@ -56,6 +56,8 @@
 	members     Members // nil if unused
 	pool        *target.Pool
 	peerPool    *http.Transport
+	dial        target.DialFunc // nil for TCP
+	dials       *target.DialLimiter
 	cancel      context.CancelFunc
 	background  sync.WaitGroup
 	lastAttempt atomic.Uint64
@@ -71,24 +73,37 @@
 
 // New returns a service for one instance in the given failure domain.
 func New(instance, failureDomain string, cfg *configsync.Service, bus *kernel.Bus, log *slog.Logger, c *counters.Set) *Service {
-	dials := target.NewDialLimiter()
-	pool := target.NewPool(func() *http.Transport {
-		t := target.NewTransport(pingAfter, pingTimeout)
-		dials.Limit(t)
-		return t
-	})
 	peerPool := peer.NewTransport(nil)
-	dials.Limit(peerPool)
 	s := &Service{
-		instance: instance, failureDomain: failureDomain, config: cfg, targets: target.NewClient(pool),
-		bus: bus, log: log, counters: c, relays: peer.NewRelayClient(peerPool), pool: pool, peerPool: peerPool,
+		instance: instance, failureDomain: failureDomain, config: cfg,
+		bus: bus, log: log, counters: c, relays: peer.NewRelayClient(peerPool), peerPool: peerPool, dials: target.NewDialLimiter(),
 		suspects: newSuspects(), placeWanted: make(chan struct{}, 1), peers: map[string]membership.Member{},
 		indexes: map[string]*index{}, source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	s.dials.Limit(peerPool)
+	s.pool = target.NewPool(s.newTransport)
+	s.targets = target.NewClient(s.pool)
 	s.lastAttempt.Store(rand.Uint64())
 	return s
 }
 
+// newTransport returns the transport to one target.
+func (s *Service) newTransport() *http.Transport {
+	t := target.NewTransport(pingAfter, pingTimeout)
+	if s.dial != nil {
+		t.DialContext = target.ObserveDial(s.dial)
+	}
+	s.dials.Limit(t)
+	return t
+}
+
+// UseDial makes the service open its connections to targets and peers with dial. It must be called before
+// Start.
+func (s *Service) UseDial(dial target.DialFunc) {
+	s.dial, s.peerPool.DialContext = dial, dial
+	s.dials.Limit(s.peerPool)
+}
+
 // Limits admits requests within the limits of their plans.
 type Limits interface {
 	// Admit returns a function to call when the request has ended, or why it is refused.
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -12,6 +12,7 @@
 
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/kernel"
@@ -52,7 +53,7 @@
 	seeds     []string
 	config    *configsync.Service
 	transport http.RoundTripper
-	idle      func() // closes idle connections
+	pool      *http.Transport // carries transport
 	traffic   *peer.Traffic
 	bus       *kernel.Bus
 	ring      *timeline.Ring
@@ -73,9 +74,9 @@
 		BytesSent: c.Counter("control_bytes_sent"), BytesReceived: c.Counter("control_bytes_received"),
 		MessagesSent: c.Counter("control_messages_sent"), MessagesReceived: c.Counter("control_messages_received"),
 	}
-	transport := peer.NewTransport(traffic)
+	pool := peer.NewTransport(traffic)
 	s := &Service{
-		lister: lister, config: cfg, transport: peer.CountMessages(transport, traffic), idle: transport.CloseIdleConnections,
+		lister: lister, config: cfg, transport: peer.CountMessages(pool, traffic), pool: pool,
 		traffic: traffic, bus: bus, ring: ring, log: log, counters: c, kick: make(chan struct{}, 1),
 		node: membership.NewNode(self, time.Now(), rand.New(rand.NewPCG(self.Incarnation, rand.Uint64()))),
 	}
@@ -88,6 +89,10 @@
 	s.transport = wrap(s.transport)
 }
 
+// UseDial makes the service open its connections to peers with dial, whose bytes are not counted. It must
+// be called before Start.
+func (s *Service) UseDial(dial target.DialFunc) { s.pool.DialContext = dial }
+
 // UseSeeds sets addresses of instances that are asked for the members while the platform's list is away.
 // They may be out of date. It must be called before Start.
 func (s *Service) UseSeeds(addresses []string) { s.seeds = addresses }
@@ -112,7 +117,7 @@
 	s.cancel()
 	s.done.Wait()
 	s.leave(ctx)
-	s.idle()
+	s.pool.CloseIdleConnections()
 	return nil
 }
 
