Hold requests that crash targets at all instances

Cause: a request that crashes what runs it ended after three targets, but nothing remembered it. Sent again, at the same or another instance, it crashed as many again. quarantine.List held such requests for searches only, with canaries, and took every end of a connection for a crash.

Now a request that ended without any answer is a suspect if a target that had it accepts no connection any more. The crashes are told to all members at once, and to members that join later by one of the others. After three crashed targets it is refused at all instances for quarantine.Hold; before that it gets no more attempts than are left of the three. The list is the one of the product (NewListOf). Peers use the Suspect call of the relay service, which gateways serve now.

Ruled out: counting every reset (TestLostConnectionsHoldNothing: lost answers and reset connections would hold innocent requests); telling only what is confirmed (each instance would need three crashes of its own); an object of the store (one more call for each start). After a loss of all instances nothing is known.

Tests, which failed before: a bad request every 200 ms at six instances crashed targets without end, now 3 (over shards 10, all in the first submission); other requests of the route and the caller run on.

--- a/adapter/http1/client_test.go
+++ b/adapter/http1/client_test.go
@@ -189,6 +189,26 @@
 	require.Equal(t, http1.NotSent, failed.Stage)
 }
 
+// Guards against a target that counts as gone although it accepts connections, or as there although it
+// does not; and against connections beyond the limit that a look at it opens.
+func TestReach(t *testing.T) {
+	s := serve(t, whole)
+	address := s.Addr().String()
+	c := client(s, 1)
+	for range 3 {
+		require.NoError(t, c.Reach(t.Context(), address))
+	}
+	require.False(t, c.Cold(address), "the connection is kept")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone := l.Addr().String()
+	require.NoError(t, l.Close())
+	c.SetLimits(map[string]int{address: 1, gone: 1})
+	require.Error(t, c.Reach(t.Context(), gone))
+	require.True(t, c.Cold(gone))
+	require.LessOrEqual(t, s.connections.Load(), int64(1))
+}
+
 // Guards against more connections to a target than its limit, against a request that waits for good, and
 // against a cancelled one that keeps its connection.
 func TestLimitAndCancellation(t *testing.T) {
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -23,10 +23,13 @@
 	"hyssopcroft.example/instance/directory"
 	"hyssopcroft.example/instance/gateway"
 	"hyssopcroft.example/instance/members"
+	"hyssopcroft.example/instance/relay"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
 	"hyssopcroft.example/kernel/hlc"
 	"hyssopcroft.example/kernel/timeline"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/group"
 	"hyssopcroft.example/query/hedge"
 )
 
@@ -85,18 +88,19 @@
 	fleet := members.New(self, a.Instances, objects, e.kernel.Bus(), ring, log, c)
 	fleet.UseSeeds(s.Seeds)
 	e.gateway = gateway.New(gateway.Config{
-		FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions, Sender: a.Sender, Log: log,
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions, Sender: a.Sender, Log: log,
 		Extra: hedge.Terms{
 			Share: s.ExtraShare, Slack: s.ExtraSlack, Span: time.Duration(s.ExtraSeconds * float64(time.Second)),
 		},
 		Metrics: gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
+		Tell: peer.NewRelayClient(fleet.Transport()).Suspect,
 	})
 	for _, service := range []kernel.Service{e.gateway, objects, fleet} {
 		if err := e.kernel.Register(service); err != nil {
 			return nil, err
 		}
 	}
-	if err := e.listen(e.peerServer(fleet, objects), s.Control); err != nil {
+	if err := e.listen(e.peerServer(fleet, objects, c), s.Control); err != nil {
 		return nil, err
 	}
 	e.callers = e.server(e.gate.wrap(a.Callers(e.gateway)))
@@ -122,10 +126,11 @@
 }
 
 // peerServer serves the other instances.
-func (e *Edge) peerServer(fleet *members.Service, objects *configsync.Service) *http.Server {
+func (e *Edge) peerServer(fleet *members.Service, objects *configsync.Service, c *counters.Set) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(peer.MembershipHandler(fleet))
 	mux.Handle(peer.DistributionHandler(objects))
+	mux.Handle(peer.RelayHandler(relay.New(suspicions{e.gateway}, c)))
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{Handler: mux, Protocols: &protocols, ReadHeaderTimeout: headerTime}
@@ -133,6 +138,17 @@
 	return server
 }
 
+// suspicions takes suspicions of other instances. A gateway holds no groups of targets for others.
+type suspicions struct{ *gateway.Service }
+
+// RunGroup implements relay.Backend.
+func (suspicions) RunGroup(_ context.Context, g peer.ScatterGroup) peer.Partial {
+	return peer.Partial{Reply: group.Reply{Attempt: g.Attempt, Outcome: query.OutcomeNotRun}}
+}
+
+// Draining implements relay.Backend. Targets tell the store that they leave.
+func (suspicions) Draining(peer.Draining) {}
+
 func (e *Edge) server(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTime, WriteTimeout: writeTime, MaxHeaderBytes: headerBytes,
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -88,6 +88,8 @@
 	Cold(address string) bool
 	// Warm opens a connection to a cold address.
 	Warm(ctx context.Context, address string) error
+	// Reach fails if no connection can be opened to an address.
+	Reach(ctx context.Context, address string) error
 	// SetConnections sets the largest number of connections by address.
 	SetConnections(limits map[string]int)
 }
@@ -100,6 +102,7 @@
 	reasonOverload  = "targets refuse requests; the instance lets in fewer"
 	reasonBusy      = "the instance has as many requests in flight as it can hold"
 	reasonUnreached = "no target of the service could be reached"
+	reasonCrashes   = "targets crashed while they ran this request; it is not sent again for now"
 	reasonShort     = "fewer shards answered than the route demands"
 	reasonNoAnswer  = "no target gave an answer"
 )
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -54,6 +54,8 @@
 
 func (f *fleet) Warm(context.Context, string) error { return nil }
 
+func (f *fleet) Reach(context.Context, string) error { return nil }
+
 func (f *fleet) attempts() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -77,13 +79,23 @@
 func service(t *testing.T, f *fleet) *gateway.Service {
 	t.Helper()
 	f.sent = map[string]int{}
+	return serviceOf(t, config(t, f))
+}
+
+func config(t *testing.T, sender gateway.Sender) gateway.Config {
+	t.Helper()
 	bus := kernel.NewBus()
 	t.Cleanup(func() { require.NoError(t, bus.Close()) })
-	s := gateway.New(gateway.Config{
-		FailureDomain: "near", Region: "north", Regions: map[string]string{"near": "north", "far": "south"},
-		Extra: hedge.Terms{Share: 0.2, Slack: 600, Span: 10 * time.Second}, Sender: f,
+	return gateway.Config{
+		Instance: "i", FailureDomain: "near", Region: "north", Regions: map[string]string{"near": "north", "far": "south"},
+		Extra: hedge.Terms{Share: 0.2, Slack: 600, Span: 10 * time.Second}, Sender: sender,
 		Log: slog.New(slog.DiscardHandler), Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Bus: bus, Members: one{},
-	})
+	}
+}
+
+func serviceOf(t *testing.T, cfg gateway.Config) *gateway.Service {
+	t.Helper()
+	s := gateway.New(cfg)
 	table := &routing.Table{Version: 5}
 	var names []string
 	var entries []roster.Entry
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -15,6 +15,7 @@
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	missing  prometheus.Counter
+	crashes  prometheus.Counter
 	attempts [query.OutcomeFailed + 1]prometheus.Counter
 }
 
@@ -31,13 +32,16 @@
 			Name: "hyssopcroft_missing_parts_total", Help: "Shards that merged answers lacked.",
 		}),
 	}
+	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "hyssopcroft_suspected_crashes_total", Help: "Targets that are known to have crashed while they ran a request that no target answered.",
+	})
 	attempts := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "hyssopcroft_attempts_total", Help: "Attempts at targets by outcome, those that were cancelled left out.",
 	}, []string{"outcome"})
 	for o := range m.attempts {
 		m.attempts[o] = attempts.WithLabelValues(query.Outcome(o).String())
 	}
-	r.MustRegister(m.requests, m.latency, m.missing, attempts)
+	r.MustRegister(m.requests, m.latency, m.missing, m.crashes, attempts)
 	return m
 }
 
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -23,8 +23,9 @@
 	longestWait = 30 * time.Second
 	// longestPlaceWait bounds the time between two looks for a free connection: a few service times.
 	longestPlaceWait = 32 * time.Millisecond
-	// crashLimit is the number of targets that have to crash on a query before it ends. Targets that
-	// lose some of their answers end connections as well.
+	// crashLimit is the number of targets that have to crash on a query before it ends, and on all
+	// submissions of a request before it is held. Targets that lose some of their answers end connections
+	// as well, and one that is stopped takes innocent requests with it.
 	crashLimit = 3
 )
 
@@ -42,6 +43,7 @@
 	replies  chan sentReply
 	cancels  map[query.AttemptID]context.CancelFunc
 	history  []attemptRecord // in the order of sending
+	crashes  int             // of targets on earlier submissions of the request
 }
 
 type sentReply struct {
@@ -78,6 +80,10 @@
 }
 
 func (s *Service) do(ctx context.Context, r *Request, start time.Time) (Response, *run) {
+	crashes, refused := s.suspects.suspicion(r)
+	if refused != nil {
+		return *refused, nil
+	}
 	t, refused := s.terms(r)
 	if refused != nil {
 		return *refused, nil
@@ -89,18 +95,19 @@
 		return Response{Kind: Refused, Reason: reasonBusy, RetryAfter: busyRetryAfter}, nil
 	}
 	defer s.inFlight.Add(-1)
-	q := s.newRun(r, t, start)
+	q := s.newRun(r, t, start, crashes)
 	if !start.Before(q.deadline) {
 		return Response{Kind: Refused, Reason: "the caller waits no longer", RetryAfter: busyRetryAfter}, nil
 	}
 	q.loop(ctx)
+	q.learn()
 	result = q.result(ctx)
 	return q.response(), q
 }
 
-func (s *Service) newRun(r *Request, t terms, start time.Time) *run {
+func (s *Service) newRun(r *Request, t terms, start time.Time, crashes int) *run {
 	q := &run{
-		service: s, request: r, terms: t, id: query.RequestID(rand.Uint64()), start: start,
+		service: s, request: r, terms: t, id: query.RequestID(rand.Uint64()), start: start, crashes: crashes,
 		deadline: start.Add(t.patience(r)),
 		replies:  make(chan sentReply, 2*len(t.shards)),
 		cancels:  make(map[query.AttemptID]context.CancelFunc, len(t.shards)),
@@ -111,7 +118,7 @@
 		},
 		Map:    query.Map{Version: t.table.Version, Shards: t.shards},
 		Policy: t.policy, NextAttempt: s.nextAttempt, Distinct: true, LongestWait: longestPlaceWait,
-		MaxAttempts: max(1, t.route.MaxAttempts), Once: !t.route.Repeatable, Crashes: crashLimit,
+		MaxAttempts: attemptLimit(t.route.MaxAttempts, crashes), Once: !t.route.Repeatable, Crashes: max(1, crashLimit-crashes),
 	}
 	if t.route.Gather {
 		q.records = merge.NewRecords(q.id, t.table.Version, t.shards)
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/control/roster"
 	"hyssopcroft.example/instance/directory"
@@ -41,6 +42,8 @@
 
 // Config is what a Service needs.
 type Config struct {
+	// Instance is the id of this instance among the members.
+	Instance              string
 	FailureDomain, Region string
 	// Regions gives the region of each failure domain.
 	Regions map[string]string
@@ -52,6 +55,8 @@
 	Bus     *kernel.Bus
 	// Members tells how many instances share what is limited.
 	Members Members
+	// Tell sends a suspicion to the peer at an address.
+	Tell func(ctx context.Context, address string, m peer.Suspicion) error
 }
 
 // Members are the instances of the fleet. They are implemented by the members service.
@@ -65,6 +70,7 @@
 	lastAttempt atomic.Uint64
 	inFlight    atomic.Int64
 	background  sync.WaitGroup
+	suspects    *suspects
 
 	mu       sync.Mutex // guards the fields below
 	table    *routing.Table
@@ -88,6 +94,7 @@
 		roster: roster.New(), targets: map[query.TargetID]roster.Entry{}, routes: map[string]*lockedPolicy{},
 		gates: map[query.Shard]*admission.Gate{},
 	}
+	s.suspects = newSuspects()
 	s.share = shareOf(nil, cfg.FailureDomain)
 	s.fleet.SetInstances(s.share.instances)
 	s.lastAttempt.Store(rand.Uint64())
@@ -113,7 +120,10 @@
 	if err != nil {
 		return err
 	}
-	return kernel.Subscribe(ctx, s.cfg.Bus, func(members.Changed) { s.setShare() })
+	return kernel.Subscribe(ctx, s.cfg.Bus, func(members.Changed) {
+		s.setShare()
+		s.tellJoined()
+	})
 }
 
 // setShare follows the number of instances.
--- /dev/null
+++ b/instance/gateway/suspects_test.go
@@ -0,0 +1,288 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/instance/directory"
+	"hyssopcroft.example/instance/gateway"
+	"hyssopcroft.example/instance/members"
+	"hyssopcroft.example/kernel"
+	"hyssopcroft.example/query"
+)
+
+const (
+	badBody     = "bad"
+	restartTime = 3 * time.Second
+	serviceTime = 5 * time.Millisecond
+)
+
+// world is a few gateways before the same targets. A target that runs a bad request crashes, takes the
+// other requests on it along and comes back in another life.
+type world struct {
+	mu        sync.Mutex // guards the fields below
+	gateways  map[string]*gateway.Service
+	buses     map[string]*kernel.Bus
+	members   []membership.Member
+	entries   map[string]roster.Entry
+	away      map[string]bool
+	crashes   int
+	resetOnly bool // a bad request loses its connection only
+}
+
+func newWorld(t *testing.T, instances int) *world {
+	w := &world{
+		gateways: map[string]*gateway.Service{}, buses: map[string]*kernel.Bus{}, entries: map[string]roster.Entry{}, away: map[string]bool{},
+	}
+	for _, name := range []string{"single", "s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9"} {
+		for i, domain := range []string{"near", "far", "far", "near"} {
+			id := fmt.Sprintf("%s-%d", name, i)
+			w.entries[id] = roster.Entry{ID: id, Service: name, Address: id, FailureDomain: domain, Incarnation: 1}
+		}
+	}
+	for i := range instances {
+		w.members = append(w.members, membership.Member{ID: fmt.Sprintf("i%d", i), Address: fmt.Sprintf("i%d", i), State: membership.Live, Incarnation: 1})
+	}
+	for _, m := range w.members {
+		w.start(t, m.ID)
+	}
+	return w
+}
+
+// start starts an instance that knows nothing.
+func (w *world) start(t *testing.T, id string) {
+	cfg := config(t, w)
+	cfg.Instance, cfg.Members, cfg.Tell = id, w, w.tell
+	s := serviceOf(t, cfg)
+	require.NoError(t, s.Start(t.Context()))
+	w.mu.Lock()
+	w.gateways[id], w.buses[id] = s, cfg.Bus
+	w.mu.Unlock()
+	w.publishTargets()
+	synctest.Wait()
+	require.NoError(t, cfg.Bus.Publish(members.Changed{ID: id, State: "live"}))
+	synctest.Wait()
+}
+
+func (w *world) stopAll(t *testing.T) {
+	for _, s := range w.gateways {
+		require.NoError(t, s.Stop(t.Context()))
+	}
+}
+
+func (w *world) publishTargets() {
+	w.mu.Lock()
+	var list []roster.Entry
+	for id, e := range w.entries {
+		if !w.away[id] {
+			list = append(list, e)
+		}
+	}
+	var all []*gateway.Service
+	for _, s := range w.gateways {
+		all = append(all, s)
+	}
+	w.mu.Unlock()
+	for _, s := range all {
+		s.SetTargets(directory.TargetsChanged{Entries: list})
+	}
+}
+
+// Members implements gateway.Members.
+func (w *world) Members() []membership.Member { return w.members }
+
+func (w *world) tell(_ context.Context, address string, m peer.Suspicion) error {
+	w.mu.Lock()
+	s := w.gateways[address]
+	w.mu.Unlock()
+	s.Suspect(m)
+	return nil
+}
+
+// Send implements gateway.Sender.
+func (w *world) Send(_ context.Context, a gateway.Attempt) query.Reply {
+	id := string(a.Target)
+	if w.isAway(id) {
+		return outcome(query.OutcomeNotRun)
+	}
+	time.Sleep(serviceTime)
+	if string(a.Request.Body) == badBody {
+		if !w.resetOnly {
+			w.crash(id)
+		}
+		return outcome(query.OutcomeCrashed)
+	}
+	if w.isAway(id) {
+		return outcome(query.OutcomeCrashed)
+	}
+	return part(id)
+}
+
+func (w *world) isAway(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.away[id]
+}
+
+func (w *world) crash(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashes++
+	w.away[id] = true
+	time.AfterFunc(restartTime, func() {
+		w.mu.Lock()
+		delete(w.away, id)
+		e := w.entries[id]
+		e.Incarnation++
+		w.entries[id] = e
+		w.mu.Unlock()
+		w.publishTargets()
+	})
+}
+
+// Reach implements gateway.Sender.
+func (w *world) Reach(_ context.Context, address string) error {
+	if w.isAway(address) {
+		return errors.New("connection refused")
+	}
+	return nil
+}
+
+// SetConnections implements gateway.Sender.
+func (w *world) SetConnections(map[string]int) {}
+
+// Cold implements gateway.Sender.
+func (w *world) Cold(string) bool { return false }
+
+// Warm implements gateway.Sender.
+func (w *world) Warm(context.Context, string) error { return nil }
+
+func (w *world) ask(ctx context.Context, instance int, path, body, caller string) gateway.Response {
+	w.mu.Lock()
+	s := w.gateways[w.members[instance%len(w.members)].ID]
+	w.mu.Unlock()
+	return s.Do(ctx, &gateway.Request{
+		ID: "r", Caller: caller, Method: "POST", Target: path, Path: path, Host: "h", Header: http.Header{}, Body: []byte(body), TimeLeft: time.Second,
+	})
+}
+
+func heldBack(r gateway.Response) bool {
+	return r.Kind == gateway.Refused && strings.HasPrefix(r.Reason, "targets crashed")
+}
+
+// Guards against a request that crashes its targets again with each submission, at whichever instance it
+// comes; and against other requests of the route, or of its caller, that are refused with it. Load: one
+// request that crashes what runs it comes every 200 ms, each time at another instance and over another
+// connection, among requests that do not.
+func TestRequestThatCrashesTargetsIsHeldByAllInstances(t *testing.T) {
+	for name, path := range map[string]string{"one target": "/one/x", "all shards": "/all/x"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 6)
+				defer w.stopAll(t)
+				atFirst := 3 // A request over shards is at all of them before the first has crashed.
+				if path == "/all/x" {
+					atFirst = shards
+				}
+				for n := range 100 {
+					time.Sleep(200 * time.Millisecond)
+					got := w.ask(t.Context(), n, path, badBody, fmt.Sprintf("10.0.0.1:%d", 3000+n))
+					if n >= 6 {
+						require.True(t, heldBack(got), "%d: %+v", n, got)
+						require.Positive(t, got.RetryAfter)
+					}
+					for _, innocent := range []struct{ body, caller string }{{"good", "10.0.0.1:99"}, {badBody + "ly", "10.0.0.2:99"}} {
+						require.False(t, heldBack(w.ask(t.Context(), n, path, innocent.body, innocent.caller)))
+					}
+				}
+				require.LessOrEqual(t, w.crashes, atFirst)
+			})
+		})
+	}
+}
+
+// Guards against a request that is held because it was on a target when another one crashed it. Load: one
+// request in 50 crashes what runs it, each time another one; callers repeat once what failed.
+func TestRequestsBesideCrashesAreNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 6)
+		defer w.stopAll(t)
+		var held, answered atomic.Int64
+		var wait sync.WaitGroup
+		for n := range 3000 {
+			time.Sleep(2 * time.Millisecond)
+			wait.Go(func() {
+				if n%50 == 0 {
+					w.ask(t.Context(), n, "/one/x", badBody, fmt.Sprintf("10.0.1.%d:1", n))
+					return
+				}
+				for try := range 2 {
+					got := w.ask(t.Context(), n+try, "/one/x", fmt.Sprint("good", n), "10.0.0.1:1")
+					if heldBack(got) {
+						held.Add(1)
+					}
+					if got.Kind == gateway.Answered {
+						answered.Add(1)
+						return
+					}
+					time.Sleep(max(100*time.Millisecond, got.RetryAfter))
+				}
+			})
+		}
+		wait.Wait()
+		require.Zero(t, held.Load())
+		require.Positive(t, answered.Load())
+		require.Positive(t, w.crashes)
+		t.Log(answered.Load(), w.crashes)
+	})
+}
+
+// Guards against requests that are held because their connections ended although no target crashed.
+func TestLostConnectionsHoldNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 2)
+		defer w.stopAll(t)
+		w.resetOnly = true
+		for n := range 20 {
+			time.Sleep(100 * time.Millisecond)
+			require.False(t, heldBack(w.ask(t.Context(), n, "/one/x", badBody, "10.0.0.1:1")))
+			require.False(t, heldBack(w.ask(t.Context(), n, "/all/x", badBody, "10.0.0.1:1")))
+		}
+	})
+}
+
+// Guards against an instance that was away, or has just started, and sends a held request again.
+func TestInstanceThatJoinsLearnsWhatIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3)
+		defer w.stopAll(t)
+		for n := range 4 {
+			time.Sleep(4 * time.Second)
+			w.ask(t.Context(), n%2, "/one/x", badBody, "10.0.0.1:1")
+		}
+		before := w.crashes
+		require.Positive(t, before)
+		require.NoError(t, w.gateways["i2"].Stop(t.Context()))
+		w.members[2].Incarnation++
+		w.start(t, "i2")
+		for _, bus := range w.buses {
+			require.NoError(t, bus.Publish(members.Changed{ID: "i2", State: "live"}))
+		}
+		time.Sleep(time.Second)
+		require.True(t, heldBack(w.ask(t.Context(), 2, "/one/x", badBody, "10.0.0.1:1")))
+		require.Equal(t, before, w.crashes)
+	})
+}
--- a/query/quarantine/confirmed.go
+++ b/query/quarantine/confirmed.go
@@ -23,7 +23,7 @@
 // Confirmed returns a request that is refused at the time, or false.
 func (l *List) Confirmed(now time.Time, f Fingerprint, s Shape) (Confirmed, bool) {
 	e, known := l.entries.get(f)
-	if !known || !e.confirmed() || !now.Before(e.held.Add(Hold)) {
+	if !known || !l.Refuses(now, f) {
 		return Confirmed{}, false
 	}
 	return Confirmed{
@@ -31,18 +31,29 @@
 	}, true
 }
 
+// AllConfirmed returns the requests that are refused at the time, without their shapes.
+func (l *List) AllConfirmed(now time.Time) []Confirmed {
+	var all []Confirmed
+	for f := range l.entries.items {
+		if c, held := l.Confirmed(now, f, 0); held {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
 // Learn takes a confirmed request. One whose hold has ended is of no use, and a clock that is ahead
 // does not hold a request for longer than Hold.
 func (l *List) Learn(now time.Time, c Confirmed) {
 	held := time.UnixMilli(c.UntilMillis).Add(-Hold)
-	if !now.Before(held.Add(Hold)) || len(c.Crashes) < confirmingCrashes {
+	if !now.Before(held.Add(Hold)) || len(c.Crashes) < l.confirming {
 		return
 	}
 	l.shapes.remove(c.Shape)
-	if e, known := l.entries.get(c.Fingerprint); known && e.confirmed() && !e.held.Before(held) {
+	if e, known := l.entries.get(c.Fingerprint); known && l.confirmed(e) && !e.held.Before(held) {
 		return
 	}
-	l.entries.put(c.Fingerprint, &entry{crashes: c.Crashes[:confirmingCrashes:confirmingCrashes], held: earlier(held, now)})
+	l.entries.put(c.Fingerprint, &entry{crashes: c.Crashes[:l.confirming:l.confirming], held: earlier(held, now)})
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/query/quarantine/fingerprint.go
+++ b/query/quarantine/fingerprint.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"strconv"
 	"strings"
 	"unicode"
 
@@ -20,6 +21,16 @@
 	return Fingerprint(xxhash.Sum64String(shape + "\x00" + text)), Shape(xxhash.Sum64String(shape))
 }
 
+// Hash returns the fingerprint of a request that consists of the given parts.
+func Hash(parts ...string) Fingerprint {
+	h := xxhash.New()
+	for _, p := range parts {
+		// The length keeps parts apart that a moved boundary would make equal.
+		_, _ = h.WriteString(strconv.Itoa(len(p)) + ":" + p) // A hash takes everything.
+	}
+	return Fingerprint(h.Sum64())
+}
+
 // form returns the text with each word replaced by "w", each number by "n" and runs of white space by
 // one space. It starts with the order of magnitude of the length, because a very long text may fail
 // where a short one of the same form does not.
--- a/query/quarantine/list.go
+++ b/query/quarantine/list.go
@@ -51,23 +51,36 @@
 
 // entry is what is known of one fingerprint that is suspected, confirmed or has a canary in flight.
 type entry struct {
-	crashes  []Crash // distinct targets, at most confirmingCrashes
+	crashes  []Crash // distinct targets, at most as many as confirm the request
 	held     time.Time
 	inFlight bool // a canary of this instance
 }
 
-func (e *entry) confirmed() bool { return len(e.crashes) >= confirmingCrashes }
-
 // List holds suspected and confirmed fingerprints and the shapes that have succeeded. It is not safe
 // for concurrent use.
 type List struct {
-	entries recent[Fingerprint, *entry]
-	shapes  recent[Shape, struct{}]
+	confirming int // crashed targets that confirm a suspect
+	entries    recent[Fingerprint, *entry]
+	shapes     recent[Shape, struct{}]
+}
+
+// NewList returns an empty list for requests that run as canaries first.
+func NewList() *List { return NewListOf(confirmingCrashes) }
+
+// NewListOf returns an empty list that confirms a request once the given number of targets has crashed.
+func NewListOf(confirming int) *List {
+	return &List{confirming: confirming, entries: newRecent[Fingerprint, *entry](mostEntries), shapes: newRecent[Shape, struct{}](mostShapes)}
 }
 
-// NewList returns an empty list.
-func NewList() *List {
-	return &List{entries: newRecent[Fingerprint, *entry](mostEntries), shapes: newRecent[Shape, struct{}](mostShapes)}
+func (l *List) confirmed(e *entry) bool { return len(e.crashes) >= l.confirming }
+
+// Empty reports whether nothing is suspected.
+func (l *List) Empty() bool { return len(l.entries.items) == 0 }
+
+// Refuses reports whether a request is confirmed and its hold has not ended.
+func (l *List) Refuses(now time.Time, f Fingerprint) bool {
+	e, known := l.entries.get(f)
+	return known && l.confirmed(e) && now.Before(e.held.Add(Hold))
 }
 
 // Admit says how a request may run. After Canary, EndCanary has to be called.
@@ -83,7 +96,7 @@
 	switch {
 	case e.inFlight:
 		return Wait
-	case e.confirmed() && now.Before(e.held.Add(Hold)):
+	case l.Refuses(now, f):
 		return Refuse
 	}
 	e.inFlight = true
@@ -101,7 +114,7 @@
 	return shards
 }
 
-// RecentCrashes returns the crashes on a request within Hold, at most 2.
+// RecentCrashes returns the crashes on a request within Hold, at most as many as confirm it.
 func (l *List) RecentCrashes(now time.Time, f Fingerprint) []Crash {
 	e, known := l.entries.get(f)
 	if !known || !now.Before(e.held.Add(Hold)) {
@@ -110,7 +123,8 @@
 	return slices.Clone(e.crashes)
 }
 
-// Crashes returns the number of targets that are known to have crashed on the request, at most 2.
+// Crashes returns the number of targets that are known to have crashed on the request, at most as many as
+// confirm it.
 func (l *List) Crashes(f Fingerprint) int {
 	if e, known := l.entries.get(f); known {
 		return len(e.crashes)
@@ -161,12 +175,12 @@
 		e = &entry{}
 		l.entries.put(f, e)
 	}
-	if !now.Before(e.held.Add(Hold)) && e.confirmed() {
+	if !now.Before(e.held.Add(Hold)) && l.confirmed(e) {
 		// The canary after the release crashed: the request stays confirmed for another period.
 		e.held, e.crashes[0] = now, c
 		return true
 	}
-	if e.confirmed() || slices.ContainsFunc(e.crashes, c.same) {
+	if l.confirmed(e) || slices.ContainsFunc(e.crashes, c.same) {
 		return false
 	}
 	e.crashes = append(e.crashes, c)
