Read routes and targets side by side at the start

Ruled out: fewer calls (each kind is one call already); asking peers first (all of them start as well).

Test: an instance that has two or more kinds to read is ready after one answer time of the store; it failed before.

--- a/instance/configsync/start.go
+++ b/instance/configsync/start.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
@@ -40,12 +41,20 @@
 	}
 }
 
+// readStore reads all kinds side by side, since requests wait for the last of them.
 func (s *Service) readStore() error {
-	for _, kind := range s.schema.Kinds {
-		changes, err := s.source.Watch(s.ctx, platform.Purpose("cold_"+kind), kind, 0, 0)
-		if err != nil {
+	lists := make([]platform.Changes, len(s.schema.Kinds))
+	var reads errgroup.Group
+	for i, kind := range s.schema.Kinds {
+		reads.Go(func() (err error) {
+			lists[i], err = s.source.Watch(s.ctx, platform.Purpose("cold_"+kind), kind, 0, 0)
 			return err
-		}
+		})
+	}
+	if err := reads.Wait(); err != nil {
+		return err
+	}
+	for _, changes := range lists {
 		s.takeAll(changes)
 	}
 	if !s.known() {
