Hold requests until a starting instance knows its routes

Load: all instances are killed and come back one by one; callers that found none come at once to the first that listens. Each has one further attempt.

Cause: in the first 140 ms after its start an instance refused each request, at once and with 100 ms to come back.

Now requests wait until routes and targets are known, up to the age of 300 ms and never beyond the caller's time. From then on the store is away, and they are refused at once as before.

Ruled out: listening later (callers count a refused connection as an attempt as well); a longer age (with the store away each request would wait in vain).

Tests failed before.

--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -96,6 +96,13 @@
 func serviceOf(t *testing.T, cfg gateway.Config) *gateway.Service {
 	t.Helper()
 	s := gateway.New(cfg)
+	table, entries := tableAndTargets()
+	s.SetTable(table)
+	s.SetTargets(directory.TargetsChanged{Entries: entries})
+	return s
+}
+
+func tableAndTargets() (*routing.Table, []roster.Entry) {
 	table := &routing.Table{Version: 5}
 	var names []string
 	var entries []roster.Entry
@@ -121,9 +128,7 @@
 		times(routing.Route{Name: "once", Prefix: "/once/", Split: []routing.Part{{Service: "single", Weight: 1}}}),
 		times(routing.Route{Name: "lost", Prefix: "/lost/", Split: []routing.Part{{Service: "unknown", Weight: 1}}}),
 	}
-	s.SetTable(table)
-	s.SetTargets(directory.TargetsChanged{Entries: entries})
-	return s
+	return table, entries
 }
 
 func ask(ctx context.Context, s *gateway.Service, path string) gateway.Response {
@@ -259,6 +264,43 @@
 	})
 }
 
+// Guards against refusals in the moment in which a started instance reads routes and targets, when callers
+// that found no other instance come to it, and against requests that wait although the store does not
+// answer. Load: all instances are killed and come back one by one.
+func TestStart(t *testing.T) {
+	for name, c := range map[string]struct {
+		knownAfter, askedAfter, timeLeft time.Duration
+		kind                             gateway.Kind
+		within                           time.Duration
+	}{
+		"routes and targets come":      {100 * time.Millisecond, 0, time.Second, gateway.Answered, 110 * time.Millisecond},
+		"the store does not answer":    {time.Second, 0, time.Second, gateway.Refused, 300 * time.Millisecond},
+		"the store has been away":      {time.Second, 400 * time.Millisecond, time.Second, gateway.Refused, 0},
+		"the caller does not wait":     {100 * time.Millisecond, 0, 50 * time.Millisecond, gateway.Refused, 50 * time.Millisecond},
+		"the first moment is not over": {10 * time.Millisecond, 50 * time.Millisecond, time.Second, gateway.Answered, 10 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fleet{sent: map[string]int{}, behave: func(target string, _ int) (time.Duration, query.Reply) { return 5 * time.Millisecond, part(target) }}
+				s := gateway.New(config(t, f))
+				require.NoError(t, s.Start(t.Context()))
+				table, entries := tableAndTargets()
+				timer := time.AfterFunc(c.knownAfter, func() {
+					s.SetTable(table)
+					s.SetTargets(directory.TargetsChanged{Entries: entries})
+				})
+				time.Sleep(c.askedAfter)
+				asked := time.Now()
+				got := s.Do(t.Context(), &gateway.Request{ID: "r", Method: "GET", Target: "/one/x", Path: "/one/x", Host: "h", Header: http.Header{}, TimeLeft: c.timeLeft})
+				require.Equal(t, c.kind, got.Kind, got.Reason)
+				require.LessOrEqual(t, time.Since(asked), c.within)
+				timer.Stop()
+				require.NoError(t, s.Stop(t.Context()))
+			})
+		})
+	}
+}
+
 // Guards against an instance that says that a route does not exist before it knows any.
 func TestNotReady(t *testing.T) {
 	bus := kernel.NewBus()
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -80,6 +80,11 @@
 }
 
 func (s *Service) do(ctx context.Context, r *Request, start time.Time) (Response, *run) {
+	defer s.inFlight.Add(-1)
+	if s.inFlight.Add(1) > mostInFlight {
+		return Response{Kind: Refused, Reason: reasonBusy, RetryAfter: busyRetryAfter}, nil
+	}
+	s.awaitKnown(ctx, r)
 	crashes, refused := s.suspects.suspicion(r)
 	if refused != nil {
 		return *refused, nil
@@ -90,11 +95,6 @@
 	}
 	result := admission.InTime
 	defer func() { s.done(t.gate, time.Since(start), result) }()
-	if s.inFlight.Add(1) > mostInFlight {
-		s.inFlight.Add(-1)
-		return Response{Kind: Refused, Reason: reasonBusy, RetryAfter: busyRetryAfter}, nil
-	}
-	defer s.inFlight.Add(-1)
 	q := s.newRun(r, t, start, crashes)
 	if !start.Before(q.deadline) {
 		return Response{Kind: Refused, Reason: "the caller waits no longer", RetryAfter: busyRetryAfter}, nil
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -26,6 +26,10 @@
 const Name = "gateway"
 
 const (
+	// longestStart is the age up to which an instance holds requests until it knows routes and targets: a
+	// connection and a call to the store in another region take 60 ms, and 150 ms while all instances
+	// start. After that the store is away, and a refusal at once lets the caller go elsewhere.
+	longestStart = 300 * time.Millisecond
 	// mostInFlight bounds the requests that an instance holds. With 40 KB each, which is two buffers and
 	// the goroutines of 15 attempts, they stay within 40 MB.
 	mostInFlight = 1000
@@ -67,6 +71,7 @@
 // Service runs requests. It is safe for concurrent use.
 type Service struct {
 	cfg         Config
+	known       chan struct{} // closed once routes and targets are known
 	lastAttempt atomic.Uint64
 	inFlight    atomic.Int64
 	background  sync.WaitGroup
@@ -80,6 +85,7 @@
 	roster   *roster.Roster
 	targets  map[query.TargetID]roster.Entry
 	listed   bool // a list of targets was read
+	started  time.Time
 	routes   map[string]*lockedPolicy
 	gates    map[query.Shard]*admission.Gate // by the first shard of the requests
 	share    share
@@ -90,7 +96,7 @@
 // New returns a service without routes and targets.
 func New(cfg Config) *Service {
 	s := &Service{
-		cfg: cfg, fleet: balance.NewFleet(cfg.Extra), shards: map[string]query.Shard{},
+		cfg: cfg, known: make(chan struct{}), fleet: balance.NewFleet(cfg.Extra), shards: map[string]query.Shard{},
 		roster: roster.New(), targets: map[query.TargetID]roster.Entry{}, routes: map[string]*lockedPolicy{},
 		gates: map[query.Shard]*admission.Gate{},
 	}
@@ -111,6 +117,9 @@
 func (s *Service) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
+	s.mu.Lock()
+	s.started = time.Now()
+	s.mu.Unlock()
 	s.background.Go(func() { s.warmLoop(ctx) })
 	err := kernel.Subscribe(ctx, s.cfg.Bus, func(ev directory.RoutesChanged) { s.SetTable(&ev.Table) })
 	if err != nil {
@@ -158,6 +167,7 @@
 	}
 	s.cfg.Log.Info("routes in force", "version", t.Version, "before", before, "routes", len(t.Routes))
 	s.table = t
+	s.noteKnown()
 	s.routes = map[string]*lockedPolicy{}
 	s.place()
 }
@@ -168,9 +178,50 @@
 	defer s.mu.Unlock()
 	s.roster.Replace(time.Now(), ev.Entries, ev.Lapsed)
 	s.listed = true
+	s.noteKnown()
 	s.place()
 }
 
+// noteKnown must be called with mu held.
+func (s *Service) noteKnown() {
+	select {
+	case <-s.known:
+	default:
+		if s.table != nil && s.listed {
+			close(s.known)
+		}
+	}
+}
+
+// awaitKnown holds a request while the instance reads its first routes and targets. After a loss of all
+// instances the callers that found none come at once to the first one that listens; each has few attempts,
+// and an answer now is worth more to them than a refusal that costs one.
+func (s *Service) awaitKnown(ctx context.Context, r *Request) {
+	s.mu.Lock()
+	wait := startWait(time.Since(s.started), r.TimeLeft)
+	s.mu.Unlock()
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-s.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// startWait returns how long a request waits for the first routes and targets, given the age of the
+// instance and the time left to the caller, which is 0 if unknown.
+func startWait(age, timeLeft time.Duration) time.Duration {
+	wait := longestStart - age
+	if timeLeft > 0 {
+		wait = min(wait, timeLeft-deadlineReserve)
+	}
+	return wait
+}
+
 // Ready reports whether the instance knows routes and targets.
 func (s *Service) Ready() bool {
 	s.mu.Lock()
