Withstand routes without services, negative limits and shared names

The server cut the caller's connection, with no answer.

Now such a request is refused, since no target is known, and a negative limit counts as 0. No check of the whole configuration was added: one bad route must not take the others down.

--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -127,6 +127,7 @@
 		times(routing.Route{Name: "one", Prefix: "/one/", Repeatable: true, Split: []routing.Part{{Service: "single", Weight: 1}}}),
 		times(routing.Route{Name: "once", Prefix: "/once/", Split: []routing.Part{{Service: "single", Weight: 1}}}),
 		times(routing.Route{Name: "lost", Prefix: "/lost/", Split: []routing.Part{{Service: "unknown", Weight: 1}}}),
+		times(routing.Route{Name: "empty", Prefix: "/empty/"}),
 	}
 	return table, entries
 }
@@ -223,6 +224,7 @@
 		"once, refused, then may have":      {"/once/x", outcome(query.OutcomeShed), outcome(query.OutcomeUnknown), gateway.Failed, 0, 2},
 		"once, another one has the address": {"/once/x", outcome(query.OutcomeWrongShard), part("xb"), gateway.Answered, 200, 2},
 		"no target":                         {"/lost/x", part("xa"), part("xb"), gateway.Refused, 0, 0},
+		"route without a service":           {"/empty/x", part("xa"), part("xb"), gateway.Refused, 0, 0},
 		"no route":                          {"/none/x", part("xa"), part("xb"), gateway.NoRoute, 0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/query/merge/records.go
+++ b/query/merge/records.go
@@ -64,7 +64,7 @@
 // Greatest returns the greatest records in falling order, at most limit of them.
 func (r *Records) Greatest(limit int) []byte {
 	slices.SortFunc(r.records, func(a, b record) int { return bytes.Compare(b[:], a[:]) })
-	kept := r.records[:min(limit, len(r.records))]
+	kept := r.records[:min(max(limit, 0), len(r.records))]
 	out := make([]byte, 0, len(kept)*RecordBytes)
 	for _, rec := range kept {
 		out = append(out, rec[:]...)
--- a/query/merge/records_test.go
+++ b/query/merge/records_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -35,3 +36,28 @@
 	require.True(t, bytes.Equal([]byte(high+high+low), r.Greatest(10)))
 	require.True(t, bytes.Equal([]byte(high+high), r.Greatest(2)))
 }
+
+// Guards against records that are lost, doubled, out of order or cut, and against a limit that is taken for
+// a length, whatever the parts hold.
+func FuzzRecords(f *testing.F) {
+	f.Add([]byte("aaaaaaaaaaaaaaaazzzzzzzzzzzzzzzzrest"), []byte(""), 10)
+	f.Add([]byte("zzzzzzzzzzzzzzzz"), []byte("zzzzzzzzzzzzzzzz"), 1)
+	f.Add([]byte("short"), []byte{}, 0)
+	f.Add(bytes.Repeat([]byte{0xff}, 64), bytes.Repeat([]byte{0}, 31), -1)
+	f.Fuzz(func(t *testing.T, first, second []byte, limit int) {
+		r := merge.NewRecords(1, 2, []query.Shard{3, 4})
+		require.Equal(t, merge.Accepted, r.Offer(recordsReply(3, "s3", string(first))))
+		require.Equal(t, merge.Accepted, r.Offer(recordsReply(4, "s4", string(second))))
+		var all [][]byte
+		for _, body := range [][]byte{first, second} {
+			for rec := range slices.Chunk(body, merge.RecordBytes) {
+				if len(rec) == merge.RecordBytes {
+					all = append(all, rec)
+				}
+			}
+		}
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		want := bytes.Join(all[:min(max(limit, 0), len(all))], nil)
+		require.True(t, bytes.Equal(want, r.Greatest(limit)))
+	})
+}
--- a/query/routing/routing.go
+++ b/query/routing/routing.go
@@ -133,16 +133,19 @@
 	behind  map[string][]float64 // by route, in the order of its parts
 }
 
-// Pick returns the service of the next request of a route.
+// Pick returns the service of the next request of a route, "" if the route names none.
 func (s *Splitter) Pick(v query.Version, r *Route) string {
-	if len(r.Split) == 1 {
+	switch len(r.Split) {
+	case 0:
+		return ""
+	case 1:
 		return r.Split[0].Service
 	}
 	if s.behind == nil || s.version != v {
 		s.version, s.behind = v, map[string][]float64{}
 	}
 	behind := s.behind[r.Name]
-	if behind == nil {
+	if len(behind) != len(r.Split) { // Two routes may have one name.
 		behind = make([]float64, len(r.Split))
 		s.behind[r.Name] = behind
 	}
