--- a/cmd/hyssopctl/explain.go
+++ b/cmd/hyssopctl/explain.go
@@ -69,6 +69,9 @@
 	"share of connections and budgets changed", "object taken",
 }
 
+// messageStall is logged by an instance that did not run for a while.
+const messageStall = "process stood still"
+
 // story is what the logs say of a request.
 type story struct {
 	Request  string   `json:"request"`
@@ -95,7 +98,7 @@
 	for _, part := range []struct {
 		title string
 		lines []string
-	}{{"request " + s.Request, s.Ends}, {"attempts", s.Attempts}, {"what the instance believed", s.Believed}, {"what happened to the targets", s.Targets}} {
+	}{{"request " + s.Request, s.Ends}, {"attempts", s.Attempts}, {"what the instance believed", s.Believed}, {"what happened to the targets and the instance", s.Targets}} {
 		fmt.Println(part.title)
 		for _, l := range part.lines {
 			fmt.Println("  " + l)
@@ -178,12 +181,14 @@
 	return out
 }
 
-// around returns the lines of all instances about the targets near the time of the request.
+// around returns the lines of all instances about the targets near the time of the request, and the pauses
+// of the request's own instance.
 func around(end logLine, lines []logLine, targets map[string]bool) []string {
 	var found []logLine
 	for _, l := range lines {
 		age := end.Time.Sub(l.Time)
-		if l.Request == "" && targets[l.Target] && age <= explainBefore && age >= -explainAfter {
+		about := targets[l.Target] || l.Message == messageStall && l.Instance == end.Instance
+		if l.Request == "" && about && age <= explainBefore && age >= -explainAfter {
 			found = append(found, l)
 		}
 	}
--- a/cmd/hyssopctl/explain_test.go
+++ b/cmd/hyssopctl/explain_test.go
@@ -56,3 +56,16 @@
 	require.Len(t, s.Targets, 1)
 	require.Empty(t, explain("unknown", lines).Ends)
 }
+
+// Guards against a late request whose story does not say that its instance did not run meanwhile.
+func TestExplainTellsPausesOfTheInstance(t *testing.T) {
+	lines, err := readLog(strings.NewReader(strings.Join([]string{
+		`{"time":"2026-01-01T00:00:10Z","msg":"request answered late","instance":"a","request":"r","attempts":[]}`,
+		`{"time":"2026-01-01T00:00:10.1Z","msg":"process stood still","instance":"a","pause_ms":2500}`,
+		`{"time":"2026-01-01T00:00:10.1Z","msg":"process stood still","instance":"b","pause_ms":900}`,
+	}, "\n")), nil)
+	require.NoError(t, err)
+	s := explain("r", lines)
+	require.Len(t, s.Targets, 1)
+	require.Contains(t, s.Targets[0], `"pause_ms":2500`)
+}
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -67,6 +67,7 @@
 	callers   *http.Server
 	servers   []*http.Server // that serve until the end of the process
 	listeners map[*http.Server]net.Listener
+	endWatch  context.CancelFunc // ends the watch for stalls
 }
 
 // New assembles an instance and binds its addresses. Nothing is served before Start.
@@ -186,6 +187,9 @@
 			}
 		}()
 	}
+	watch, endWatch := context.WithCancel(context.Background())
+	e.endWatch = endWatch
+	go watchStalls(watch, time.NewTicker(stallLook).C, time.Now, e.log)
 	e.log.Info("instance started", "callers", e.settings.Callers, "failure_domain", e.settings.FailureDomain)
 	return nil
 }
@@ -196,6 +200,7 @@
 	ctx, cancel := context.WithTimeout(ctx, e.settings.shutdown()-stopReserve)
 	defer cancel()
 	e.log.Info("instance stops")
+	defer e.endWatch()
 	select {
 	case <-e.gate.begin():
 	case <-ctx.Done():
--- /dev/null
+++ b/instance/edge/stall.go
@@ -0,0 +1,33 @@
+package edge
+
+import (
+	"context"
+	"log/slog"
+	"time"
+)
+
+const (
+	// stallLook is the time between two looks at the clock.
+	stallLook = 250 * time.Millisecond
+	// leastStall is the shortest pause that is logged: several times what a loaded instance waits for a
+	// processor, and less than the time limit of any route.
+	leastStall = 400 * time.Millisecond
+)
+
+// watchStalls logs the pauses in which the whole process did not run, because it was stopped or got no
+// processor, until ctx is done. Requests in flight then end late for no reason that their own lines show.
+func watchStalls(ctx context.Context, ticks <-chan time.Time, now func() time.Time, log *slog.Logger) {
+	last := now()
+	for {
+		select {
+		case <-ticks:
+		case <-ctx.Done():
+			return
+		}
+		at := now()
+		if pause := at.Sub(last) - stallLook; pause >= leastStall {
+			log.Warn("process stood still", "pause_ms", pause.Milliseconds())
+		}
+		last = at
+	}
+}
--- /dev/null
+++ b/instance/edge/stall_test.go
@@ -0,0 +1,41 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against requests that end late while the process was stopped, with no line that says so, and
+// against lines for the usual delays of a loaded instance.
+func TestStalls(t *testing.T) {
+	var out bytes.Buffer
+	at := time.Unix(0, 0)
+	ticks := make(chan time.Time)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	looked := make(chan struct{})
+	go func() {
+		defer close(ended)
+		now := func() time.Time {
+			defer func() { looked <- struct{}{} }()
+			return at
+		}
+		watchStalls(ctx, ticks, now, slog.New(slog.NewTextHandler(&out, nil)))
+	}()
+	<-looked
+	for _, gap := range []time.Duration{stallLook, 2 * stallLook, 2750 * time.Millisecond, stallLook} {
+		at = at.Add(gap)
+		ticks <- at
+		<-looked
+	}
+	cancel()
+	<-ended
+	require.Equal(t, 1, strings.Count(out.String(), "process stood still"), out.String())
+	require.Contains(t, out.String(), "pause_ms=2500")
+}
