Remove the entries of instances that are lost for good

Cause: each instance writes an entry of the kind instances and nobody removed it.

Regions that lose each other for an hour are not affected.

Ruled out: removal at the end of an instance (a restart would write it again, and a crash leaves it); entries that expire (the store has none for a product's own kinds).

--- a/control/membership/table.go
+++ b/control/membership/table.go
@@ -142,6 +142,14 @@
 	return true
 }
 
+// Forgotten reports whether a member was dropped after it had been dead for forgetAfter, and has not come
+// back.
+func (t *Table) Forgotten(id string) bool {
+	_, known := t.entries[id]
+	_, forgotten := t.forgotten[id]
+	return forgotten && !known
+}
+
 // Forget drops members that have been dead for forgetAfter. Records of the dropped incarnation are
 // refused for refuseFor after that.
 func (t *Table) Forget(now time.Time) {
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -14,6 +14,7 @@
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/control/rendezvous"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
@@ -47,6 +48,12 @@
 	Instances(ctx context.Context, p platform.Purpose) ([]platform.Instance, error)
 }
 
+// Remover removes an entry from the platform's list. A Lister implements it if instances write the list
+// themselves, so that nobody else removes those that are gone for good.
+type Remover interface {
+	RemoveInstance(ctx context.Context, id string) error
+}
+
 // Service exchanges member records with peers. It is safe for concurrent use.
 type Service struct {
 	lister    Lister
@@ -250,5 +257,40 @@
 		records = append(records, membership.Member{ID: i.ID, Address: i.Address, FailureDomain: i.FailureDomain, State: state})
 	}
 	s.update(func(now time.Time) { s.node.OnList(records, now) })
+	s.removeGone(ctx, list)
 	return true
 }
+
+// removeGone removes the entries of members that have been dead for so long that they are forgotten. One
+// live member removes each.
+func (s *Service) removeGone(ctx context.Context, list []platform.Instance) {
+	remover, ok := s.lister.(Remover)
+	if !ok {
+		return
+	}
+	for _, id := range s.goneOf(list) {
+		if err := remover.RemoveInstance(ctx, id); err != nil {
+			s.log.Warn("entry of a lost instance not removed", "member", id, "error", err)
+			continue
+		}
+		s.log.Info("entry of a lost instance removed", "member", id)
+	}
+}
+
+// goneOf returns the forgotten members of a list that this instance is to remove.
+func (s *Service) goneOf(list []platform.Instance) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var live, gone []string
+	for _, m := range s.node.Members() {
+		if m.State == membership.Live {
+			live = append(live, m.ID)
+		}
+	}
+	for _, i := range list {
+		if s.node.Forgotten(i.ID) && rendezvous.Choose(i.ID, live) == s.node.Self().ID {
+			gone = append(gone, i.ID)
+		}
+	}
+	return gone
+}
