Look at a crashed target through the connections that are allowed

With one connection for each target, as on 60 instances, another request often held the only place when the look came, and the target counted as there. The look waits for a place now; only a failure to connect counts as a crash.

--- a/adapter/http1/client.go
+++ b/adapter/http1/client.go
@@ -95,34 +95,21 @@
 	return nil
 }
 
-// Reach fails if no connection can be opened to an address. It opens none where the limit is reached; the
-// connections in use say more then.
+// Reach fails if an address has no usable connection and accepts none. A wait at the limit that ctx ends
+// says nothing about the address and is no failure.
 func (c *Client) Reach(ctx context.Context, address string) error {
-	h, room := c.wantsOpen(address)
-	if !room {
+	cn, err := c.acquire(ctx, address)
+	var op *net.OpError
+	switch {
+	case err == nil:
+		c.release(address, cn, true)
 		return nil
-	}
-	cn, err := c.open(ctx, address, h)
-	if err != nil {
+	case errors.As(err, &op) && op.Op == "dial":
 		return err
 	}
-	c.release(address, cn, true)
 	return nil
 }
 
-// wantsOpen reports whether a connection may be opened, which is counted then.
-func (c *Client) wantsOpen(address string) (*host, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.dropUnusableLocked(address)
-	h := c.hosts[address]
-	if h == nil || h.open >= h.limit {
-		return nil, false
-	}
-	h.open++
-	return h, true
-}
-
 // Cold reports whether an address has a limit and no connection.
 func (c *Client) Cold(address string) bool {
 	c.mu.Lock()
@@ -135,16 +122,11 @@
 	if h == nil || h.limit == 0 {
 		return false
 	}
-	c.dropUnusableLocked(address)
-	return h.open == 0
-}
-
-// dropUnusableLocked closes the connections that were used last until one may take a request.
-func (c *Client) dropUnusableLocked(address string) {
-	h, now := c.hosts[address], time.Now()
-	for h != nil && len(h.idle) > 0 && !h.idle[len(h.idle)-1].usable(now) {
+	now := time.Now()
+	for len(h.idle) > 0 && !h.idle[len(h.idle)-1].usable(now) {
 		c.closeLocked(h, h.takeIdle())
 	}
+	return h.open == 0
 }
 
 // wantsWarm reports whether a connection is to be opened, which is counted then.
--- a/adapter/http1/client_test.go
+++ b/adapter/http1/client_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
@@ -205,6 +206,9 @@
 	require.NoError(t, l.Close())
 	c.SetLimits(map[string]int{address: 1, gone: 1})
 	require.Error(t, c.Reach(t.Context(), gone))
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	require.NoError(t, c.Reach(ctx, "127.0.0.1:1"), "it has no limit, so that nothing is known of it")
 	require.True(t, c.Cold(gone))
 	require.LessOrEqual(t, s.connections.Load(), int64(1))
 }
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -88,7 +88,7 @@
 	Cold(address string) bool
 	// Warm opens a connection to a cold address.
 	Warm(ctx context.Context, address string) error
-	// Reach fails if no connection can be opened to an address.
+	// Reach fails if an address accepts no connection.
 	Reach(ctx context.Context, address string) error
 	// SetConnections sets the largest number of connections by address.
 	SetConnections(limits map[string]int)
