Close callers' connections after their answers when there are many

Callers keep their connections for up to 15 s after an answer, and a burst of new callers leaves thousands of idle ones. The instance then can't accept callers, nor connect to targets.

Now a connection ends with its answer while callers have more than half of the descriptors that the process may open; the answer says so, and no request is lost.

Ruled out: closing idle connections (a request may be on its way on them); a shorter idle time (usual load would open connections for nothing); more descriptors (the limit is the platform's).

Test: 20 callers that keep their connections, with room for 4; without the bound none is closed.

--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -104,7 +104,12 @@
 	if err := e.listen(e.peerServer(fleet, objects, c), s.Control); err != nil {
 		return nil, err
 	}
-	e.callers = e.server(e.gate.wrap(a.Callers(e.gateway)))
+	kept, err := newKept()
+	if err != nil {
+		return nil, err
+	}
+	e.callers = e.server(kept.wrap(e.gate.wrap(a.Callers(e.gateway))))
+	e.callers.ConnState = kept.follow
 	if err := e.listen(e.callers, s.Callers); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/instance/edge/kept_test.go
@@ -0,0 +1,45 @@
+package edge
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against idle connections of callers that take all file descriptors, against a connection that ends
+// without a word, and against connections that are never kept again. Load: five times the usual callers, each
+// of which keeps its connection.
+func TestKeptConnectionsAreBounded(t *testing.T) {
+	const most, callers = 4, 20
+	k := &kept{most: most}
+	server := httptest.NewUnstartedServer(k.wrap(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})))
+	server.Config.ConnState = k.follow
+	server.Start()
+	defer server.Close()
+	var transports []*http.Transport
+	closed := 0
+	for range callers {
+		transport := &http.Transport{}
+		transports = append(transports, transport)
+		resp, err := (&http.Client{Transport: transport}).Get(server.URL)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, resp.StatusCode)
+		require.NoError(t, resp.Body.Close())
+		if resp.Close {
+			closed++
+		}
+	}
+	require.GreaterOrEqual(t, closed, callers-most-1, "one may be closing while the next is opened")
+	require.Eventually(t, func() bool { return k.open.Load() <= most }, time.Second, time.Millisecond)
+	for _, transport := range transports {
+		transport.CloseIdleConnections()
+	}
+	require.Eventually(t, func() bool { return k.open.Load() == 0 }, time.Second, time.Millisecond)
+	resp, err := http.Get(server.URL)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.False(t, resp.Close)
+}
