End a submission at its third crashed target only

Found while reading the change that holds requests which crash targets: - requests on which nothing had crashed got at most three attempts, also where their route allows five; - a request to one target went on to a fourth one after three had crashed on it; - a look at targets that the time limit cut short counted as their loss, and one silent target used up the time of the others. The looks run side by side now, and only a refused connection counts; - the body was hashed under the lock that all requests take; - a failed read of one kind at the start threw away what the other reads had brought.

Test: one submission with five attempts crashes three targets (4 before), and one that is shed has its five attempts (3 before).

--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -132,7 +132,10 @@
 		}
 	})
 	rel.UseDrain(d.start, d.end)
-	a := &App{settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), idle: []*http.Transport{store, claimPeers, limitPeers}, listener: listener, closeTrace: closeTrace}
+	a := &App{
+		settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(),
+		idle: []*http.Transport{store, claimPeers, limitPeers}, listener: listener, closeTrace: closeTrace,
+	}
 	a.server = newServer(s, op, d, c,
 		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)).stamped(stamps),
 		route(peer.LendingHandler(li)).stamped(stamps), route(peer.RelayHandler(rel)).stamped(stamps))
--- a/instance/configsync/start.go
+++ b/instance/configsync/start.go
@@ -51,12 +51,13 @@
 			return err
 		})
 	}
-	if err := reads.Wait(); err != nil {
-		return err
-	}
+	err := reads.Wait()
 	for _, changes := range lists {
 		s.takeAll(changes)
 	}
+	if err != nil {
+		return err
+	}
 	if !s.known() {
 		return errStoreEmpty
 	}
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -128,6 +128,8 @@
 		times(routing.Route{Name: "once", Prefix: "/once/", Split: []routing.Part{{Service: "single", Weight: 1}}}),
 		times(routing.Route{Name: "lost", Prefix: "/lost/", Split: []routing.Part{{Service: "unknown", Weight: 1}}}),
 		times(routing.Route{Name: "empty", Prefix: "/empty/"}),
+		{Name: "many", Host: "h", Prefix: "/many/", MaxAttempts: 5, Timeout: time.Second, Objective: 150 * time.Millisecond,
+			Repeatable: true, Split: []routing.Part{{Service: "single", Weight: 1}}},
 	}
 	return table, entries
 }
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// probeTimeout bounds the connection that tells whether a target is still there: several round trips
+	// probeTimeout bounds the connections that tell whether targets are still there: several round trips
 	// between regions, and less than the seconds that a crashed target takes to come back.
 	probeTimeout = 300 * time.Millisecond
 	// mostProbed bounds the requests whose targets are probed at the same time. When a shard loses all
@@ -59,11 +59,14 @@
 // suspicion returns the number of targets that crashed on a request, and the refusal of one that is held.
 func (s *suspects) suspicion(r *Request) (crashes int, refused *Response) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.list.Empty() {
+	empty := s.list.Empty()
+	s.mu.Unlock()
+	if empty {
 		return 0, nil
 	}
 	now, f := time.Now(), fingerprint(r)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	crashes = s.list.Crashes(f)
 	if s.list.Refuses(now, f) {
 		return crashes, &Response{
@@ -120,9 +123,26 @@
 	return slog.String("fingerprint", strconv.FormatUint(uint64(f), 16))
 }
 
-// attemptLimit returns the attempts for each shard of a request on which targets have crashed: together
-// with those crashes no more than confirm it.
-func attemptLimit(most, crashes int) int { return max(1, min(most, crashLimit-crashes)) }
+// attemptLimit returns the attempts for each shard of a request on which targets have crashed before:
+// together with those crashes no more than confirm it.
+func attemptLimit(most, crashes int) int {
+	if crashes > 0 {
+		most = min(most, crashLimit-crashes)
+	}
+	return max(1, most)
+}
+
+// crashed returns the number of targets that ended their connections while they ran the request, those of
+// earlier submissions included.
+func (q *run) crashed() int {
+	var targets []query.TargetID
+	for _, r := range q.history {
+		if r.ended == query.OutcomeCrashed.String() && !slices.Contains(targets, r.target) {
+			targets = append(targets, r.target)
+		}
+	}
+	return q.crashes + len(targets)
+}
 
 // learn takes what a request that has ended tells of it as a suspect.
 func (q *run) learn() {
@@ -156,20 +176,35 @@
 	}
 	go func() {
 		defer func() { <-s.suspects.probes }()
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		var crashes []quarantine.Crash
-		for _, id := range ended {
-			e, known := s.target(id)
-			if !known {
-				continue
-			}
-			if err := s.cfg.Sender.Reach(ctx, e.Address); err != nil {
-				crashes = append(crashes, quarantine.Crash{Target: life(id, e.Incarnation)})
+		s.suspect(fingerprint(r), s.gone(ended), slog.String("request", r.ID))
+	}()
+}
+
+// gone returns those of the targets that refuse connections. One that does not answer at all may be cut off.
+func (s *Service) gone(ended []query.TargetID) []quarantine.Crash {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	found := make([]query.TargetID, len(ended))
+	var looks sync.WaitGroup
+	for i, id := range ended {
+		e, known := s.target(id)
+		if !known {
+			continue
+		}
+		looks.Go(func() {
+			if err := s.cfg.Sender.Reach(ctx, e.Address); err != nil && ctx.Err() == nil {
+				found[i] = life(id, e.Incarnation)
 			}
+		})
+	}
+	looks.Wait()
+	var crashes []quarantine.Crash
+	for _, id := range found {
+		if id != "" {
+			crashes = append(crashes, quarantine.Crash{Target: id})
 		}
-		s.suspect(fingerprint(r), crashes, slog.String("request", r.ID))
-	}()
+	}
+	return crashes
 }
 
 // life names one life of a target. A target may crash again after it has come back under its id.
--- a/instance/gateway/suspects_test.go
+++ b/instance/gateway/suspects_test.go
@@ -214,6 +214,22 @@
 	}
 }
 
+// Guards against a single submission that crashes more targets than hold a request, where its route allows
+// more attempts, and against fewer attempts for requests that crash nothing.
+func TestAttemptsOfOneSubmission(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer w.stopAll(t)
+		w.ask(t.Context(), 0, "/many/x", badBody, "10.0.0.1:1")
+		require.Equal(t, 3, w.crashes)
+		f := &fleet{sent: map[string]int{}, behave: func(string, int) (time.Duration, query.Reply) {
+			return serviceTime, outcome(query.OutcomeShed)
+		}}
+		ask(t.Context(), service(t, f), "/many/x")
+		require.Equal(t, 5, f.attempts())
+	})
+}
+
 // Guards against a request that is held because it was on a target when another one crashed it. Load: one
 // request in 50 crashes what runs it, each time another one; callers repeat once what failed.
 func TestRequestsBesideCrashesAreNotHeld(t *testing.T) {
