--- a/control/membership/member.go
+++ b/control/membership/member.go
@@ -57,6 +57,17 @@
 	return xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(m.ID), m.Incarnation))
 }
 
+// LiveIDs returns the ids of the live ones of some members, in their order.
+func LiveIDs(members []Member) []string {
+	var ids []string
+	for _, m := range members {
+		if m.State == Live {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
 // digest returns the member's part of the membership hash. Dead members have none, so that
 // instances which forget a dead member at different times still agree.
 func (m Member) digest() uint64 {
--- a/emulator/fleet/claims_world_test.go
+++ b/emulator/fleet/claims_world_test.go
@@ -190,12 +190,8 @@
 	bus  *kernel.Bus
 }
 
-// virtualYears takes the virtual clock, which starts in 2000, to a time whose Unix milliseconds have
-// the 13 digits of a key.
-const virtualYears = 30 * 365 * 24 * time.Hour
-
 func newClaimsWorld(seed uint64) *claimsWorld {
-	time.Sleep(virtualYears)
+	time.Sleep(time.Until(claim.FirstKeyTime.Add(claim.Retention))) // Virtual time begins in 2000.
 	w := &claimsWorld{
 		store: newFaults(seed, 1), peers: newFaults(seed, 2),
 		bank: &bank{
--- a/emulator/rolling/rolling_test.go
+++ b/emulator/rolling/rolling_test.go
@@ -7,20 +7,17 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hyssopcroft.example/control/claim"
 	"hyssopcroft.example/emulator/pipenet"
 )
 
-// twoYears is later than the start of virtual time, in 2000, by enough for keys, whose milliseconds have
-// 13 digits from September 2001 on.
-const twoYears = 2 * 365 * 24 * time.Hour
-
 // Guards against an instance that cuts requests or partial queries, or refuses them although the
 // balancer has not noticed yet, when it is replaced under load.
 func TestReplacingEachInstanceCutsNothing(t *testing.T) {
 	for name, connections := range map[string]int{"flat": 25, "over relays": 5} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				time.Sleep(twoYears)
+				time.Sleep(time.Until(claim.FirstKeyTime)) // Virtual time begins in 2000.
 				r, err := Run(Config{
 					Instances: 3, Workers: 12, BalancerLag: 600 * time.Millisecond, BalancerPoll: 50 * time.Millisecond,
 					MeanServiceTime: 20 * time.Millisecond, Connections: connections, Settle: 200 * time.Millisecond, Seed: 1, Pipes: pipenet.New(),
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -175,7 +175,7 @@
 		if r.reply.Outcome == query.OutcomeFailed {
 			q.single.failure = r.reply.Part
 		}
-		if r.reply.Outcome == query.OutcomeCrashed && q.crashed() < crashLimit {
+		if r.reply.Outcome == query.OutcomeCrashed && q.crashedTargets() < crashLimit {
 			// Another replica may run the request: a target that only lost the answer ends its connection too.
 			r.reply.Outcome = query.OutcomeUnknown
 		}
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -26,10 +26,6 @@
 const Name = "gateway"
 
 const (
-	// longestStart is the age up to which an instance holds requests until it knows routes and targets: a
-	// connection and a call to the store in another region take 60 ms, and 150 ms while all instances
-	// start. After that the store is away, and a refusal at once lets the caller go elsewhere.
-	longestStart = 300 * time.Millisecond
 	// mostInFlight bounds the requests that an instance holds. With 40 KB each, which is two buffers and
 	// the goroutines of 15 attempts, they stay within 40 MB.
 	mostInFlight = 1000
@@ -193,12 +189,14 @@
 	}
 }
 
-// awaitKnown holds a request while the instance reads its first routes and targets. After a loss of all
-// instances the callers that found none come at once to the first one that listens; each has few attempts,
-// and an answer now is worth more to them than a refusal that costs one.
+// awaitKnown holds a request while the instance reads its first routes and targets.
 func (s *Service) awaitKnown(ctx context.Context, r *Request) {
+	left := longestWait
+	if r.TimeLeft > 0 {
+		left = r.TimeLeft - deadlineReserve
+	}
 	s.mu.Lock()
-	wait := startWait(time.Since(s.started), r.TimeLeft)
+	wait := admission.StartWait(time.Since(s.started), left)
 	s.mu.Unlock()
 	if wait <= 0 {
 		return
@@ -212,16 +210,6 @@
 	}
 }
 
-// startWait returns how long a request waits for the first routes and targets, given the age of the
-// instance and the time left to the caller, which is 0 if unknown.
-func startWait(age, timeLeft time.Duration) time.Duration {
-	wait := longestStart - age
-	if timeLeft > 0 {
-		wait = min(wait, timeLeft-deadlineReserve)
-	}
-	return wait
-}
-
 // Ready reports whether the instance knows routes and targets.
 func (s *Service) Ready() bool {
 	s.mu.Lock()
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -132,9 +132,9 @@
 	return max(1, most)
 }
 
-// crashed returns the number of targets that ended their connections while they ran the request, those of
+// crashedTargets returns the number of targets that ended their connections while they ran the request, those of
 // earlier submissions included.
-func (q *run) crashed() int {
+func (q *run) crashedTargets() int {
 	var targets []query.TargetID
 	for _, r := range q.history {
 		if r.ended == query.OutcomeCrashed.String() && !slices.Contains(targets, r.target) {
@@ -252,13 +252,9 @@
 	if len(joined) == 0 || len(held) == 0 {
 		return
 	}
+	live := membership.LiveIDs(members)
 	for _, m := range joined {
-		var others []string
-		for _, o := range members {
-			if o.State == membership.Live && o.ID != m.ID {
-				others = append(others, o.ID)
-			}
-		}
+		others := slices.DeleteFunc(slices.Clone(live), func(id string) bool { return id == m.ID })
 		if rendezvous.Choose(m.ID, others) != s.cfg.Instance {
 			continue
 		}
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -178,13 +178,7 @@
 
 // LiveCount returns the number of members that take requests, at least 1.
 func (s *Service) LiveCount() int {
-	live := 0
-	for _, m := range s.Members() {
-		if m.State == membership.Live {
-			live++
-		}
-	}
-	return max(1, live)
+	return max(1, len(membership.LiveIDs(s.Members())))
 }
 
 // update runs f with the lock held, publishes the changes and wakes the loop.
@@ -281,12 +275,8 @@
 func (s *Service) goneOf(list []platform.Instance) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var live, gone []string
-	for _, m := range s.node.Members() {
-		if m.State == membership.Live {
-			live = append(live, m.ID)
-		}
-	}
+	live := membership.LiveIDs(s.node.Members())
+	var gone []string
 	for _, i := range list {
 		if s.node.Forgotten(i.ID) && rendezvous.Choose(i.ID, live) == s.node.Self().ID {
 			gone = append(gone, i.ID)
