Let the runtime alone run the timers of waits

A timer that is due already is run by the goroutine that sets it or reads its channel; two that do so at once use that context from two threads. instance/members started its loop with time.NewTimer(0), and the package's first test starts 21 members at the same instant of virtual time. The fault is the Go runtime's, but the trigger was ours, and loops over scatter machines and tickers that were read late had it too.

Ruled out: load or memory (the trigger needs neither); GODEBUG=asynctimerchan=1 (synctest refuses it); running the package without -race (gives up a check).

kernel.Alarm and kernel.AfterFunc replace channel timers in all code that runs in virtual time; several loops became kernel.Sleep, and three copies of it went.

--- a/adapter/target/dial.go
+++ b/adapter/target/dial.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"hyssopcroft.example/kernel"
 )
 
 const (
@@ -53,11 +55,7 @@
 }
 
 func (l *DialLimiter) wait(ctx context.Context) error {
-	timer := time.NewTimer(l.jitter())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if !kernel.Sleep(ctx, l.jitter()) {
 		return ctx.Err()
 	}
 	return l.limiter.Wait(ctx)
--- a/emulator/controlplane/observer.go
+++ b/emulator/controlplane/observer.go
@@ -8,6 +8,7 @@
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/kernel"
 )
 
 // observePeriod is the time between two looks at all instances. It bounds the error of the times.
@@ -39,11 +40,12 @@
 	o.look()
 	o.everyone = o.newest
 	o.done.Go(func() {
-		ticker := time.NewTicker(observePeriod)
-		defer ticker.Stop()
+		alarm := kernel.NewAlarm(observePeriod)
+		defer alarm.Stop()
 		for {
 			select {
-			case <-ticker.C:
+			case <-alarm.C:
+				alarm.Set(observePeriod)
 				o.look()
 			case <-o.stop:
 				return
--- a/emulator/fleet/claims_history_test.go
+++ b/emulator/fleet/claims_history_test.go
@@ -15,6 +15,7 @@
 
 	"hyssopcroft.example/control/claim"
 	"hyssopcroft.example/instance/claims"
+	"hyssopcroft.example/kernel"
 )
 
 const (
@@ -164,7 +165,7 @@
 		switch source.IntN(4) {
 		case 0:
 			w.store.set(func(f *faults) { f.away = true })
-			wait(ctx, time.Duration(source.Int64N(int64(4*time.Second))))
+			kernel.Sleep(ctx, time.Duration(source.Int64N(int64(4*time.Second))))
 			w.store.set(func(f *faults) { f.away = false })
 		case 1:
 			w.service(id).view.set(id) // It believes to be chosen for every bucket.
@@ -172,10 +173,10 @@
 			w.service(id).view.set(fleetIDs...)
 		case 3:
 			w.kill(id)
-			wait(ctx, time.Duration(source.Int64N(int64(time.Second))))
+			kernel.Sleep(ctx, time.Duration(source.Int64N(int64(time.Second))))
 			w.start(id, fleetIDs...)
 		}
-		wait(ctx, time.Duration(source.Int64N(int64(time.Second))))
+		kernel.Sleep(ctx, time.Duration(source.Int64N(int64(time.Second))))
 	}
 }
 
--- a/emulator/fleet/claims_world_test.go
+++ b/emulator/fleet/claims_world_test.go
@@ -115,7 +115,7 @@
 	if away {
 		return "", query.OutcomeDraining
 	}
-	if !wait(ctx, delay) {
+	if !kernel.Sleep(ctx, delay) {
 		return "", query.OutcomeUnknown
 	}
 	b.mu.Lock()
@@ -123,7 +123,7 @@
 	b.runs[r.Key]++
 	balance := b.balances[r.Body]
 	b.mu.Unlock()
-	if lose || !wait(ctx, delay) {
+	if lose || !kernel.Sleep(ctx, delay) {
 		return "", query.OutcomeUnknown
 	}
 	return strconv.Itoa(balance), query.OutcomeAnswered
@@ -134,15 +134,6 @@
 	return b.SendOnce(ctx, r)
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (b *bank) runsOf(k claim.Key) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/emulator/platform/inject.go
+++ b/emulator/platform/inject.go
@@ -8,6 +8,7 @@
 	"time"
 
 	api "hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/kernel"
 )
 
 func purposeOf(r *http.Request) api.Purpose { return api.Purpose(r.Header.Get(api.HeaderPurpose)) }
@@ -63,12 +64,7 @@
 	if d <= 0 {
 		return
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	kernel.Sleep(ctx, d)
 }
 
 func refuse(w http.ResponseWriter, r *http.Request, o Outage) {
--- a/emulator/platform/store.go
+++ b/emulator/platform/store.go
@@ -11,6 +11,7 @@
 	"time"
 
 	api "hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/kernel"
 )
 
 type objectKey struct{ kind, name string }
@@ -102,8 +103,8 @@
 // Watch returns the objects of a kind that changed after a revision, and waits up to wait if
 // there are none yet. After revision 0 it returns all present objects at once.
 func (s *Store) Watch(ctx context.Context, kind string, after api.Version, wait time.Duration) api.Changes {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	patience := kernel.NewAlarm(wait)
+	defer patience.Stop()
 	for {
 		changes, changed := s.changesAfter(kind, after)
 		if len(changes.Objects) > 0 || after == 0 {
@@ -111,7 +112,7 @@
 		}
 		select {
 		case <-changed:
-		case <-timer.C:
+		case <-patience.C:
 			return changes
 		case <-ctx.Done():
 			return changes
--- a/emulator/rolling/balancer.go
+++ b/emulator/rolling/balancer.go
@@ -12,6 +12,7 @@
 
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/target"
+	"hyssopcroft.example/kernel"
 )
 
 // balancer is a small stand-in for the platform's balancer: it gives callers the address of an
@@ -49,8 +50,6 @@
 
 // watch looks at all instances once in each period until ctx is done.
 func (b *balancer) watch(ctx context.Context) {
-	ticker := time.NewTicker(b.poll)
-	defer ticker.Stop()
 	for {
 		var ready []string
 		for _, i := range b.list() {
@@ -61,9 +60,7 @@
 		b.mu.Lock()
 		b.ready = ready
 		b.mu.Unlock()
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
+		if !kernel.Sleep(ctx, b.poll) {
 			return
 		}
 	}
--- a/emulator/target/answers.go
+++ b/emulator/target/answers.go
@@ -7,6 +7,7 @@
 
 	api "hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/adapter/wire/targetpb"
+	"hyssopcroft.example/kernel"
 )
 
 // lastAnswers holds the latest answers, which take the place of others when answers cross.
@@ -21,12 +22,7 @@
 	if !s.faults.Happens(f.LateShare) {
 		return
 	}
-	timer := time.NewTimer(time.Duration(f.LateBy))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	kernel.Sleep(ctx, time.Duration(f.LateBy))
 }
 
 func (s *Searcher) crossSearch(resp *targetpb.SearchResponse) *targetpb.SearchResponse {
--- a/emulator/target/run.go
+++ b/emulator/target/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hyssopcroft.example/adapter/wire/targetpb"
+	"hyssopcroft.example/kernel"
 )
 
 // ran is what became of a request that was admitted.
@@ -33,14 +34,10 @@
 		return s.counted(ran{outcome: targetpb.Outcome_OUTCOME_ABORTED})
 	}
 	cold := s.warmUp()
-	timer := time.NewTimer(s.serviceTime(cold))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return s.counted(ran{outcome: targetpb.Outcome_OUTCOME_ANSWERED, cold: cold})
-	case <-ctx.Done():
+	if !kernel.Sleep(ctx, s.serviceTime(cold)) {
 		return s.counted(ran{outcome: targetpb.Outcome_OUTCOME_ABORTED, cold: cold})
 	}
+	return s.counted(ran{outcome: targetpb.Outcome_OUTCOME_ANSWERED, cold: cold})
 }
 
 var outcomeCounters = map[targetpb.Outcome]string{
--- a/emulator/target/silent_test.go
+++ b/emulator/target/silent_test.go
@@ -16,6 +16,7 @@
 	api "hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/emulator/pipenet"
 	"hyssopcroft.example/emulator/target"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/settings"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/replica"
@@ -95,14 +96,14 @@
 				go func() { replies <- asked{attempt: call.Attempt, reply: a.client.Search(ctx, call)} }()
 			}
 		}
-		timer := time.NewTimer(time.Until(m.NextWake()))
+		alarm := kernel.NewAlarm(time.Until(m.NextWake()))
 		select {
 		case r := <-replies:
 			actions = m.OnReply(time.Now(), r.attempt, r.reply)
-		case <-timer.C:
+		case <-alarm.C:
 			actions = m.OnWake(time.Now())
 		}
-		timer.Stop()
+		alarm.Stop()
 	}
 }
 
--- a/emulator/workload/driver.go
+++ b/emulator/workload/driver.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"hyssopcroft.example/kernel"
 )
 
 // Outcome names of requests that brought no error code back.
@@ -67,11 +69,12 @@
 	done := make(chan struct{})
 	var wait sync.WaitGroup
 	wait.Go(func() {
-		ticker := time.NewTicker(progressPeriod)
-		defer ticker.Stop()
+		alarm := kernel.NewAlarm(progressPeriod)
+		defer alarm.Stop()
 		for {
 			select {
-			case <-ticker.C:
+			case <-alarm.C:
+				alarm.Set(progressPeriod)
 				d.Progress(record.summary())
 			case <-done:
 				return
@@ -86,14 +89,7 @@
 
 // sleepUntil returns false if ctx ends first.
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
+	return kernel.Sleep(ctx, time.Until(at)) && ctx.Err() == nil
 }
 
 // take returns false if ctx ends before a slot is free.
--- a/instance/app/connections.go
+++ b/instance/app/connections.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"hyssopcroft.example/kernel"
 )
 
 const (
@@ -70,13 +72,14 @@
 	c.mu.Lock()
 	c.changed = time.Now()
 	c.mu.Unlock()
-	ticker := time.NewTicker(quietPoll)
-	defer ticker.Stop()
+	alarm := kernel.NewAlarm(quietPoll)
+	defer alarm.Stop()
 	for {
 		select {
 		case err := <-shutdown:
 			return err
-		case <-ticker.C:
+		case <-alarm.C:
+			alarm.Set(quietPoll)
 		}
 		if c.quiet() {
 			err := server.Close()
--- a/instance/app/drain.go
+++ b/instance/app/drain.go
@@ -9,6 +9,7 @@
 	"hyssopcroft.example/adapter/caller"
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/control/drain"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
 )
 
@@ -109,7 +110,7 @@
 		d.timer.Stop()
 	}
 	if wake := d.controller.NextWake(); !wake.IsZero() {
-		d.timer = time.AfterFunc(time.Until(wake), func() { d.change(d.controller.OnWake) })
+		d.timer = kernel.AfterFunc(time.Until(wake), func() { d.change(d.controller.OnWake) })
 	}
 }
 
--- a/instance/claims/bucket.go
+++ b/instance/claims/bucket.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hyssopcroft.example/control/claim"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 )
 
@@ -64,13 +65,13 @@
 // execute submits a request and waits for its answer until ctx is done.
 func (b *bucket) execute(ctx context.Context, r Request) claim.Answer {
 	id, answer := b.submit(r)
-	timer := time.NewTimer(claimTimeout)
-	defer timer.Stop()
+	alarm := kernel.NewAlarm(claimTimeout)
+	defer alarm.Stop()
 	for {
 		select {
 		case a := <-answer:
 			return a
-		case <-timer.C:
+		case <-alarm.C:
 			b.abandonUnsent(r.Key, id)
 		case <-ctx.Done():
 			b.abandon(r.Key, id)
@@ -222,5 +223,5 @@
 	if wake.IsZero() || b.closed {
 		return
 	}
-	b.timer = time.AfterFunc(time.Until(wake), func() { b.on(b.log.OnWake) })
+	b.timer = kernel.AfterFunc(time.Until(wake), func() { b.on(b.log.OnWake) })
 }
--- a/instance/claims/service.go
+++ b/instance/claims/service.go
@@ -118,15 +118,8 @@
 }
 
 func (s *Service) follow(ctx context.Context) {
-	ticker := time.NewTicker(refreshPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			s.refresh()
-		case <-ctx.Done():
-			return
-		}
+	for kernel.Sleep(ctx, refreshPeriod) {
+		s.refresh()
 	}
 }
 
@@ -137,12 +130,8 @@
 	for _, b := range s.buckets {
 		b.setChosen(false)
 	}
-	ticker := time.NewTicker(settlePoll)
-	defer ticker.Stop()
 	for !s.settled() {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
+		if !kernel.Sleep(ctx, settlePoll) {
 			s.cfg.Counters.Counter("claim_results_not_stored").Add(1)
 			return s.closeBuckets()
 		}
--- a/instance/configsync/distribute.go
+++ b/instance/configsync/distribute.go
@@ -9,6 +9,7 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/wire/memberpb"
 	"hyssopcroft.example/control/config"
+	"hyssopcroft.example/kernel"
 )
 
 const (
@@ -39,14 +40,14 @@
 	for i, address := range group {
 		answered := make(chan bool, 1)
 		s.done.Go(func() { answered <- s.pushTo(o, address, group[i+1:]) })
-		timer := time.NewTimer(pushPatience)
+		patience := kernel.NewAlarm(pushPatience)
 		select {
 		case ok := <-answered:
-			timer.Stop()
+			patience.Stop()
 			if ok {
 				return
 			}
-		case <-timer.C:
+		case <-patience.C:
 		}
 		if s.ctx.Err() != nil {
 			return
--- a/instance/configsync/watch.go
+++ b/instance/configsync/watch.go
@@ -27,17 +27,11 @@
 // run reads everything once and then watches while the instance is one of the watchers.
 func (s *Service) run() {
 	s.start()
-	ticker := time.NewTicker(rolePeriod)
-	defer ticker.Stop()
 	var watches sync.WaitGroup
 	defer watches.Wait()
-	for {
+	s.updateRole(&watches)
+	for kernel.Sleep(s.ctx, rolePeriod) {
 		s.updateRole(&watches)
-		select {
-		case <-ticker.C:
-		case <-s.ctx.Done():
-			return
-		}
 	}
 }
 
--- a/instance/directory/source_test.go
+++ b/instance/directory/source_test.go
@@ -87,9 +87,11 @@
 	if err != nil || ahead {
 		return err
 	}
+	patience := kernel.NewAlarm(wait)
+	defer patience.Stop()
 	select {
 	case <-changed:
-	case <-time.After(wait):
+	case <-patience.C:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -194,7 +194,7 @@
 	}
 	watch, endWatch := context.WithCancel(context.Background())
 	e.endWatch = endWatch
-	go watchStalls(watch, time.NewTicker(stallLook).C, time.Now, e.log)
+	go watchStalls(watch, kernel.Sleep, time.Now, e.log)
 	e.log.Info("instance started", "callers", e.settings.Callers, "failure_domain", e.settings.FailureDomain)
 	return nil
 }
--- a/instance/edge/leaving.go
+++ b/instance/edge/leaving.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hyssopcroft.example/control/drain"
+	"hyssopcroft.example/kernel"
 )
 
 const (
@@ -65,7 +66,7 @@
 		g.timer.Stop()
 	}
 	if wake := g.controller.NextWake(); !wake.IsZero() {
-		g.timer = time.AfterFunc(time.Until(wake), func() { g.change(g.controller.OnWake) })
+		g.timer = kernel.AfterFunc(time.Until(wake), func() { g.change(g.controller.OnWake) })
 	}
 	if phase == drain.Stopping {
 		close(g.idle)
--- a/instance/edge/stall.go
+++ b/instance/edge/stall.go
@@ -16,14 +16,9 @@
 
 // watchStalls logs the pauses in which the whole process did not run, because it was stopped or got no
 // processor, until ctx is done. Requests in flight then end late for no reason that their own lines show.
-func watchStalls(ctx context.Context, ticks <-chan time.Time, now func() time.Time, log *slog.Logger) {
+func watchStalls(ctx context.Context, sleep func(context.Context, time.Duration) bool, now func() time.Time, log *slog.Logger) {
 	last := now()
-	for {
-		select {
-		case <-ticks:
-		case <-ctx.Done():
-			return
-		}
+	for sleep(ctx, stallLook) {
 		at := now()
 		if pause := at.Sub(last) - stallLook; pause >= leastStall {
 			log.Warn("process stood still", "pause_ms", pause.Milliseconds())
--- a/instance/edge/stall_test.go
+++ b/instance/edge/stall_test.go
@@ -16,22 +16,30 @@
 func TestStalls(t *testing.T) {
 	var out bytes.Buffer
 	at := time.Unix(0, 0)
-	ticks := make(chan time.Time)
+	ticks := make(chan struct{})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	looked := make(chan struct{})
 	go func() {
 		defer close(ended)
+		sleep := func(ctx context.Context, _ time.Duration) bool {
+			select {
+			case <-ticks:
+				return true
+			case <-ctx.Done():
+				return false
+			}
+		}
 		now := func() time.Time {
 			defer func() { looked <- struct{}{} }()
 			return at
 		}
-		watchStalls(ctx, ticks, now, slog.New(slog.NewTextHandler(&out, nil)))
+		watchStalls(ctx, sleep, now, slog.New(slog.NewTextHandler(&out, nil)))
 	}()
 	<-looked
 	for _, gap := range []time.Duration{stallLook, 2 * stallLook, 2750 * time.Millisecond, stallLook} {
 		at = at.Add(gap)
-		ticks <- at
+		ticks <- struct{}{}
 		<-looked
 	}
 	cancel()
--- a/instance/entry/peers.go
+++ b/instance/entry/peers.go
@@ -48,13 +48,14 @@
 
 // placeLoop computes placements, opens connections ahead of queries and releases others.
 func (s *Service) placeLoop(ctx context.Context) {
-	sweep := time.NewTicker(sweepPeriod)
+	sweep := kernel.NewAlarm(sweepPeriod)
 	defer sweep.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-sweep.C:
+			sweep.Set(sweepPeriod)
 			s.pool.Sweep()
 		case <-s.placeWanted:
 			known := s.knowsTargets() // before they are placed
--- a/instance/entry/quarantine.go
+++ b/instance/entry/quarantine.go
@@ -140,9 +140,11 @@
 
 // crashedCanary is crashed, and waits for the peers.
 func (g *guard) crashedCanary(c quarantine.Crash) {
+	patience := kernel.NewAlarm(suspectWait)
+	defer patience.Stop()
 	select {
 	case <-g.crashed(c):
-	case <-time.After(suspectWait):
+	case <-patience.C:
 	}
 }
 
--- a/instance/entry/scatter.go
+++ b/instance/entry/scatter.go
@@ -8,6 +8,7 @@
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/adapter/trace"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/quarantine"
 	"hyssopcroft.example/query/scatter"
@@ -103,8 +104,8 @@
 	defer cancel() // ends all attempts that are still in flight
 	defer func() { r.service.countDropped(r.machine.Dropped()) }()
 	finished := r.perform(ctx, r.machine.Start(time.Now()))
-	timer := time.NewTimer(time.Until(r.machine.NextWake()))
-	defer timer.Stop()
+	alarm := kernel.NewAlarm(time.Until(r.machine.NextWake()))
+	defer alarm.Stop()
 	for !finished {
 		select {
 		case s := <-r.replies:
@@ -114,12 +115,12 @@
 			}
 			r.note(s)
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), s.attempt, s.reply))
-		case <-timer.C:
+		case <-alarm.C:
 			finished = r.perform(ctx, r.machine.OnWake(time.Now()))
 		case <-caller.Done():
 			finished = true
 		}
-		timer.Reset(time.Until(r.machine.NextWake()))
+		alarm.Set(time.Until(r.machine.NextWake()))
 	}
 	r.abandon()
 	answer := r.machine.Answer()
--- a/instance/entry/send_once.go
+++ b/instance/entry/send_once.go
@@ -8,6 +8,7 @@
 	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/adapter/wire/executepb"
 	"hyssopcroft.example/instance/claims"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/placement"
 )
@@ -89,18 +90,13 @@
 // awaitTarget returns a target for an execute, which takes the first shard. It waits until ctx is
 // done, because a claim that is stored and not sent uses up its key.
 func (ix *index) awaitTarget(ctx context.Context) (query.TargetID, bool) {
-	ticker := time.NewTicker(targetPoll)
-	defer ticker.Stop()
 	for ctx.Err() == nil {
 		if m, known := ix.chooseSnapshot(); known {
 			if id, ok := ix.peek(m.Shards[0]); ok {
 				return id, true
 			}
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-		}
+		kernel.Sleep(ctx, targetPoll)
 	}
 	return "", false
 }
--- a/instance/entry/two_level.go
+++ b/instance/entry/two_level.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/group"
 	"hyssopcroft.example/query/placement"
@@ -55,8 +56,8 @@
 	defer cancel() // ends all attempts that are still in flight
 	defer func() { r.service.countDropped(r.machine.Dropped()) }()
 	finished := r.perform(ctx, r.machine.Start(time.Now()))
-	timer := time.NewTimer(time.Until(r.machine.NextWake()))
-	defer timer.Stop()
+	alarm := kernel.NewAlarm(time.Until(r.machine.NextWake()))
+	defer alarm.Stop()
 	for !finished {
 		select {
 		case p := <-r.replies:
@@ -65,12 +66,12 @@
 			}
 			r.noteReply(p.attempt)
 			finished = r.perform(ctx, r.machine.OnReply(time.Now(), p.attempt, p.partial.Reply))
-		case <-timer.C:
+		case <-alarm.C:
 			finished = r.perform(ctx, r.machine.OnWake(time.Now()))
 		case <-ctx.Done():
 			finished = true
 		}
-		timer.Reset(time.Until(r.machine.NextWake()))
+		alarm.Set(time.Until(r.machine.NextWake()))
 	}
 	answer := r.machine.Answer()
 	other, again := r.index.restartOnFinish(r.restart, answer.Coverage)
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -37,8 +37,10 @@
 	f.sent[string(a.Target)]++
 	wait, reply := f.behave(string(a.Target), f.sent[string(a.Target)])
 	f.mu.Unlock()
+	patience := kernel.NewAlarm(wait)
+	defer patience.Stop()
 	select {
-	case <-time.After(wait):
+	case <-patience.C:
 		return reply
 	case <-ctx.Done():
 		f.mu.Lock()
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/admission"
 	"hyssopcroft.example/query/merge"
@@ -149,18 +150,18 @@
 	ctx, cancel := context.WithCancel(caller)
 	defer cancel() // Ends the attempts that are still in flight.
 	finished := q.perform(ctx, q.machine.Start(time.Now()))
-	timer := time.NewTimer(time.Until(q.machine.NextWake()))
-	defer timer.Stop()
+	alarm := kernel.NewAlarm(time.Until(q.machine.NextWake()))
+	defer alarm.Stop()
 	for !finished {
 		select {
 		case r := <-q.replies:
 			finished = q.perform(ctx, q.onReply(r))
-		case <-timer.C:
+		case <-alarm.C:
 			finished = q.perform(ctx, q.machine.OnWake(time.Now()))
 		case <-caller.Done():
 			finished = true
 		}
-		timer.Reset(time.Until(q.machine.NextWake()))
+		alarm.Set(time.Until(q.machine.NextWake()))
 	}
 	q.machine.Abandon(time.Now())
 }
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -201,11 +201,11 @@
 	if wait <= 0 {
 		return
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+	alarm := kernel.NewAlarm(wait)
+	defer alarm.Stop()
 	select {
 	case <-s.known:
-	case <-timer.C:
+	case <-alarm.C:
 	case <-ctx.Done():
 	}
 }
--- a/instance/limits/holder.go
+++ b/instance/limits/holder.go
@@ -10,6 +10,7 @@
 	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/trace"
 	"hyssopcroft.example/control/share"
+	"hyssopcroft.example/kernel"
 )
 
 // planHolder is the share.Holder of one plan.
@@ -103,15 +104,15 @@
 		if admitted {
 			return true, 0
 		}
-		timer := time.NewTimer(min(retryAfter, loanLook))
+		alarm := kernel.NewAlarm(min(retryAfter, loanLook))
 		select {
 		case <-loaned:
-		case <-timer.C:
+		case <-alarm.C:
 		case <-ctx.Done():
-			timer.Stop()
+			alarm.Stop()
 			return false, retryAfter
 		}
-		timer.Stop()
+		alarm.Stop()
 	}
 }
 
--- a/instance/limits/service.go
+++ b/instance/limits/service.go
@@ -18,6 +18,7 @@
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/control/share"
 	"hyssopcroft.example/instance/members"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
 	"hyssopcroft.example/kernel/timeline"
 )
@@ -127,17 +128,9 @@
 
 // lead takes the leases of the buckets that this instance is chosen for and gives up the others.
 func (s *Service) lead(ctx context.Context) {
-	timer := time.NewTimer(leadDelay)
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return
-		}
+	for wait := leadDelay; kernel.Sleep(ctx, wait); wait = leadTick {
 		s.lookAtLeases(ctx)
 		s.ready.Store(true)
-		timer.Reset(leadTick)
 	}
 }
 
@@ -160,11 +153,12 @@
 
 // borrow sends the asks that are due, one message to each lender.
 func (s *Service) borrow(ctx context.Context) {
-	ticker := time.NewTicker(askTick)
-	defer ticker.Stop()
+	alarm := kernel.NewAlarm(askTick)
+	defer alarm.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-alarm.C:
+			alarm.Set(askTick)
 		case <-s.kick:
 		case <-ctx.Done():
 			return
--- a/instance/members/exchange.go
+++ b/instance/members/exchange.go
@@ -11,6 +11,7 @@
 	"hyssopcroft.example/adapter/wire/memberpb"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/kernel"
 )
 
 // fullStateTimeout bounds the transfer of a full state.
@@ -20,11 +21,11 @@
 func (s *Service) exchange(ctx context.Context) {
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	timer := time.NewTimer(0)
-	defer timer.Stop()
+	alarm := kernel.NewAlarm(0)
+	defer alarm.Stop()
 	for {
 		select {
-		case <-timer.C:
+		case <-alarm.C:
 		case <-s.kick:
 		case <-ctx.Done():
 			return
@@ -34,7 +35,7 @@
 		actions := s.node.OnWake(now)
 		next := s.node.NextWake()
 		s.mu.Unlock()
-		timer.Reset(time.Until(next))
+		alarm.Set(time.Until(next))
 		for _, a := range actions {
 			calls.Go(func() { s.do(ctx, a) })
 		}
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -208,14 +208,7 @@
 			return
 		}
 	}
-	ticker := time.NewTicker(listPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+	for kernel.Sleep(ctx, listPeriod) {
 		if s.config.Watching() || len(s.Members()) == 1 {
 			s.readList(ctx)
 		}
--- /dev/null
+++ b/kernel/alarm_test.go
@@ -0,0 +1,73 @@
+package kernel
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against waits that crash the race detector in virtual time, where a timer that is due already is
+// run by the goroutine that sets or reads it, with the one race context that the runtime keeps for the
+// timers of a bubble. Needs -race.
+func TestAlarmsThatAreDueAtOnce(t *testing.T) {
+	cases := map[string]func(){
+		"sleep":    func() { Sleep(context.Background(), 0) },
+		"set":      func() { a := NewAlarm(time.Hour); a.Set(0); <-a.C; a.Stop() },
+		"set late": func() { a := NewAlarm(0); <-a.C; a.Set(-time.Second); <-a.C; a.Stop() },
+		"after":    func() { done := make(chan struct{}); AfterFunc(-time.Second, func() { close(done) }); <-done },
+		// The alarm is due while its reader waits for something else.
+		"read late": func() { a := NewAlarm(time.Nanosecond); time.Sleep(2); <-a.C; a.Stop() },
+	}
+	for name, wait := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var done sync.WaitGroup
+				for range 64 {
+					done.Go(func() {
+						for range 500 {
+							wait()
+						}
+					})
+				}
+				done.Wait()
+			})
+		})
+	}
+}
+
+// Guards against a loop that is woken before its time, twice for one time, or never after it was set again.
+func TestAlarm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		a := NewAlarm(time.Second)
+		a.Set(3 * time.Second)
+		<-a.C
+		require.Equal(t, 3*time.Second, time.Since(start))
+		a.Set(0)
+		<-a.C
+		require.Equal(t, 3*time.Second, time.Since(start))
+		a.Set(time.Second)
+		a.Stop()
+		time.Sleep(2 * time.Second)
+		select {
+		case <-a.C:
+			t.Fatal("a stopped alarm rang")
+		default:
+		}
+	})
+}
+
+// Guards against a wait that goes on after its context ended, or reports that it was not cut short.
+func TestSleep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.True(t, Sleep(ctx, time.Millisecond))
+		require.False(t, Sleep(ctx, time.Hour))
+		require.True(t, Sleep(t.Context(), 0))
+	})
+}
--- a/kernel/sleep.go
+++ b/kernel/sleep.go
@@ -7,10 +7,10 @@
 
 // Sleep waits for d. It returns false if ctx ended first.
 func Sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
+	alarm := NewAlarm(d)
+	defer alarm.Stop()
 	select {
-	case <-timer.C:
+	case <-alarm.C:
 		return true
 	case <-ctx.Done():
 		return false
