Hand a freed place to the next request that waits for it

Cause: a shard whose targets were at the instance's limit looked again after 1 to 32 ms, so that a freed place stayed empty that long, and went to whoever looked first, late or not, urgent or not.

A request that ends passes on the places that it was offered.

--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/admission"
+	"hyssopcroft.example/query/balance"
 	"hyssopcroft.example/query/routing"
 )
 
@@ -113,6 +114,6 @@
 	route    *routing.Route
 	services []string
 	shards   []query.Shard
-	policy   *lockedPolicy
+	policy   *balance.Policy
 	gate     *admission.Gate // has admitted the request
 }
--- a/instance/gateway/policy.go
+++ b/instance/gateway/policy.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"sync"
 	"time"
 
 	"hyssopcroft.example/query"
@@ -10,30 +9,44 @@
 	"hyssopcroft.example/query/scatter"
 )
 
-// lockedPolicy guards the policy of a route with the lock of the service, since all routes share what
-// is known of the targets.
-type lockedPolicy struct {
-	mu     *sync.Mutex
+// runPolicy is the policy of a route for one request. It guards what all routes share with the lock of the
+// service, and lets the request wait for places in the queues of its shards.
+type runPolicy struct {
+	run    *run
 	policy *balance.Policy
 }
 
 // Choose implements scatter.Policy.
-func (p *lockedPolicy) Choose(now time.Time, w scatter.Want) (scatter.Grant, replica.Verdict) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.policy.Choose(now, w)
+func (p *runPolicy) Choose(now time.Time, w scatter.Want) (scatter.Grant, replica.Verdict) {
+	s := p.run.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	grant, verdict := p.policy.Choose(now, w)
+	switch {
+	case w.Use == replica.Hedge: // Second attempts take what is free.
+	case verdict == replica.Limited:
+		s.places(w.Shard).Add(p.run, p.run.due, p.run.terms.route.Rank)
+	default:
+		s.places(w.Shard).Remove(p.run)
+	}
+	return grant, verdict
 }
 
 // Overdue implements scatter.Policy.
-func (p *lockedPolicy) Overdue(target query.TargetID, sent time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (p *runPolicy) Overdue(target query.TargetID, sent time.Time) {
+	s := p.run.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	p.policy.Overdue(target, sent)
 }
 
-// End implements scatter.Policy.
-func (p *lockedPolicy) End(now time.Time, e replica.End) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// End implements scatter.Policy. The place goes to a request that waits.
+func (p *runPolicy) End(now time.Time, e replica.End) {
+	s := p.run.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	p.policy.End(now, e)
+	if target, known := s.targets[e.Target]; known {
+		s.offerPlace(now, s.shard(target.Service))
+	}
 }
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -22,7 +22,8 @@
 	deadlineReserve = 10 * time.Millisecond
 	// longestWait is the time for a request whose caller and route state none.
 	longestWait = 30 * time.Second
-	// longestPlaceWait bounds the time between two looks for a free connection: a few service times.
+	// longestPlaceWait bounds the time between two looks for a place of a request that no freed place was
+	// offered to, because new targets and longer limits offer none: a few service times.
 	longestPlaceWait = 32 * time.Millisecond
 	// crashLimit is the number of targets that have to crash on a query before it ends, and on all
 	// submissions of a request before it is held. Targets that lose some of their answers end connections
@@ -38,10 +39,12 @@
 	id       query.RequestID
 	start    time.Time
 	deadline time.Time
+	due      time.Time // when the answer is late
 	machine  *scatter.Machine
 	single   *single        // collects the answer of a request to one service, else nil
 	records  *merge.Records // collects the parts of a gathered answer, else nil
 	replies  chan sentReply
+	freed    chan query.Shard // whose targets have a free place for this request
 	cancels  map[query.AttemptID]context.CancelFunc
 	history  []attemptRecord // in the order of sending
 	crashes  int             // of targets on earlier submissions of the request
@@ -110,7 +113,9 @@
 	q := &run{
 		service: s, request: r, terms: t, id: query.RequestID(rand.Uint64()), start: start, crashes: crashes,
 		deadline: start.Add(t.patience(r)),
+		due:      start.Add(t.route.Objective - answerReserve),
 		replies:  make(chan sentReply, 2*len(t.shards)),
+		freed:    make(chan query.Shard, len(t.shards)),
 		cancels:  make(map[query.AttemptID]context.CancelFunc, len(t.shards)),
 	}
 	cfg := scatter.Config{
@@ -118,13 +123,13 @@
 			ID: q.id, Plan: t.route.Name, Index: t.route.Name, Deadline: q.deadline, PreferCoverage: true,
 		},
 		Map:    query.Map{Version: t.table.Version, Shards: t.shards},
-		Policy: t.policy, NextAttempt: s.nextAttempt, Distinct: true, LongestWait: longestPlaceWait,
+		Policy: &runPolicy{run: q, policy: t.policy}, NextAttempt: s.nextAttempt, Distinct: true, LongestWait: longestPlaceWait,
 		MaxAttempts: attemptLimit(t.route.MaxAttempts, crashes), Once: !t.route.Repeatable, Crashes: max(1, crashLimit-crashes),
 	}
 	if t.route.Gather {
 		q.records = merge.NewRecords(q.id, t.table.Version, t.shards)
 		cfg.Collector, cfg.Enough = q.records, t.least()
-		cfg.AnswerBy = start.Add(t.route.Objective - answerReserve)
+		cfg.AnswerBy = q.due
 	} else {
 		q.single = &single{}
 		cfg.Collector = q.single
@@ -149,6 +154,7 @@
 func (q *run) loop(caller context.Context) {
 	ctx, cancel := context.WithCancel(caller)
 	defer cancel() // Ends the attempts that are still in flight.
+	defer q.service.leaveQueues(q)
 	finished := q.perform(ctx, q.machine.Start(time.Now()))
 	alarm := kernel.NewAlarm(time.Until(q.machine.NextWake()))
 	defer alarm.Stop()
@@ -156,6 +162,8 @@
 		select {
 		case r := <-q.replies:
 			finished = q.perform(ctx, q.onReply(r))
+		case shard := <-q.freed:
+			finished = q.perform(ctx, q.machine.OnPlace(time.Now(), shard))
 		case <-alarm.C:
 			finished = q.perform(ctx, q.machine.OnWake(time.Now()))
 		case <-caller.Done():
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -82,7 +82,8 @@
 	targets  map[query.TargetID]roster.Entry
 	listed   bool // a list of targets was read
 	started  time.Time
-	routes   map[string]*lockedPolicy
+	routes   map[string]*balance.Policy
+	queues   map[query.Shard]*admission.Queue[*run]
 	gates    map[query.Shard]*admission.Gate // by the first shard of the requests
 	share    share
 	ample    bool // targets of all services have room for connections ahead of second attempts
@@ -93,8 +94,8 @@
 func New(cfg Config) *Service {
 	s := &Service{
 		cfg: cfg, known: make(chan struct{}), fleet: balance.NewFleet(cfg.Extra), shards: map[string]query.Shard{},
-		roster: roster.New(), targets: map[query.TargetID]roster.Entry{}, routes: map[string]*lockedPolicy{},
-		gates: map[query.Shard]*admission.Gate{},
+		roster: roster.New(), targets: map[query.TargetID]roster.Entry{}, routes: map[string]*balance.Policy{},
+		gates: map[query.Shard]*admission.Gate{}, queues: map[query.Shard]*admission.Queue[*run]{},
 	}
 	s.suspects = newSuspects()
 	s.share = shareOf(nil, cfg.FailureDomain)
@@ -164,7 +165,7 @@
 	s.cfg.Log.Info("routes in force", "version", t.Version, "before", before, "routes", len(t.Routes))
 	s.table = t
 	s.noteKnown()
-	s.routes = map[string]*lockedPolicy{}
+	s.routes = map[string]*balance.Policy{}
 	s.place()
 }
 
@@ -352,15 +353,55 @@
 	return 1
 }
 
-func (s *Service) policy(r *routing.Route) *lockedPolicy {
+func (s *Service) policy(r *routing.Route) *balance.Policy {
 	p := s.routes[r.Name]
 	if p == nil {
-		p = &lockedPolicy{mu: &s.mu, policy: s.fleet.Route(r.Name, r.Objective)}
+		p = s.fleet.Route(r.Name, r.Objective)
 		s.routes[r.Name] = p
 	}
 	return p
 }
 
+// places returns the queue for the places of a shard's targets. It must be called with mu held.
+func (s *Service) places(shard query.Shard) *admission.Queue[*run] {
+	q := s.queues[shard]
+	if q == nil {
+		q = &admission.Queue[*run]{}
+		s.queues[shard] = q
+	}
+	return q
+}
+
+// offerPlace wakes the request that gets a free place at a target of the shard. It must be called with mu held.
+func (s *Service) offerPlace(now time.Time, shard query.Shard) {
+	next, waits := s.places(shard).Next(now)
+	if !waits {
+		return
+	}
+	select {
+	case next.freed <- shard:
+	default: // It has not read earlier offers, and looks again by itself.
+	}
+}
+
+// leaveQueues takes a request that has ended out of all queues, and offers the places that it was offered and
+// did not take to others.
+func (s *Service) leaveQueues(q *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, shard := range q.terms.shards {
+		s.places(shard).Remove(q)
+	}
+	for {
+		select {
+		case shard := <-q.freed:
+			s.offerPlace(time.Now(), shard)
+		default:
+			return
+		}
+	}
+}
+
 // target returns the entry of a target that is still known.
 func (s *Service) target(id query.TargetID) (roster.Entry, bool) {
 	s.mu.Lock()
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -242,6 +242,21 @@
 	return m.actions
 }
 
+// OnPlace tells that a replica of a shard fell below its limit. If the shard waits for that it tries again.
+func (m *Machine) OnPlace(now time.Time, s query.Shard) []Action {
+	m.actions = m.actions[:0]
+	i := slices.Index(m.cfg.Map.Shards, s)
+	if m.finished || i < 0 {
+		return m.actions
+	}
+	if sh := &m.shards[i]; sh.open && sh.inFlight == 0 && sh.limited > 0 {
+		sh.wake = time.Time{}
+		m.wakeShard(now, int32(i))
+		m.finishIfDone(now)
+	}
+	return m.actions
+}
+
 // Abandon ends a query without an answer: it cancels what is in flight. A caller that stops using a
 // Machine before Finish has to call it, because the policy counts attempts in flight.
 func (m *Machine) Abandon(now time.Time) []Action {
--- a/query/scatter/machine_test.go
+++ b/query/scatter/machine_test.go
@@ -306,3 +306,25 @@
 	require.LessOrEqual(t, looks, 8)
 	require.GreaterOrEqual(t, looks, 5)
 }
+
+// Guards against a shard that waits out its pause although a place is free, and against a second attempt of
+// one that has sent its first.
+func TestFreedPlaceEndsTheWait(t *testing.T) {
+	policy := &script{verdict: replica.Limited}
+	h := newWide(func(cfg *scatter.Config) {
+		cfg.LongestWait = 32 * time.Millisecond
+		cfg.Map.Shards = []query.Shard{1, 2}
+		cfg.Policy = policy
+	})
+	require.Empty(t, h.sends)
+	policy.verdict = replica.Chosen
+	at := start.Add(500 * time.Microsecond)
+	h.take(h.OnPlace(at, 2))
+	require.Len(t, h.sends, 1)
+	require.EqualValues(t, 2, h.sends[0].Shard)
+	h.take(h.OnPlace(at, 2))
+	h.take(h.OnPlace(at, 9))
+	require.Len(t, h.sends, 1)
+	h.take(h.OnPlace(at, 1))
+	require.Len(t, h.sends, 2)
+}
