Close spare connections where targets accept few

A target counts the connections of the earlier lives until they have been idle for 10 s. Instances held 75 connections each, 40 of the 64 that a target accepts, of which 42 in 100 had carried nothing for 3 s (second attempts, probes, earlier first choices).

Connections that are not those of the likely first attempts are closed 3 s after their use where targets have no room for two of each instance.

--- a/adapter/http1/client.go
+++ b/adapter/http1/client.go
@@ -110,6 +110,26 @@
 	return nil
 }
 
+// CloseUnused closes the idle connections that have carried no request for the given time, but those to the
+// addresses to keep.
+func (c *Client) CloseUnused(since time.Duration, keep map[string]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for address, h := range c.hosts {
+		if keep[address] {
+			continue
+		}
+		h.idle = slices.DeleteFunc(h.idle, func(cn *conn) bool {
+			unused := now.Sub(cn.usedAt) >= since
+			if unused {
+				c.closeLocked(h, cn)
+			}
+			return unused
+		})
+	}
+}
+
 // Cold reports whether an address has a limit and no connection.
 func (c *Client) Cold(address string) bool {
 	c.mu.Lock()
--- a/adapter/http1/client_test.go
+++ b/adapter/http1/client_test.go
@@ -66,6 +66,23 @@
 	_, _ = r.ReadByte() // Waits until the far end closes the connection.
 }
 
+// Guards against connections that are kept although no request needs them, which a target counts for its
+// whole idle time once the instance has lost power; and against closing those that are used or to be kept.
+func TestCloseUnused(t *testing.T) {
+	unused, kept := serve(t, whole), serve(t, whole)
+	c := http1.NewClient(nil, nil)
+	c.SetLimits(map[string]int{unused.Addr().String(): 1, kept.Addr().String(): 1})
+	for _, s := range []*target{unused, kept} {
+		_, err := c.Do(t.Context(), s.Addr().String(), request("a"))
+		require.NoError(t, err)
+	}
+	c.CloseUnused(time.Hour, nil)
+	require.False(t, c.Cold(unused.Addr().String()), "it was used just now")
+	c.CloseUnused(0, map[string]bool{kept.Addr().String(): true})
+	require.True(t, c.Cold(unused.Addr().String()))
+	require.False(t, c.Cold(kept.Addr().String()))
+}
+
 func client(s *target, limit int) *http1.Client {
 	c := http1.NewClient(nil, nil)
 	c.SetLimits(map[string]int{s.Addr().String(): limit})
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -89,6 +89,9 @@
 	Cold(address string) bool
 	// Warm opens a connection to a cold address.
 	Warm(ctx context.Context, address string) error
+	// CloseUnused closes the connections that have carried no attempt for the given time, but those to the
+	// addresses to keep.
+	CloseUnused(since time.Duration, keep map[string]bool)
 	// Reach fails if an address accepts no connection.
 	Reach(ctx context.Context, address string) error
 	// SetConnections sets the largest number of connections by address.
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -30,6 +30,7 @@
 	behave    func(target string, n int) (time.Duration, query.Reply)
 	sent      map[string]int // attempts by target
 	cancelled int
+	kept      []map[string]bool // addresses to keep, for each call of CloseUnused
 }
 
 func (f *fleet) Send(ctx context.Context, a gateway.Attempt) query.Reply {
@@ -54,6 +55,12 @@
 
 func (f *fleet) Cold(string) bool { return false }
 
+func (f *fleet) CloseUnused(_ time.Duration, keep map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kept = append(f.kept, keep)
+}
+
 func (f *fleet) Warm(context.Context, string) error { return nil }
 
 func (f *fleet) Reach(context.Context, string) error { return nil }
--- a/instance/gateway/suspects_test.go
+++ b/instance/gateway/suspects_test.go
@@ -165,6 +165,8 @@
 func (w *world) SetConnections(map[string]int) {}
 
 // Cold implements gateway.Sender.
+func (w *world) CloseUnused(time.Duration, map[string]bool) {}
+
 func (w *world) Cold(string) bool { return false }
 
 // Warm implements gateway.Sender.
--- a/instance/gateway/warm.go
+++ b/instance/gateway/warm.go
@@ -15,15 +15,29 @@
 	// warmPerLook bounds the connections that are opened at a look: 16 a second for each instance. With
 	// 60 instances before 108 targets, each target accepts 9 a second, which take 6 ms of a slot each.
 	warmPerLook = 8
+	// spareTime is how long a connection that the next first attempts are not likely to need is kept after
+	// its use where targets accept few. It is below a third of the 10 s for which targets keep idle
+	// connections, and longer than the 2 s for which a target that refuses is left alone at most.
+	spareTime = 3 * time.Second
 	// warmTimeout bounds the opening of one connection.
 	warmTimeout = time.Second
 )
 
-// warmLoop keeps connections open to the targets that the next attempts are likely to go to.
+// warmLoop keeps connections open to the targets that the next attempts are likely to go to. Where targets
+// accept few, it closes others that are not in use: after a loss of power a target counts the connections of
+// the earlier lives for as long as it keeps idle ones, and refuses new ones if they take all places.
 func (s *Service) warmLoop(ctx context.Context) {
 	for kernel.Sleep(ctx, warmPeriod/2+rand.N(warmPeriod)) {
 		opened := 0
-		for _, address := range s.likelyAddresses() {
+		likely, ample := s.likelyAddresses()
+		if !ample {
+			keep := make(map[string]bool, len(likely))
+			for _, address := range likely {
+				keep[address] = true
+			}
+			s.cfg.Sender.CloseUnused(spareTime, keep)
+		}
+		for _, address := range likely {
 			if opened == warmPerLook {
 				break
 			}
@@ -49,16 +63,15 @@
 	return true
 }
 
-// likelyAddresses leaves out second attempts where targets accept too few connections: after a loss of
-// power they count those of the earlier lives until their idle time of 10 s has passed, and need the
-// rest for first attempts.
-func (s *Service) likelyAddresses() []string {
+// likelyAddresses returns where the next attempts are likely to go, and whether targets accept enough
+// connections for second attempts too, which are left out otherwise.
+func (s *Service) likelyAddresses() (addresses []string, ample bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ids := s.fleet.Likely(time.Now(), s.ample)
-	addresses := make([]string, 0, len(ids))
+	addresses = make([]string, 0, len(ids))
 	for _, id := range ids {
 		addresses = append(addresses, s.targets[query.TargetID(id)].Address)
 	}
-	return addresses
+	return addresses, s.ample
 }
