--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -22,8 +22,8 @@
 	deadlineReserve = 10 * time.Millisecond
 	// longestWait is the time for a request whose caller and route state none.
 	longestWait = 30 * time.Second
-	// longestPlaceWait bounds the time between two looks for a place of a request that no freed place was
-	// offered to, because new targets and longer limits offer none: a few service times.
+	// longestPlaceWait bounds the time between two looks for a place, a few service times. A freed place is
+	// offered to those that wait; those of new targets and raised limits are found by looking.
 	longestPlaceWait = 32 * time.Millisecond
 	// crashLimit is the number of targets that have to crash on a query before it ends, and on all
 	// submissions of a request before it is held. Targets that lose some of their answers end connections
