--- a/kernel/alarm_test.go
+++ b/kernel/alarm_test.go
@@ -20,7 +20,7 @@
 		"set late": func() { a := NewAlarm(0); <-a.C; a.Set(-time.Second); <-a.C; a.Stop() },
 		"after":    func() { done := make(chan struct{}); AfterFunc(-time.Second, func() { close(done) }); <-done },
 		// The alarm is due while its reader waits for something else.
-		"read late": func() { a := NewAlarm(time.Nanosecond); time.Sleep(2); <-a.C; a.Stop() },
+		"read late": func() { a := NewAlarm(time.Nanosecond); time.Sleep(2 * time.Nanosecond); <-a.C; a.Stop() },
 	}
 	for name, wait := range cases {
 		t.Run(name, func(t *testing.T) {
