--- a/instance/gateway/warm.go
+++ b/instance/gateway/warm.go
@@ -16,9 +16,9 @@
 	// 60 instances before 108 targets, each target accepts 9 a second, which take 6 ms of a slot each.
 	warmPerLook = 8
 	// spareTime is how long a connection that the next first attempts are not likely to need is kept after
-	// its use where targets accept few. It is below a third of the 10 s for which targets keep idle
-	// connections, and longer than the 2 s for which a target that refuses is left alone at most.
-	spareTime = 3 * time.Second
+	// its use where targets accept few. It is half of the 10 s for which targets keep idle connections;
+	// second attempts need them for as long as targets near by are slow, which is some seconds.
+	spareTime = 5 * time.Second
 	// warmTimeout bounds the opening of one connection.
 	warmTimeout = time.Second
 )
