Advise callers of a cold instance to come back after about its age

Cause: an instance that starts while the store is away refused each caller with the advice to come back after 0.1 s.

Ruled out: holding such requests until the deadline: one that is refused early can be served by another instance.

Change: admission.StartRetryAfter advises the time for which the instance has been without routes, 0.1 to 1 s: an outage that has lasted is likely to last about as long again.

--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -292,7 +292,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.table == nil || !s.listed {
-		return terms{}, &Response{Kind: Refused, Reason: reasonNotReady, RetryAfter: notReadyRetryAfter}
+		age := time.Since(s.started)
+		return terms{}, &Response{
+			Kind: Refused, Reason: reasonNotReady, RetryAfter: admission.StartRetryAfter(age), inputs: []slog.Attr{slog.Float64("age_ms", millis(age))},
+		}
 	}
 	route := s.table.Match(r.Host, r.Path)
 	if route == nil {
@@ -426,9 +429,6 @@
 func (s *Service) nextAttempt() query.AttemptID { return query.AttemptID(s.lastAttempt.Add(1)) }
 
 const (
-	// notReadyRetryAfter is advised while the instance starts: reading routes and targets takes two
-	// calls of some milliseconds each.
-	notReadyRetryAfter = 100 * time.Millisecond
 	// noTargetRetryAfter is advised while a service has no target: a target registers within seconds.
 	noTargetRetryAfter = time.Second
 	// busyRetryAfter is advised by a full instance: the time that a usual answer takes.
