Let a restarted instance find its entry in the list of instances

Logged by call (trial copy): each restart makes a create (refused: the entry of the earlier life exists), a replace and no read. So a restarted instance never read the list; it joined by its seeds only, and would have found nobody with stale seeds. Besides, an instance that watches read everything a second time at its start.

Ruled out: watches (half of the calls), which bound how long a change stays unknown.

An instance that joined by its seeds reads the list later. Watches continue at the revision of the first read.

--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -126,6 +126,8 @@
 	confirmedAt time.Time          // when the objects were last known to be the store's newest
 	unreachable bool               // the last watch call failed
 	fetching    bool
+	// readAt gives, by kind, the revision at which the store was read at the start; a watch continues there.
+	readAt map[string]platform.Version
 }
 
 // New returns a service that holds the two lists and what belongs to them, and reads through client.
@@ -138,7 +140,7 @@
 // NewOf returns a service that holds the objects of another schema. It writes nothing.
 func NewOf(schema Schema, source Source, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Service{source: source, schema: schema, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel}
+	return &Service{source: source, schema: schema, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel, readAt: map[string]platform.Version{}}
 }
 
 // UseRecorder sets what records the versions offered. subject is the id of this instance. It must be
--- a/instance/configsync/start.go
+++ b/instance/configsync/start.go
@@ -89,6 +89,11 @@
 		return errStoreEmpty
 	}
 	s.noteStore(s.schema.Required, true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, kind := range s.schema.Kinds {
+		s.readAt[kind] = lists[i].Revision
+	}
 	return nil
 }
 
--- a/instance/configsync/start_test.go
+++ b/instance/configsync/start_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -113,3 +114,28 @@
 		require.NoError(t, bus.Close())
 	}
 }
+
+// countingStore counts the reads of all objects of a kind.
+type countingStore struct {
+	slowStore
+	reads *atomic.Int32
+}
+
+func (s countingStore) Watch(ctx context.Context, p platform.Purpose, kind string, after platform.Version, wait time.Duration) (platform.Changes, error) {
+	if after == 0 {
+		s.reads.Add(1)
+	}
+	return s.slowStore.Watch(ctx, p, kind, after, wait)
+}
+
+// Guards against an instance that reads everything twice at its start: the calls of the store are few and charged.
+func TestWatchContinuesWhereTheStartHasRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var reads atomic.Int32
+		s, stop := newService(t, countingStore{slowStore{time.Millisecond}, &reads})
+		defer stop()
+		time.Sleep(time.Minute)
+		require.True(t, s.Watching())
+		require.EqualValues(t, 3, reads.Load(), "one for each kind")
+	})
+}
--- a/instance/configsync/watch.go
+++ b/instance/configsync/watch.go
@@ -67,7 +67,10 @@
 }
 
 func (s *Service) watch(ctx context.Context, kind string) {
-	var revision platform.Version
+	s.mu.Lock()
+	revision := s.readAt[kind]
+	delete(s.readAt, kind) // Another watch would start long after it.
+	s.mu.Unlock()
 	available := true
 	for ctx.Err() == nil {
 		wait := s.schema.WatchWait
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -31,8 +31,8 @@
 	listPeriod = 10 * time.Second
 	// listTimeout bounds a read of the list by an instance that knows others already.
 	listTimeout = 3 * time.Second
-	// listCalls is the number of calls of the first read of the list: an instance writes its own entry before.
-	listCalls = 2
+	// listCalls is the number of calls of a read of the list where the entry of the instance is in it.
+	listCalls = 1
 	// leaveTimeout bounds the exchanges that announce the end of the instance.
 	leaveTimeout = membership.ExchangeTimeout
 )
@@ -203,15 +203,16 @@
 	}
 }
 
-// readLists reads the platform's list on joining, and again while the instance watches the store or
-// knows no other one.
+// readLists reads the platform's list on joining, and again while the instance watches the store, knows no other
+// one, or has not been able to read it: an instance may write its own entry with the first read.
 func (s *Service) readLists(ctx context.Context) {
-	if !s.readList(ctx, listCalls*config.ColdTimeout(0)) {
+	listed := s.readList(ctx, config.ColdTimeout(0))
+	if !listed {
 		s.join(ctx)
 	}
 	for kernel.Sleep(ctx, listPeriod) {
-		if s.config.Watching() || len(s.Members()) == 1 {
-			s.readList(ctx, listTimeout)
+		if !listed || s.config.Watching() || len(s.Members()) == 1 {
+			listed = s.readList(ctx, listTimeout) || listed
 		}
 	}
 }
@@ -222,7 +223,7 @@
 	attempt := 0
 	tries := []func(ctx context.Context) bool{func(ctx context.Context) bool {
 		attempt++
-		return s.readList(ctx, listCalls*config.ColdTimeout(attempt))
+		return s.readList(ctx, config.ColdTimeout(attempt))
 	}}
 	for _, address := range s.seeds {
 		if address == s.Self().Address {
