Watch new connections to targets that refused one

A watch of a fixed 10 ms was tried earlier without effect: the reset comes a round trip later.

Change: a new connection to a target that refused one, and has not answered since, is watched for the time that it took to open and 8 ms. A refusal then proves that nothing was sent: the attempt counts neither against the route's attempts nor against the budget (hedge.Window.Unsent).

--- a/adapter/http1/client.go
+++ b/adapter/http1/client.go
@@ -14,6 +14,14 @@
 // regions is 24 ms and a handshake takes 6 ms; a lost packet is sent again after a second.
 const dialTimeout = 1200 * time.Millisecond
 
+const (
+	// watchRoundTrips is the time for which a new connection to a target that refused one is watched, in times
+	// that it took to open: a target that has as many connections as it accepts closes it a round trip later.
+	watchRoundTrips = 1
+	// watchReserve is added for the target, which takes up to 6 ms for a new connection.
+	watchReserve = 8 * time.Millisecond
+)
+
 // Client keeps connections to targets. It is safe for concurrent use.
 type Client struct {
 	dial   func(ctx context.Context, address string) (net.Conn, error)
@@ -28,6 +36,9 @@
 	limit int // of open connections
 	open  int // connections in use, idle and being opened
 	idle  []*conn
+	// refuses is set once the target has refused a new connection, and until it answers. New connections to such a
+	// target are watched before they carry a request.
+	refuses bool
 	// idleFor is the idle time that the target announced last, 0 if none.
 	idleFor time.Duration
 	// waiting are requests that wait for a connection, the longest first.
@@ -73,6 +84,9 @@
 		return nil, fail(NotSent, err, "connect to "+address)
 	}
 	resp, reusable, failed := cn.exchange(ctx, r)
+	if failed == nil || failed.Stage == Refused {
+		c.noteRefusal(address, failed != nil)
+	}
 	c.release(address, cn, reusable && (r.Matches == nil || r.Matches(resp)))
 	if failed != nil {
 		return nil, failed
@@ -207,21 +221,46 @@
 }
 
 func (c *Client) open(ctx context.Context, address string, h *host) (*conn, error) {
-	dialed, err := c.dial(ctx, address)
+	cn, err := c.connect(ctx, address, h)
 	if err != nil {
 		c.mu.Lock()
 		c.closedLocked(address, h)
 		c.mu.Unlock()
 		return nil, err
 	}
+	return cn, nil
+}
+
+// connect opens a connection. If the target refused one lately, it watches whether the target closes this one too.
+func (c *Client) connect(ctx context.Context, address string, h *host) (*conn, error) {
+	began := time.Now()
+	dialed, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
 	c.opened()
 	cn := newConn(dialed)
 	c.mu.Lock()
 	cn.idleFor = h.idleFor
+	refuses := h.refuses
 	c.mu.Unlock()
+	if !refuses {
+		return cn, nil
+	}
+	if err := cn.watch(ctx, watchRoundTrips*time.Since(began)+watchReserve); err != nil {
+		_ = cn.Close() // The connection is given up whatever Close says.
+		return nil, err
+	}
 	return cn, nil
 }
 
+// noteRefusal notes that a target has refused a connection, or has answered.
+func (c *Client) noteRefusal(address string, refused bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hostLocked(address).refuses = refused
+}
+
 func (c *Client) release(address string, cn *conn, reusable bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/adapter/http1/client_test.go
+++ b/adapter/http1/client_test.go
@@ -201,6 +201,54 @@
 	require.Equal(t, http1.NotSent, failed.Stage)
 }
 
+// Guards against requests that "may have run" at a target that has as many connections as it accepts: one that
+// refused a connection is sent nothing on the next one until it is seen to stay open.
+func TestConnectionToARefusingTargetIsWatched(t *testing.T) {
+	var accepts atomic.Bool
+	s := listen(t, func(s *target, c net.Conn) {
+		if !accepts.Load() {
+			_ = c.Close() // The test looks at the far end only.
+			return
+		}
+		s.answer(c, []string{whole})
+	})
+	c := client(s, 1)
+	stage := func() http1.Stage {
+		_, err := c.Do(t.Context(), s.Addr().String(), request("a"))
+		var failed *http1.Error
+		require.True(t, errors.As(err, &failed))
+		return failed.Stage
+	}
+	require.Equal(t, http1.Refused, stage())
+	require.Equal(t, http1.NotSent, stage())
+	require.Equal(t, http1.NotSent, stage())
+	accepts.Store(true)
+	_, err := c.Do(t.Context(), s.Addr().String(), request("a"))
+	require.NoError(t, err)
+	require.Len(t, s.requests, 1)
+}
+
+// Guards against a watch that outlives its request.
+func TestWatchEndsWithItsRequest(t *testing.T) {
+	refuse := make(chan struct{}, 1)
+	refuse <- struct{}{}
+	s := listen(t, func(_ *target, c net.Conn) {
+		select {
+		case <-refuse:
+			_ = c.Close() // The test looks at the far end only.
+		default:
+		}
+	})
+	c := client(s, 1)
+	_, err := c.Do(t.Context(), s.Addr().String(), request("a"))
+	require.Error(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = c.Do(ctx, s.Addr().String(), request("a"))
+	require.ErrorIs(t, err, context.Canceled)
+	require.Empty(t, s.requests)
+}
+
 // Guards against a target that counts as gone although it accepts connections, or as there although it
 // does not; and against connections beyond the limit that a look at it opens.
 func TestReach(t *testing.T) {
--- a/adapter/http1/conn.go
+++ b/adapter/http1/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -82,6 +83,25 @@
 	return err == nil && quiet
 }
 
+// watch waits for a time and fails if the far end closes the connection or sends something meanwhile, which
+// belongs to no request.
+func (c *conn) watch(ctx context.Context, wait time.Duration) error {
+	if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return errors.Wrap(err, "watch a new connection")
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(aLongTimeAgo) }) // Fails on a closed connection only.
+	_, err := c.reader.Peek(1)
+	switch {
+	case !stop():
+		return errors.Wrap(context.Cause(ctx), "watch a new connection")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errors.Wrap(c.SetReadDeadline(time.Time{}), "watch a new connection")
+	case err == nil:
+		return errors.New("the target sent bytes before a request")
+	}
+	return errors.Wrap(err, "the target closed a new connection")
+}
+
 // exchange sends a request and reads its answer. reusable is set if the connection may carry another
 // request.
 func (c *conn) exchange(ctx context.Context, r *Request) (resp *Response, reusable bool, failed *Error) {
--- a/query/balance/fleet.go
+++ b/query/balance/fleet.go
@@ -232,6 +232,9 @@
 		return
 	}
 	s.end(now.Add(-e.Elapsed))
+	if !e.Cancelled && e.Outcome == query.OutcomeNotRun {
+		p.fleet.window(s.shard).Unsent(now)
+	}
 	switch {
 	case e.Cancelled:
 		if e.Elapsed > s.latency {
--- a/query/balance/fleet_test.go
+++ b/query/balance/fleet_test.go
@@ -174,6 +174,20 @@
 	require.False(t, f.Serves(2))
 }
 
+// Guards against a budget that attempts use up which reach no target: after a loss of power, targets refuse the new
+// connections of all instances for seconds.
+func TestAttemptsThatAreNotSentCostNothing(t *testing.T) {
+	f := balance.NewFleet(hedge.Terms{Share: 0, Slack: 0, Span: 10 * time.Second})
+	f.SetTargets([]balance.Target{{ID: "near", Shard: 1, Limit: 2}, {ID: "far", Shard: 1, Distance: balance.OtherRegion, Limit: 2}})
+	p := f.Route("r", objective)
+	refused := choose(t, p, start, replica.First)
+	p.End(start, replica.End{Target: refused, Outcome: query.OutcomeNotRun})
+	arrived := choose(t, p, start, replica.Retry, refused)
+	p.End(start, replica.End{Target: arrived, Outcome: query.OutcomeShed})
+	_, v := p.Choose(start.Add(time.Second), scatter.Want{Shard: 1, Use: replica.Retry})
+	require.Equal(t, replica.NoToken, v, "a target counts what it sheds")
+}
+
 // Guards against what was learnt of a target's earlier life, and against learning that a new list loses.
 func TestIncarnations(t *testing.T) {
 	f, p := fleet()
--- a/query/hedge/window.go
+++ b/query/hedge/window.go
@@ -59,6 +59,13 @@
 	return true
 }
 
+// Unsent takes back an attempt that was counted and that reached no target: the next one in its place is no extra
+// one.
+func (w *Window) Unsent(now time.Time) {
+	w.extras[w.advance(now)]--
+	w.extra--
+}
+
 // Bound returns the number of extra attempts that the present window allows.
 func (w *Window) Bound(instances int) float64 {
 	return used * (w.terms.Share*float64(w.first) + w.terms.Slack/float64(max(1, instances)))
