Decide in members whether an instance writes its entry

Cause: the adapter to the platform read the list of instances and decided by it whether to write the own entry; platform/ is to translate only. members.Registry now offers the calls, and instance/members/registry.go decides: a fresh read, a write where the entry is missing or differs, and a second read.

--- a/cmd/hyssopcroft/gateway.go
+++ b/cmd/hyssopcroft/gateway.go
@@ -14,7 +14,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"hyssopcroft.example/adapter/http1"
-	product "hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/instance/edge"
 	"hyssopcroft.example/instance/gateway"
 	"hyssopcroft.example/kernel/logline"
@@ -98,9 +97,8 @@
 	registry.MustRegister(calls, opened, dropped)
 	client := http1.NewClient(nil, opened.Inc)
 	store := platform.NewStore(s.Store, log, func(call string) { calls.WithLabelValues(call).Inc() })
-	self := product.Instance{ID: s.Instance, Address: s.Control, FailureDomain: s.FailureDomain}
 	return edge.Adapter{
-		Store: store, Instances: platform.NewInstances(store, self),
+		Store: store, Instances: platform.NewInstances(store),
 		Sender:  platform.NewSearchers(client),
 		Callers: func(g *gateway.Service) http.Handler { return platform.CallerHandler(g, log) },
 	}
--- a/instance/members/join_test.go
+++ b/instance/members/join_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -13,14 +12,6 @@
 	"github.com/stretchr/testify/require"
 
 	"hyssopcroft.example/adapter/platform"
-	"hyssopcroft.example/control/config"
-	"hyssopcroft.example/control/membership"
-	"hyssopcroft.example/instance/configsync"
-	"hyssopcroft.example/instance/members"
-	"hyssopcroft.example/kernel"
-	"hyssopcroft.example/kernel/counters"
-	"hyssopcroft.example/kernel/hlc"
-	"hyssopcroft.example/kernel/timeline"
 )
 
 // silentList never answers.
@@ -35,30 +26,18 @@
 // seed that has just started takes no calls yet.
 func TestSeedsAreAskedBesideTheList(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		bus, ring, c := kernel.NewBus(), timeline.NewRing("a", 64, hlc.New(time.Now)), counters.NewSet()
-		log := slog.New(slog.DiscardHandler)
-		schema := configsync.Schema{
-			Kinds: []string{"routes"}, Required: "routes", WatchWait: time.Second,
-			Decode: func(config.Object) (kernel.Event, string, error) { return changed{}, "", nil },
-		}
-		objects := configsync.NewOf(schema, emptyStore{}, bus, ring, log, c)
-		self := membership.Member{ID: "a", Address: "a:1", FailureDomain: "d", Incarnation: 1, State: membership.Starting}
-		s := members.New(self, silentList{}, objects, bus, ring, log, c)
-		s.UseSeeds([]string{"a:1", "b:1", "c:1"})
 		var dials atomic.Int32
-		s.UseDial(func(ctx context.Context, _, address string) (net.Conn, error) {
+		dial := func(ctx context.Context, _, address string) (net.Conn, error) {
 			dials.Add(1)
 			if address == "b:1" { // Its machine has no power.
 				<-ctx.Done()
 				return nil, ctx.Err()
 			}
 			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
-		})
-		require.NoError(t, s.Start(t.Context()))
+		}
+		defer startWith(t, silentList{}, dial, "a:1", "b:1", "c:1")()
 		time.Sleep(3 * time.Second)
 		// 0.8 s for the list, then at most 0.3 s between two calls of the seed that refuses them.
 		require.GreaterOrEqual(t, dials.Load(), int32(7))
-		require.NoError(t, s.Stop(t.Context()))
-		require.NoError(t, bus.Close())
 	})
 }
--- /dev/null
+++ b/instance/members/registry.go
@@ -0,0 +1,148 @@
+package members
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/control/config"
+	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/control/rendezvous"
+	"hyssopcroft.example/kernel"
+)
+
+const (
+	// listPeriod is the time between two reads of the platform's list by an instance that watches
+	// the store or knows no other instance.
+	listPeriod = 10 * time.Second
+	// listTimeout bounds a read of the list by an instance that knows others already.
+	listTimeout = 3 * time.Second
+	// listCalls is the number of calls of a read of the list where the entry of the instance is in it.
+	listCalls = 1
+)
+
+// Registry is a platform's list that instances write themselves. A Lister implements it if that is so.
+type Registry interface {
+	// FreshInstances returns the list as it is now; that of Instances may be old.
+	FreshInstances(ctx context.Context) ([]platform.Instance, error)
+	// WriteInstance adds an entry, or replaces the one of the same id. It fails if there is one, or none.
+	WriteInstance(ctx context.Context, i platform.Instance, replace bool) error
+	// RemoveInstance removes an entry that was not written since it was read.
+	RemoveInstance(ctx context.Context, id string) error
+}
+
+// readLists reads the platform's list on joining, and again while the instance watches the store, knows no other
+// one, or has not been able to read it: an instance may write its own entry with the first read.
+func (s *Service) readLists(ctx context.Context) {
+	listed := s.readList(ctx, config.ColdTimeout(0))
+	if !listed {
+		s.join(ctx)
+	}
+	for kernel.Sleep(ctx, listPeriod) {
+		if !listed || s.config.Watching() || len(s.Members()) == 1 {
+			listed = s.readList(ctx, listTimeout) || listed
+		}
+	}
+}
+
+// join tries to read the list and asks each seed for all members, side by side, until one of them answers or ctx
+// is done.
+func (s *Service) join(ctx context.Context) {
+	attempt := 0
+	tries := []func(ctx context.Context) bool{func(ctx context.Context) bool {
+		attempt++
+		return s.readList(ctx, config.ColdTimeout(attempt))
+	}}
+	for _, address := range s.seeds {
+		if address == s.Self().Address {
+			continue
+		}
+		seed := membership.RequestFullState{From: membership.Member{Address: address}}
+		tries = append(tries, func(ctx context.Context) bool { return s.requestFullState(ctx, seed) })
+	}
+	kernel.RetryAny(ctx, func() time.Duration {
+		mean := config.ColdPause(len(s.Members()), listCalls)
+		return mean/2 + rand.N(mean)
+	}, tries...)
+}
+
+// readList reports whether the list was read.
+func (s *Service) readList(ctx context.Context, timeout time.Duration) bool {
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	list, err := s.instances(limited)
+	if err != nil {
+		s.counters.Counter("instance_list_failures").Add(1)
+		return false
+	}
+	var records []membership.Member
+	for _, i := range list {
+		state := membership.Starting
+		if i.State == platform.InstanceLeaving {
+			state = membership.Leaving
+		}
+		records = append(records, membership.Member{ID: i.ID, Address: i.Address, FailureDomain: i.FailureDomain, State: state})
+	}
+	s.update(func(now time.Time) { s.node.OnList(records, now) })
+	s.removeGone(ctx, list)
+	return true
+}
+
+// instances reads the list. Until the list has the instance's own entry, the entry is written and the list is read
+// again: of two instances that write at the same time, one at least sees the other.
+func (s *Service) instances(ctx context.Context) ([]platform.Instance, error) {
+	registry, ok := s.lister.(Registry)
+	if !ok || s.registered {
+		// Instances that came since are known from their peers, so that an old list will do.
+		return s.lister.Instances(ctx, "list_instances")
+	}
+	list, err := registry.FreshInstances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	self := s.Self()
+	entry := platform.Instance{ID: self.ID, Address: self.Address, FailureDomain: self.FailureDomain, State: platform.InstanceLive}
+	own := slices.IndexFunc(list, func(i platform.Instance) bool { return i.ID == entry.ID })
+	if own < 0 || list[own] != entry {
+		if err := registry.WriteInstance(ctx, entry, own >= 0); err != nil {
+			return nil, err
+		}
+		if list, err = registry.FreshInstances(ctx); err != nil {
+			return nil, err
+		}
+	}
+	s.registered = true
+	return list, nil
+}
+
+// removeGone removes the entries of members that have been dead for so long that they are forgotten. One
+// live member removes each.
+func (s *Service) removeGone(ctx context.Context, list []platform.Instance) {
+	registry, ok := s.lister.(Registry)
+	if !ok {
+		return
+	}
+	for _, id := range s.goneOf(list) {
+		if err := registry.RemoveInstance(ctx, id); err != nil {
+			s.log.Warn("entry of a lost instance not removed", "member", id, "error", err)
+			continue
+		}
+		s.log.Info("entry of a lost instance removed", "member", id)
+	}
+}
+
+// goneOf returns the forgotten members of a list that this instance is to remove.
+func (s *Service) goneOf(list []platform.Instance) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	live := membership.LiveIDs(s.node.Members())
+	var gone []string
+	for _, i := range list {
+		if s.node.Forgotten(i.ID) && rendezvous.Choose(i.ID, live) == s.node.Self().ID {
+			gone = append(gone, i.ID)
+		}
+	}
+	return gone
+}
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -13,9 +13,7 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/target"
-	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/membership"
-	"hyssopcroft.example/control/rendezvous"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/kernel/counters"
@@ -26,13 +24,6 @@
 const Name = "members"
 
 const (
-	// listPeriod is the time between two reads of the platform's list by an instance that watches
-	// the store or knows no other instance.
-	listPeriod = 10 * time.Second
-	// listTimeout bounds a read of the list by an instance that knows others already.
-	listTimeout = 3 * time.Second
-	// listCalls is the number of calls of a read of the list where the entry of the instance is in it.
-	listCalls = 1
 	// leaveTimeout bounds the exchanges that announce the end of the instance.
 	leaveTimeout = membership.ExchangeTimeout
 )
@@ -51,12 +42,6 @@
 	Instances(ctx context.Context, p platform.Purpose) ([]platform.Instance, error)
 }
 
-// Remover removes an entry from the platform's list. A Lister implements it if instances write the list
-// themselves, so that nobody else removes those that are gone for good.
-type Remover interface {
-	RemoveInstance(ctx context.Context, id string) error
-}
-
 // Service exchanges member records with peers. It is safe for concurrent use.
 type Service struct {
 	lister    Lister
@@ -74,6 +59,8 @@
 	done   sync.WaitGroup
 	kick   chan struct{} // wakes the loop after a change
 
+	registered bool // the list has the instance's own entry; used by the goroutine that reads the list
+
 	mu   sync.Mutex // guards node
 	node *membership.Node
 }
@@ -202,90 +189,3 @@
 	default: // The loop is about to wake already.
 	}
 }
-
-// readLists reads the platform's list on joining, and again while the instance watches the store, knows no other
-// one, or has not been able to read it: an instance may write its own entry with the first read.
-func (s *Service) readLists(ctx context.Context) {
-	listed := s.readList(ctx, config.ColdTimeout(0))
-	if !listed {
-		s.join(ctx)
-	}
-	for kernel.Sleep(ctx, listPeriod) {
-		if !listed || s.config.Watching() || len(s.Members()) == 1 {
-			listed = s.readList(ctx, listTimeout) || listed
-		}
-	}
-}
-
-// join tries to read the list and asks each seed for all members, side by side, until one of them answers or ctx
-// is done.
-func (s *Service) join(ctx context.Context) {
-	attempt := 0
-	tries := []func(ctx context.Context) bool{func(ctx context.Context) bool {
-		attempt++
-		return s.readList(ctx, config.ColdTimeout(attempt))
-	}}
-	for _, address := range s.seeds {
-		if address == s.Self().Address {
-			continue
-		}
-		seed := membership.RequestFullState{From: membership.Member{Address: address}}
-		tries = append(tries, func(ctx context.Context) bool { return s.requestFullState(ctx, seed) })
-	}
-	kernel.RetryAny(ctx, func() time.Duration {
-		mean := config.ColdPause(len(s.Members()), listCalls)
-		return mean/2 + rand.N(mean)
-	}, tries...)
-}
-
-// readList reports whether the list was read.
-func (s *Service) readList(ctx context.Context, timeout time.Duration) bool {
-	limited, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	list, err := s.lister.Instances(limited, "list_instances")
-	if err != nil {
-		s.counters.Counter("instance_list_failures").Add(1)
-		return false
-	}
-	var records []membership.Member
-	for _, i := range list {
-		state := membership.Starting
-		if i.State == platform.InstanceLeaving {
-			state = membership.Leaving
-		}
-		records = append(records, membership.Member{ID: i.ID, Address: i.Address, FailureDomain: i.FailureDomain, State: state})
-	}
-	s.update(func(now time.Time) { s.node.OnList(records, now) })
-	s.removeGone(ctx, list)
-	return true
-}
-
-// removeGone removes the entries of members that have been dead for so long that they are forgotten. One
-// live member removes each.
-func (s *Service) removeGone(ctx context.Context, list []platform.Instance) {
-	remover, ok := s.lister.(Remover)
-	if !ok {
-		return
-	}
-	for _, id := range s.goneOf(list) {
-		if err := remover.RemoveInstance(ctx, id); err != nil {
-			s.log.Warn("entry of a lost instance not removed", "member", id, "error", err)
-			continue
-		}
-		s.log.Info("entry of a lost instance removed", "member", id)
-	}
-}
-
-// goneOf returns the forgotten members of a list that this instance is to remove.
-func (s *Service) goneOf(list []platform.Instance) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	live := membership.LiveIDs(s.node.Members())
-	var gone []string
-	for _, i := range list {
-		if s.node.Forgotten(i.ID) && rendezvous.Choose(i.ID, live) == s.node.Self().ID {
-			gone = append(gone, i.ID)
-		}
-	}
-	return gone
-}
