Know the targets of the time before an outage after a loss of power

Instances that live keep them meanwhile, those that lost power have nothing: they knew routes at 36.9 s and refused 250 requests with "no target of the service is known" until 37.5 s.

Change: directory.Keeper, at one live member, writes the targets in use into the store when they change, at most every 2 s. An instance that finds the store away at its start reads them on its return and hands them on with the list that says "lapsed"; instances that know no target use them until the list that is read 2 s later lacks them.

--- a/instance/directory/directory.go
+++ b/instance/directory/directory.go
@@ -52,6 +52,10 @@
 	Targets(ctx context.Context) ([]roster.Entry, Revision, error)
 	// WatchTargets waits for changes of the list after the revision.
 	WatchTargets(ctx context.Context, after Revision, wait time.Duration) ([]roster.Change, Revision, error)
+	// KeepTargets writes the targets in use, for instances that start after an outage of the store.
+	KeepTargets(ctx context.Context, list []roster.Entry) error
+	// KeptTargets returns what was written last, nil if nothing was.
+	KeptTargets(ctx context.Context) ([]roster.Entry, error)
 }
 
 // RoutesChanged is published when newer routes are in force.
@@ -68,6 +72,9 @@
 	// Lapsed is set if the list was read within lapseGrace after its reader regained the store. Another
 	// list follows.
 	Lapsed bool `json:"lapsed,omitempty"`
+	// Before are the targets that were in use before the outage, for instances that know none. Their entries may
+	// have lapsed; the list that follows decides on them.
+	Before []roster.Entry `json:"before,omitempty"`
 }
 
 // Topic implements kernel.Event.
--- a/instance/directory/source.go
+++ b/instance/directory/source.go
@@ -41,6 +41,8 @@
 	// recheckAt is when the list has to be read again because entries had lapsed while the store was away,
 	// the zero time if that is not so.
 	recheckAt time.Time
+	// before are the targets that were in use before the outage, if this instance started in it.
+	before []roster.Entry
 }
 
 // NewSource returns a source that has read nothing.
@@ -92,16 +94,42 @@
 }
 
 func (s *Source) listTargets(ctx context.Context) (platform.Changes, error) {
+	var before []roster.Entry
+	var reads sync.WaitGroup
+	if s.startedWithoutStore() {
+		reads.Go(func() { before = s.keptTargets(ctx) })
+	}
 	list, at, err := s.store.Targets(ctx)
+	reads.Wait()
 	if err != nil {
 		return platform.Changes{}, s.lost(err)
 	}
 	return s.update(at, func(now time.Time) bool {
+		s.before = before
 		s.roster.Replace(now, list, false)
 		return true
 	})
 }
 
+// startedWithoutStore reports whether the store was away since the start, so that no earlier list is known here.
+// Entries may have lapsed meanwhile.
+func (s *Source) startedWithoutStore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away && s.roster.Ready() == 0
+}
+
+// keptTargets returns the targets that were in use before the outage.
+func (s *Source) keptTargets(ctx context.Context) []roster.Entry {
+	kept, err := s.store.KeptTargets(ctx)
+	if err != nil {
+		s.log.Warn("targets of the time before the outage not read", "error", err)
+		return nil
+	}
+	s.log.Info("targets of the time before the outage read", "targets", len(kept))
+	return kept
+}
+
 func (s *Source) watchTargets(ctx context.Context, after Revision, wait time.Duration) (platform.Changes, error) {
 	wait, recheck := s.untilRecheck(wait)
 	if recheck {
@@ -181,10 +209,10 @@
 	}
 	ev, v := TargetsChanged{Entries: s.roster.Entries(now)}, 2*platform.Version(at)+1
 	if !s.recheckAt.IsZero() && now.Before(s.recheckAt) {
-		ev.Lapsed = true
+		ev.Lapsed, ev.Before = true, s.before
 		v--
 	} else {
-		s.recheckAt = time.Time{}
+		s.recheckAt, s.before = time.Time{}, nil
 	}
 	return changesOf(KindTargets, at, v, ev)
 }
--- a/instance/directory/source_test.go
+++ b/instance/directory/source_test.go
@@ -37,6 +37,32 @@
 	calls    int
 	late     time.Duration // added to the wait of watches that find a change
 	vanished int           // number of entries a to e that watches report as removed
+	kept     []roster.Entry
+	keeps    int // writes of kept
+}
+
+func (f *fakeStore) KeepTargets(_ context.Context, list []roster.Entry) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.call(); err != nil {
+		return err
+	}
+	f.kept = list
+	f.keeps++
+	return nil
+}
+
+// written returns what was kept last, and how often.
+func (f *fakeStore) written() ([]roster.Entry, int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.kept, f.keeps
+}
+
+func (f *fakeStore) KeptTargets(context.Context) ([]roster.Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.kept, f.call()
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{revision: 1, changed: make(chan struct{})} }
@@ -163,6 +189,7 @@
 	versions []query.Version
 	targets  int
 	lapsed   bool
+	before   int
 }
 
 func (c *consumer) list() (entries int, lapsed bool) {
@@ -171,6 +198,12 @@
 	return c.targets, c.lapsed
 }
 
+func (c *consumer) beforeOutage() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.before
+}
+
 func (c *consumer) last() query.Version {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -210,7 +243,7 @@
 	require.NoError(t, kernel.Subscribe(t.Context(), bus, func(ev directory.TargetsChanged) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.targets, c.lapsed = len(ev.Entries), ev.Lapsed
+		c.targets, c.lapsed, c.before = len(ev.Entries), ev.Lapsed, len(ev.Before)
 	}))
 	require.NoError(t, s.Start(t.Context()))
 	t.Cleanup(func() { require.NoError(t, s.Stop(context.Background())) })
@@ -314,6 +347,61 @@
 	})
 }
 
+// Guards against a start without targets after an outage in which all instances lost power and the entries lapsed,
+// and against targets of that time that stay although they did not come back.
+func TestStartAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.version, store.down = 1, true
+		store.kept = []roster.Entry{{ID: "a"}, {ID: "b"}}
+		c := start(t, store)
+		time.Sleep(time.Second)
+		store.set(func() { store.down = false })
+		time.Sleep(500 * time.Millisecond)
+		entries, lapsed := c.list()
+		require.Empty(t, entries)
+		require.True(t, lapsed)
+		require.Equal(t, 2, c.beforeOutage())
+		store.set(func() { store.targets = store.kept[:1] })
+		time.Sleep(2500 * time.Millisecond)
+		entries, lapsed = c.list()
+		require.Equal(t, 1, entries)
+		require.False(t, lapsed)
+		require.Zero(t, c.beforeOutage())
+	})
+}
+
+// Guards against a keeper that writes what has not changed, targets that drain, or a list whose entries have lapsed.
+func TestKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, bus := newFakeStore(), kernel.NewBus()
+		k := directory.NewKeeper(store, bus, alone{}, slog.New(slog.DiscardHandler))
+		require.NoError(t, k.Start(t.Context()))
+		publish := func(ev directory.TargetsChanged) {
+			require.NoError(t, bus.Publish(ev))
+			time.Sleep(5 * time.Second)
+		}
+		a, b := roster.Entry{ID: "a"}, roster.Entry{ID: "b"}
+		publish(directory.TargetsChanged{Entries: []roster.Entry{a, b, {ID: "c", Draining: true}}})
+		kept, _ := store.written()
+		require.Equal(t, []roster.Entry{a, b}, kept)
+		publish(directory.TargetsChanged{Entries: []roster.Entry{a}, Lapsed: true})
+		cold := b
+		cold.Cold = time.Second
+		publish(directory.TargetsChanged{Entries: []roster.Entry{a, cold}})
+		_, writes := store.written()
+		require.Equal(t, 1, writes)
+		store.set(func() { store.down = true })
+		publish(directory.TargetsChanged{Entries: []roster.Entry{b}})
+		store.set(func() { store.down = false })
+		time.Sleep(5 * time.Second)
+		kept, _ = store.written()
+		require.Equal(t, []roster.Entry{b}, kept)
+		require.NoError(t, k.Stop(t.Context()))
+		require.NoError(t, bus.Close())
+	})
+}
+
 // Guards against a list after an outage that never says that it is whole again, because nothing changed
 // since.
 func TestListIsReadAgainAfterAnOutage(t *testing.T) {
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -96,7 +96,8 @@
 		Metrics: gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
 		Tell: peer.NewRelayClient(fleet.Transport()).Suspect,
 	})
-	for _, service := range []kernel.Service{e.gateway, objects, fleet} {
+	keeper := directory.NewKeeper(a.Store, e.kernel.Bus(), fleet, log)
+	for _, service := range []kernel.Service{e.gateway, keeper, objects, fleet} {
 		if err := e.kernel.Register(service); err != nil {
 			return nil, err
 		}
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -325,3 +325,24 @@
 	require.Equal(t, gateway.Refused, ask(t.Context(), s, "/all/x").Kind)
 	require.NoError(t, bus.Close())
 }
+
+// Guards against an instance that refuses requests after it lost power in an outage of the store, because the entries
+// of the targets have lapsed; and against one that takes targets back which it has seen leave.
+func TestTargetsFromBeforeAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{behave: func(string, int) (time.Duration, query.Reply) { return time.Millisecond, part("xa") }, sent: map[string]int{}}
+		table, entries := tableAndTargets()
+		cold := gateway.New(config(t, f))
+		cold.SetTable(table)
+		cold.SetTargets(directory.TargetsChanged{Lapsed: true, Before: entries})
+		require.Equal(t, gateway.Answered, ask(t.Context(), cold, "/one/x").Kind)
+		cold.SetTargets(directory.TargetsChanged{Entries: entries[:1]})
+		require.Equal(t, gateway.Refused, ask(t.Context(), cold, "/one/x").Kind, "the list that follows decides")
+
+		live := gateway.New(config(t, f))
+		live.SetTable(table)
+		live.SetTargets(directory.TargetsChanged{Entries: entries[:1]})
+		live.SetTargets(directory.TargetsChanged{Entries: entries[:1], Lapsed: true, Before: entries})
+		require.Equal(t, gateway.Refused, ask(t.Context(), live, "/one/x").Kind)
+	})
+}
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -173,7 +173,11 @@
 func (s *Service) SetTargets(ev directory.TargetsChanged) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.roster.Replace(time.Now(), ev.Entries, ev.Lapsed)
+	now := time.Now()
+	if s.roster.Ready() == 0 {
+		s.roster.Replace(now, ev.Before, false)
+	}
+	s.roster.Replace(now, ev.Entries, ev.Lapsed)
 	s.listed = true
 	s.noteKnown()
 	s.place()
