--- a/emulator/soak/store.go
+++ b/emulator/soak/store.go
@@ -102,17 +102,29 @@
 
 func (s *store) write(w http.ResponseWriter, r *http.Request, kind, name string) {
 	var o object
+	// A revision is a condition if it is given, also if it is 0.
+	var condition struct {
+		Meta struct {
+			Revision *uint64 `json:"revision"`
+		} `json:"meta"`
+	}
 	raw, err := io.ReadAll(r.Body)
 	if err == nil {
 		err = json.Unmarshal(raw, &o)
 	}
+	if err == nil {
+		err = json.Unmarshal(raw, &condition)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, exists := s.objects[kind][o.Meta.Name]
+	present, exists := s.objects[kind][o.Meta.Name]
 	switch {
 	case err != nil:
 		w.WriteHeader(http.StatusBadRequest)
-	case r.Method == http.MethodPost && exists:
+	case r.Method == http.MethodPut && !exists:
+		w.WriteHeader(http.StatusNotFound)
+	case r.Method == http.MethodPost && exists,
+		condition.Meta.Revision != nil && *condition.Meta.Revision != present.Meta.Revision:
 		w.WriteHeader(http.StatusConflict)
 	default:
 		s.putLocked(kind, o.Meta.Name, o.Spec, false)
