Let a keeper write again after another one has

Found by reading: a member that wrote the targets in use, lost the role and got it back with the same list took it for written, though another member had written a different one meanwhile. TestKeeper covers the change of the role now and fails without it. The watch of a new connection has one constant fewer; its time is unchanged.

--- a/adapter/http1/client.go
+++ b/adapter/http1/client.go
@@ -14,13 +14,9 @@
 // regions is 24 ms and a handshake takes 6 ms; a lost packet is sent again after a second.
 const dialTimeout = 1200 * time.Millisecond
 
-const (
-	// watchRoundTrips is the time for which a new connection to a target that refused one is watched, in times
-	// that it took to open: a target that has as many connections as it accepts closes it a round trip later.
-	watchRoundTrips = 1
-	// watchReserve is added for the target, which takes up to 6 ms for a new connection.
-	watchReserve = 8 * time.Millisecond
-)
+// watchReserve is added to the time that a connection took to open, for which it is watched: a target that has as
+// many connections as it accepts closes it a round trip later, and takes up to 6 ms for a new connection.
+const watchReserve = 8 * time.Millisecond
 
 // Client keeps connections to targets. It is safe for concurrent use.
 type Client struct {
@@ -247,7 +243,7 @@
 	if !refuses {
 		return cn, nil
 	}
-	if err := cn.watch(ctx, watchRoundTrips*time.Since(began)+watchReserve); err != nil {
+	if err := cn.watch(ctx, time.Since(began)+watchReserve); err != nil {
 		_ = cn.Close() // The connection is given up whatever Close says.
 		return nil, err
 	}
--- a/instance/directory/keeper.go
+++ b/instance/directory/keeper.go
@@ -96,7 +96,11 @@
 	k.mu.Lock()
 	inUse := k.inUse
 	k.mu.Unlock()
-	if slices.Equal(inUse, k.written) || rendezvous.Choose(keptObject, membership.LiveIDs(k.members.Members())) != k.members.Self().ID {
+	if rendezvous.Choose(keptObject, membership.LiveIDs(k.members.Members())) != k.members.Self().ID {
+		k.written = nil // Another member writes now.
+		return
+	}
+	if slices.Equal(inUse, k.written) {
 		return
 	}
 	if err := k.store.KeepTargets(ctx, inUse); err != nil {
--- a/instance/directory/source_test.go
+++ b/instance/directory/source_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -371,11 +372,25 @@
 	})
 }
 
+// changingFleet is a fleet of one instance, which is not live while left is set.
+type changingFleet struct {
+	alone
+	left atomic.Bool
+}
+
+func (f *changingFleet) Members() []membership.Member {
+	if f.left.Load() {
+		return nil
+	}
+	return f.alone.Members()
+}
+
 // Guards against a keeper that writes what has not changed, targets that drain, or a list whose entries have lapsed.
 func TestKeeper(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, bus := newFakeStore(), kernel.NewBus()
-		k := directory.NewKeeper(store, bus, alone{}, slog.New(slog.DiscardHandler))
+		fleet := &changingFleet{}
+		k := directory.NewKeeper(store, bus, fleet, slog.New(slog.DiscardHandler))
 		require.NoError(t, k.Start(t.Context()))
 		publish := func(ev directory.TargetsChanged) {
 			require.NoError(t, bus.Publish(ev))
@@ -397,6 +412,14 @@
 		time.Sleep(5 * time.Second)
 		kept, _ = store.written()
 		require.Equal(t, []roster.Entry{b}, kept)
+		// Another member writes for a while, and may have written anything.
+		fleet.left.Store(true)
+		time.Sleep(5 * time.Second)
+		store.set(func() { store.kept = []roster.Entry{a, b} })
+		fleet.left.Store(false)
+		time.Sleep(5 * time.Second)
+		kept, _ = store.written()
+		require.Equal(t, []roster.Entry{b}, kept)
 		require.NoError(t, k.Stop(t.Context()))
 		require.NoError(t, bus.Close())
 	})
