--- a/instance/members/registry.go
+++ b/instance/members/registry.go
@@ -38,7 +38,7 @@
 func (s *Service) readLists(ctx context.Context) {
 	listed := s.readList(ctx, config.ColdTimeout(0))
 	if !listed {
-		s.join(ctx)
+		listed = s.join(ctx)
 	}
 	for kernel.Sleep(ctx, listPeriod) {
 		if !listed || s.config.Watching() || len(s.Members()) == 1 {
@@ -48,12 +48,13 @@
 }
 
 // join tries to read the list and asks each seed for all members, side by side, until one of them answers or ctx
-// is done.
-func (s *Service) join(ctx context.Context) {
+// is done. It reports whether the list was read.
+func (s *Service) join(ctx context.Context) (listed bool) {
 	attempt := 0
 	tries := []func(ctx context.Context) bool{func(ctx context.Context) bool {
 		attempt++
-		return s.readList(ctx, config.ColdTimeout(attempt))
+		listed = s.readList(ctx, config.ColdTimeout(attempt))
+		return listed
 	}}
 	for _, address := range s.seeds {
 		if address == s.Self().Address {
@@ -66,6 +67,7 @@
 		mean := config.ColdPause(len(s.Members()), listCalls)
 		return mean/2 + rand.N(mean)
 	}, tries...)
+	return listed
 }
 
 // readList reports whether the list was read.
@@ -75,6 +77,9 @@
 	list, err := s.instances(limited)
 	if err != nil {
 		s.counters.Counter("instance_list_failures").Add(1)
+		if ctx.Err() == nil { // Otherwise a seed was faster, or the service stops.
+			s.log.Warn("list of instances not read", "error", err)
+		}
 		return false
 	}
 	var records []membership.Member
