Keep one copy of the time that is kept for the answer's way

query/balance and instance/gateway each had the constant, 20 ms in both; a change of one would have let second attempts come too late. No change of behaviour.

--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -10,15 +10,12 @@
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/admission"
+	"hyssopcroft.example/query/balance"
 	"hyssopcroft.example/query/merge"
 	"hyssopcroft.example/query/scatter"
 )
 
 const (
-	// answerReserve is the part of a route's objective that is kept for the ways of the request and the
-	// answer: two round trips to callers, of which one opens the connection, and the scheduling delay of
-	// a loaded instance.
-	answerReserve = 20 * time.Millisecond
 	// deadlineReserve is the part of the caller's time that is kept for the way of the final answer.
 	deadlineReserve = 10 * time.Millisecond
 	// longestWait is the time for a request whose caller and route state none.
@@ -131,7 +128,7 @@
 	q := &run{
 		service: s, request: r, terms: t, id: query.RequestID(rand.Uint64()), start: start, crashes: crashes,
 		deadline: start.Add(t.patience(r)),
-		due:      start.Add(t.route.Objective - answerReserve),
+		due:      start.Add(t.route.Objective - balance.AnswerReserve),
 		replies:  make(chan sentReply, 2*len(t.shards)),
 		freed:    make(chan query.Shard, len(t.shards)),
 		cancels:  make(map[query.AttemptID]context.CancelFunc, len(t.shards)),
--- a/query/balance/fleet.go
+++ b/query/balance/fleet.go
@@ -36,12 +36,14 @@
 	reserved = 0.1
 	// plenty is the part of the budget from which on hedges are sent early. Pauses of targets alone use a fifth.
 	plenty = 0.7
-	// answerReserve is the part of the objective that is kept for the way of the answer to the caller.
-	answerReserve = 20 * time.Millisecond
 	// lateFactor times the median of a target at the greatest distance is the time that a late hedge is given.
 	lateFactor = 1.3
 )
 
+// AnswerReserve is the part of a route's objective that is kept for the ways of the request and the answer: two
+// round trips to callers, of which one opens the connection, and the scheduling delay of a loaded instance.
+const AnswerReserve = 20 * time.Millisecond
+
 // Target is a target as the fleet sees it.
 type Target struct {
 	ID    query.TargetID
@@ -224,7 +226,7 @@
 func (p *Policy) hedgeAfter(d Distance, left float64) time.Duration {
 	early := p.earlyHedge(d)
 	far := p.median(OtherRegion)
-	latest := p.objective - answerReserve - time.Duration(lateFactor*float64(far))
+	latest := p.objective - AnswerReserve - time.Duration(lateFactor*float64(far))
 	spent := 1 - min(max((left-reserved)/(plenty-reserved), 0), 1)
 	return early + time.Duration(spent*float64(max(latest-early, 0)))
 }
