Close callers' connections in a shutdown only if they have no input

Cause: http.Server.Shutdown closes a connection that counts as idle, and a connection counts as active only once the whole header of its request has been parsed. On a slow instance a request whose first bytes had been read, or were waiting in the socket, was closed without an answer.

Change: the instance tracks its callers' connections. In a shutdown it expires the read of an idle connection only if nothing has been read and nothing waits in the socket; input that arrives at the same time revokes the expiry. New connections have a second for their first request, and the listener closes after the last one. Ruled out: a read deadline alone, which would cancel a request whose header has just been read.

--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -66,6 +66,7 @@
 	gateway        *gateway.Service
 	gate           *gate
 	callers        *http.Server
+	callerConns    *callerConns
 	servers        []*http.Server // the other servers, closed after callers has shut down
 	listeners      map[*http.Server]net.Listener
 	stopStallWatch context.CancelFunc // stops watchStalls
@@ -78,7 +79,7 @@
 	}
 	e := &Edge{
 		settings: s, log: log, kernel: kernel.New(), gate: newGate(s.shutdownTimeout(), log),
-		listeners: map[*http.Server]net.Listener{},
+		listeners: map[*http.Server]net.Listener{}, callerConns: newCallerConns(),
 	}
 	c := counters.NewSet()
 	ring := timeline.NewRing(s.Instance, timelineEvents, hlc.New(time.Now))
@@ -111,10 +112,14 @@
 		return nil, err
 	}
 	e.callers = e.server(limiter.wrap(e.gate.wrap(a.CallerHandler(e.gateway))))
-	e.callers.ConnState = limiter.onConnState
+	e.callers.ConnState = func(conn net.Conn, state http.ConnState) {
+		limiter.onConnState(conn, state)
+		e.callerConns.onConnState(conn, state)
+	}
 	if err := e.listen(e.callers, s.Callers); err != nil {
 		return nil, err
 	}
+	e.listeners[e.callers] = e.callerConns.wrap(e.listeners[e.callers])
 	ready := chi.NewRouter()
 	ready.Get("/ready", e.serveReady)
 	metrics := chi.NewRouter()
@@ -213,7 +218,7 @@
 	case <-e.gate.begin():
 	case <-ctx.Done():
 	}
-	// Closes the listener and idle connections, and waits for responses that are being written.
+	e.callerConns.drain(ctx)
 	err := e.callers.Shutdown(ctx)
 	for _, s := range e.servers {
 		_ = s.Close() // The process is about to end.
