--- a/adapter/http1/client.go
+++ b/adapter/http1/client.go
@@ -14,6 +14,12 @@
 // lost packet, which TCP retransmits after 1 s, a round trip of 24 ms between regions and a handshake of 6 ms.
 const dialTimeout = 1200 * time.Millisecond
 
+// spareTimeout bounds the time to open a spare connection.
+const spareTimeout = time.Second
+
+// spareRetryPause is the pause after a spare connection could not be opened.
+const spareRetryPause = 500 * time.Millisecond
+
 // watchMargin is the time for which a new connection is watched in addition to the time that it took to open. A
 // target at its connection limit closes a new connection one round trip later, and takes up to 6 ms to accept it.
 const watchMargin = 8 * time.Millisecond
@@ -37,6 +43,12 @@
 	refusing bool
 	// idleTimeout is the last idle timeout that the target announced, 0 if it announced none.
 	idleTimeout time.Duration
+	// spare is set if an idle connection is to be kept beside those in use.
+	spare bool
+	// refilling is set while a spare connection is being opened.
+	refilling bool
+	// refillAt is the earliest time at which the next spare connection may be opened.
+	refillAt time.Time
 	// waiters holds a channel for each request that waits for a connection, in the order of arrival.
 	waiters []chan struct{}
 }
@@ -64,12 +76,16 @@
 		for h.open > h.limit && len(h.idle) > 0 {
 			c.closeLocked(h, h.popIdle())
 		}
-		if h.open == 0 && h.limit == 0 {
+		if h.open == 0 && h.limit == 0 && len(h.waiters) == 0 {
 			delete(c.hosts, address)
 		}
 	}
 	for address, limit := range limits {
-		c.hostLocked(address).limit = limit
+		h := c.hostLocked(address)
+		h.limit = limit
+		for range min(max(h.limit-h.open, 0), len(h.waiters)) {
+			h.wakeNext()
+		}
 	}
 }
 
@@ -106,6 +122,45 @@
 	return nil
 }
 
+// SetSpares sets the addresses to which an idle connection is kept beside those in use, within the limit. An attempt that
+// overlaps another one then does not wait for a dial; to another region, a dial takes as long as the attempt itself. A
+// spare connection is opened when the last idle one is taken, so Connect opens the first one.
+func (c *Client) SetSpares(addresses []string) {
+	spare := make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		spare[address] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, h := range c.hosts {
+		h.spare = spare[address]
+	}
+}
+
+// refillLocked opens a spare connection in the background if one is missing.
+func (c *Client) refillLocked(address string, h *host) {
+	now := time.Now()
+	if !h.spare || h.refilling || h.refusing || len(h.idle) > 0 || h.open >= h.limit || now.Before(h.refillAt) {
+		return
+	}
+	h.refilling = true
+	h.open++
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), spareTimeout)
+		defer cancel()
+		cn, err := c.open(ctx, address, h)
+		c.mu.Lock()
+		h.refilling = false
+		if err != nil {
+			h.refillAt = time.Now().Add(spareRetryPause)
+		}
+		c.mu.Unlock()
+		if err == nil {
+			c.release(address, cn, true)
+		}
+	}()
+}
+
 // CheckReachable checks that an address has a usable connection or accepts a new one. It fails only if a dial fails. If
 // ctx ends a wait at the connection limit, nothing is known about the address and CheckReachable returns nil.
 func (c *Client) CheckReachable(ctx context.Context, address string) error {
@@ -188,7 +243,7 @@
 		case <-wait:
 		case <-ctx.Done():
 			c.mu.Lock()
-			h.waiters = slices.DeleteFunc(h.waiters, func(w chan struct{}) bool { return w == wait })
+			h.stopWaiting(wait)
 			c.mu.Unlock()
 			return nil, errors.WithMessage(context.Cause(ctx), "wait for a connection")
 		}
@@ -205,6 +260,7 @@
 	for len(h.idle) > 0 {
 		cn := h.popIdle()
 		if cn.usable(now) {
+			c.refillLocked(address, h)
 			return cn, h, nil
 		}
 		c.closeLocked(h, cn)
@@ -215,6 +271,7 @@
 		return nil, h, wait
 	}
 	h.open++
+	c.refillLocked(address, h)
 	return nil, h, nil
 }
 
@@ -274,6 +331,7 @@
 	}
 	_ = cn.Close() // The connection is discarded whether or not Close fails.
 	c.releaseSlotLocked(address, h)
+	c.refillLocked(address, h)
 }
 
 // closeLocked closes an unused connection without waking a waiter.
@@ -286,7 +344,7 @@
 func (c *Client) releaseSlotLocked(address string, h *host) {
 	h.open--
 	h.wakeNext()
-	if h.open == 0 && h.limit == 0 {
+	if h.open == 0 && h.limit == 0 && len(h.waiters) == 0 {
 		delete(c.hosts, address)
 	}
 }
@@ -307,6 +365,16 @@
 	}
 }
 
+// stopWaiting removes a waiter whose request has ended. A wake-up that it has received already goes to the next waiter.
+func (h *host) stopWaiting(wait chan struct{}) {
+	select {
+	case <-wait:
+		h.wakeNext()
+	default:
+		h.waiters = slices.DeleteFunc(h.waiters, func(w chan struct{}) bool { return w == wait })
+	}
+}
+
 func (h *host) popIdle() *conn {
 	last := len(h.idle) - 1
 	cn := h.idle[last]
--- a/adapter/peer/peer.go
+++ b/adapter/peer/peer.go
@@ -35,7 +35,7 @@
 func MemberToWire(m membership.Member) *memberpb.Member {
 	return &memberpb.Member{
 		Id: m.ID, Address: m.Address, FailureDomain: m.FailureDomain, Incarnation: m.Incarnation,
-		State: memberpb.State(m.State), ConfigSequence: m.ConfigSequence,
+		State: memberpb.State(m.State), ConfigSequence: m.ConfigSequence, Capacity: m.Capacity,
 	}
 }
 
@@ -43,7 +43,7 @@
 func MemberFromWire(m *memberpb.Member) membership.Member {
 	return membership.Member{
 		ID: m.GetId(), Address: m.GetAddress(), FailureDomain: m.GetFailureDomain(),
-		Incarnation: m.GetIncarnation(), State: stateFromWire(m.GetState()), ConfigSequence: m.GetConfigSequence(),
+		Incarnation: m.GetIncarnation(), State: stateFromWire(m.GetState()), ConfigSequence: m.GetConfigSequence(), Capacity: m.GetCapacity(),
 	}
 }
 
--- a/adapter/peer/relay_test.go
+++ b/adapter/peer/relay_test.go
@@ -24,6 +24,11 @@
 
 type fakeRelay struct {
 	respond func(*relaypb.GroupRequest) *relaypb.GroupResponse
+	forward func(*relaypb.ForwardRequest) *relaypb.ForwardResponse
+}
+
+func (r fakeRelay) Forward(_ context.Context, req *relaypb.ForwardRequest) (*relaypb.ForwardResponse, error) {
+	return r.forward(req), nil
 }
 
 func (r fakeRelay) ScatterGroup(_ context.Context, req *relaypb.GroupRequest) (*relaypb.GroupResponse, error) {
--- a/adapter/platform/object.go
+++ b/adapter/platform/object.go
@@ -65,6 +65,8 @@
 	Address       string        `json:"address"`
 	FailureDomain string        `json:"failure_domain"`
 	State         InstanceState `json:"state"`
+	// Capacity is the processor capacity in thousandths of a core, 0 if it is not known.
+	Capacity uint32 `json:"capacity,omitempty"`
 }
 
 // ErrNotFound means that the object does not exist.
--- a/control/membership/member.go
+++ b/control/membership/member.go
@@ -44,6 +44,8 @@
 	State       State
 	// ConfigSequence is the sequence number of the configuration in force at the member.
 	ConfigSequence uint64
+	// Capacity is the processor capacity in thousandths of a core, 0 if it is not known.
+	Capacity uint32
 }
 
 // supersedes reports whether m replaces old: a higher incarnation wins, then the later state.
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -64,6 +64,7 @@
 	log            *slog.Logger
 	kernel         *kernel.Kernel
 	gateway        *gateway.Service
+	fleet          *members.Service
 	gate           *gate
 	callers        *http.Server
 	callerConns    *callerConns
@@ -84,19 +85,21 @@
 	c := counters.NewSet()
 	ring := timeline.NewRing(s.Instance, timelineEvents, hlc.New(time.Now))
 	self := membership.Member{
-		ID: s.Instance, Address: s.Control, FailureDomain: s.FailureDomain,
+		ID: s.Instance, Address: s.Control, FailureDomain: s.FailureDomain, Capacity: s.capacity(),
 		Incarnation: uint64(time.Now().UnixNano()), State: membership.Starting,
 	}
 	objects := configsync.NewWithSchema(directory.Schema(), directory.NewSource(a.Store, log), e.kernel.Bus(), ring, log, c)
 	fleet := members.New(self, a.Instances, objects, e.kernel.Bus(), ring, log, c)
 	fleet.UseSeeds(s.Seeds)
+	e.fleet = fleet
+	relays := peer.NewRelayClient(fleet.Transport())
 	e.gateway = gateway.New(gateway.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Region: s.Region, Regions: s.Regions, Sender: a.Sender, Log: log,
 		ExtraAttempts: hedge.BudgetLimits{
 			Share: s.ExtraShare, Slack: s.ExtraSlack, Span: time.Duration(s.ExtraSeconds * float64(time.Second)),
 		},
 		Metrics: gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
-		SendSuspicion: peer.NewRelayClient(fleet.Transport()).ReportSuspicion,
+		SendSuspicion: relays.ReportSuspicion, Forward: relays.Forward,
 	})
 	saver := directory.NewTargetSaver(a.Store, e.kernel.Bus(), fleet, log)
 	for _, service := range []kernel.Service{e.gateway, saver, objects, fleet} {
@@ -143,7 +146,10 @@
 	mux := http.NewServeMux()
 	mux.Handle(peer.MembershipHandler(fleet))
 	mux.Handle(peer.DistributionHandler(objects))
-	mux.Handle(peer.RelayHandler(relay.New(relayBackend{e.gateway}, c)))
+	relayService := relay.New(relayBackend{e.gateway}, c)
+	relayService.UseDrain(e.gate.start, e.gate.end)
+	path, handler := peer.RelayHandler(relayService)
+	mux.Handle(path, peer.ConfirmForwarded(handler))
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{Handler: mux, Protocols: &protocols, ReadHeaderTimeout: headerTimeout}
@@ -214,8 +220,10 @@
 	defer cancel()
 	e.log.Info("instance stops")
 	defer e.stopStallWatch()
+	drained := e.gate.begin()
+	e.fleet.Leave()
 	select {
-	case <-e.gate.begin():
+	case <-drained:
 	case <-ctx.Done():
 	}
 	e.callerConns.drain(ctx)
--- a/instance/edge/gate.go
+++ b/instance/edge/gate.go
@@ -76,19 +76,26 @@
 	}
 }
 
+// start counts a request, or returns false if no new ones are accepted. end has to be called after a request that was
+// counted.
+func (g *gate) start() (admitted bool) {
+	g.apply(func(now time.Time) { admitted = g.controller.OnStart(now) })
+	return admitted
+}
+
+func (g *gate) end() { g.apply(g.controller.OnEnd) }
+
 // wrap admits or refuses requests. During the shutdown it closes each connection after its response, since an open
 // connection would otherwise continue to bring requests.
 func (g *gate) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		admitted := false
-		g.apply(func(now time.Time) { admitted = g.controller.OnStart(now) })
-		if !admitted {
+		if !g.start() {
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", "0")
 			http.Error(w, "the instance is leaving and did not run the request", http.StatusServiceUnavailable)
 			return
 		}
-		defer g.apply(g.controller.OnEnd)
+		defer g.end()
 		if g.phase() != drain.Serving {
 			w.Header().Set("Connection", "close")
 		}
--- a/instance/edge/settings.go
+++ b/instance/edge/settings.go
@@ -16,6 +16,7 @@
 	defaultShutdownTimeout = 6 * time.Second
 	defaultIdleTimeout     = 30 * time.Second
 	defaultMetricsPort     = 9464
+	defaultCoreSpeed       = 1.0
 )
 
 // Settings is the settings file of an instance that serves opaque requests.
@@ -42,6 +43,10 @@
 	IdleTimeout settings.Duration `json:"idle_timeout"`
 	// MemoryMB is the memory available to the process; 0 sets no limit for the heap.
 	MemoryMB int `json:"memory_mb"`
+	// CoreShare is the share of a core that the instance may use, 0 if it is not known. CoreSpeed is the speed of that
+	// core relative to those of other instances.
+	CoreShare float64 `json:"core_share"`
+	CoreSpeed float64 `json:"core_speed"`
 	// ExtraShare, ExtraSlack and ExtraSeconds limit the extra attempts at a service, which are those after the
 	// first one of each request, over all instances.
 	ExtraShare   float64 `json:"extra_share"`
@@ -62,12 +67,18 @@
 	if s.IdleTimeout == 0 {
 		s.IdleTimeout = settings.Duration(defaultIdleTimeout)
 	}
+	if s.CoreSpeed == 0 {
+		s.CoreSpeed = defaultCoreSpeed
+	}
 	if s.MetricsPort == 0 {
 		s.MetricsPort = defaultMetricsPort
 	}
 	return s
 }
 
+// capacity returns the processor capacity in thousandths of a core, 0 if it is not known.
+func (s Settings) capacity() uint32 { return uint32(1000 * s.CoreShare * s.CoreSpeed) }
+
 func (s Settings) shutdownTimeout() time.Duration {
 	return time.Duration(s.ShutdownSeconds * float64(time.Second))
 }
--- a/instance/entry/draining.go
+++ b/instance/entry/draining.go
@@ -45,3 +45,8 @@
 	defer ix.mu.Unlock()
 	return ix.pool.MarkDraining(time.Now(), id)
 }
+
+// RunForwarded implements relay.Backend. Instances that interpret queries forward groups of shards and no whole requests.
+func (s *Service) RunForwarded(context.Context, peer.ForwardedRequest) peer.ForwardedResponse {
+	return peer.ForwardedResponse{Outcome: peer.ForwardUnavailable, Reason: "the instance runs no opaque requests"}
+}
--- a/instance/gateway/connect.go
+++ b/instance/gateway/connect.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"hyssopcroft.example/kernel"
-	"hyssopcroft.example/query"
 )
 
 const (
@@ -15,6 +14,8 @@
 	// maxConnectsPerPeriod bounds the connections opened per check: 16 a second for each instance. With 60 instances
 	// and 108 targets, each target accepts 9 a second, and each of these occupies a slot for 6 ms.
 	maxConnectsPerPeriod = 8
+	// maxAcceptsPerSecond bounds the connections that a target accepts from all relays together.
+	maxAcceptsPerSecond = 9
 	// unusedTimeout is how long an unused connection stays open where targets accept few connections and the next
 	// first attempts are not likely to need it. It is half of the 10 s for which targets keep idle connections.
 	// Hedges and retries need such connections while nearby targets are slow, which lasts some seconds.
@@ -30,6 +31,12 @@
 	for kernel.Sleep(ctx, connectPeriod/2+rand.N(connectPeriod)) {
 		opened := 0
 		likely, connectExtra := s.likelyAddresses()
+		maxConnects := s.maxConnects()
+		if connectExtra {
+			s.cfg.Sender.KeepSpares(likely)
+		} else {
+			s.cfg.Sender.KeepSpares(nil)
+		}
 		if !connectExtra {
 			keep := make(map[string]bool, len(likely))
 			for _, address := range likely {
@@ -38,7 +45,7 @@
 			s.cfg.Sender.CloseUnused(unusedTimeout, keep)
 		}
 		for _, address := range likely {
-			if opened == maxConnectsPerPeriod {
+			if opened >= maxConnects {
 				break
 			}
 			if s.connect(ctx, address) {
@@ -63,6 +70,17 @@
 	return true
 }
 
+// maxConnects returns the maximum number of connections to open per check.
+func (s *Service) maxConnects() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.fleet.isRelay {
+		return maxConnectsPerPeriod
+	}
+	perPeriod := maxAcceptsPerSecond * connectPeriod.Seconds() * float64(len(s.targets)) / float64(s.fleet.relays.instances)
+	return max(maxConnectsPerPeriod, int(perPeriod))
+}
+
 // likelyAddresses returns the addresses that the next attempts are likely to go to. If targets accept enough
 // connections, connectExtra is true and the addresses for hedges and retries are included.
 func (s *Service) likelyAddresses() (addresses []string, connectExtra bool) {
@@ -71,7 +89,9 @@
 	ids := s.balancer.LikelyTargets(time.Now(), s.connectExtra)
 	addresses = make([]string, 0, len(ids))
 	for _, id := range ids {
-		addresses = append(addresses, s.targets[query.TargetID(id)].Address)
+		if e := s.targets[id]; s.fleet.isRelay || !s.anyRelayed([]string{e.Service}) {
+			addresses = append(addresses, e.Address)
+		}
 	}
 	return addresses, s.connectExtra
 }
--- /dev/null
+++ b/instance/gateway/fleet.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/query/forward"
+	"hyssopcroft.example/query/placement"
+	"hyssopcroft.example/query/routing"
+)
+
+const (
+	// maxDirectInstances is the largest number of instances of which each sends to every shard. In a larger fleet an
+	// instance sends to a given target so seldom that the connection has timed out meanwhile.
+	maxDirectInstances = 12
+	// relayBudgetShare is the share of the budget of extra attempts that relays use for hedges and retries at targets
+	// which only relays send to. The rest is for requests that are sent to a second relay, each of which may cost one
+	// extra attempt at every shard.
+	relayBudgetShare = 0.6
+	// maxForwardTables is the number of versions of the routes that a relay keeps for requests of instances whose
+	// routes are newer or older than its own.
+	maxForwardTables = 8
+)
+
+// fleet is what the decisions on connections, budgets and relays need to know of the instances.
+type fleet struct {
+	// all are the instances that may send attempts.
+	all share
+	// relayed are the services that get attempts from relays only.
+	relayed map[string]bool
+	// relays are the instances that send to the targets of these services.
+	relays share
+	// isRelay is set if this instance is one of them.
+	isRelay bool
+	// others are the relays except this instance.
+	others []forward.Relay
+}
+
+// connections returns the number of connections that this instance may open to a target of the service. An instance
+// that is not a relay opens them to targets of relayed services only for requests that no relay takes.
+func (f fleet) connections(v routing.Service, local bool) int {
+	switch {
+	case !f.relayed[v.Name]:
+		return f.all.connections(v.Connections, local)
+	case f.isRelay:
+		return f.relays.connections(v.Connections, local)
+	}
+	return 1
+}
+
+// allowsExtra reports whether a target of the service can hold two connections of each instance that sends to it.
+func (f fleet) allowsExtra(v routing.Service) bool {
+	if f.relayed[v.Name] {
+		return f.isRelay && f.relays.allowsExtra(v.Connections)
+	}
+	return f.all.allowsExtra(v.Connections)
+}
+
+// relayedServices returns the services that get attempts from relays only, and the lowest number of connections that
+// one of their targets accepts. These are the shards of gathered answers, once there are too many instances for each to
+// send to every shard.
+func relayedServices(t *routing.Table, instances int) (relayed map[string]bool, connections int) {
+	if t == nil || instances <= maxDirectInstances {
+		return nil, 0
+	}
+	relayed = map[string]bool{}
+	for _, r := range t.Routes {
+		if !r.Gather {
+			continue
+		}
+		for _, name := range r.Services {
+			v, ok := t.Service(name)
+			if ok && v.Connections > 0 && !relayed[name] {
+				relayed[name] = true
+				if connections == 0 || v.Connections < connections {
+					connections = v.Connections
+				}
+			}
+		}
+	}
+	return relayed, connections
+}
+
+// fleetOf describes the fleet to this instance. Relays are chosen among all members that may be alive, so that a short
+// doubt about one does not move connections; a doubtful relay is only chosen for a request if there is no other.
+func (s *Service) fleetOf(members []membership.Member, t *routing.Table, entries []roster.Entry) fleet {
+	f := fleet{all: shareOf(members, s.cfg.FailureDomain)}
+	var connections int
+	f.relayed, connections = relayedServices(t, f.all.instances)
+	if len(f.relayed) == 0 {
+		return f
+	}
+	targetsByDomain := map[string]int{}
+	for _, e := range entries {
+		if f.relayed[e.Service] {
+			targetsByDomain[e.FailureDomain]++
+		}
+	}
+	var candidates []placement.Candidate
+	byID := map[string]membership.Member{}
+	for _, m := range members {
+		if m.State == membership.Dead || m.State == membership.Leaving {
+			continue
+		}
+		byID[m.ID] = m
+		candidates = append(candidates, placement.Candidate{
+			ID: m.ID, FailureDomain: m.FailureDomain, Region: s.cfg.Regions[m.FailureDomain], Capacity: m.Capacity,
+		})
+	}
+	for _, c := range placement.Relays(candidates, int(connectionShare*float64(connections)), targetsByDomain) {
+		f.relays.instances++
+		if c.FailureDomain == s.cfg.FailureDomain {
+			f.relays.sameDomain++
+		}
+		if c.ID == s.cfg.Instance {
+			f.isRelay = true
+			continue
+		}
+		f.others = append(f.others, forward.Relay{
+			ID: c.ID, Address: byID[c.ID].Address, Distance: forward.Distance(s.distance(c.FailureDomain)),
+			Doubtful: byID[c.ID].State == membership.Suspect,
+		})
+	}
+	f.relays.sameDomain = max(f.relays.sameDomain, 1)
+	return f
+}
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -29,6 +29,10 @@
 	Body   []byte
 	// TimeLeft is how long the caller waits, or 0 if it did not state a time.
 	TimeLeft time.Duration
+	// ReturnTime is the time that the response takes to the instance that received the request, if another one runs it.
+	ReturnTime time.Duration
+	// SpentAttempts is the number of attempts at each shard that other instances may have made for this request.
+	SpentAttempts int
 }
 
 // ResponseKind is the kind of a Response.
@@ -89,6 +93,8 @@
 	NeedsConnection(address string) bool
 	// Connect opens a connection to an address for which NeedsConnection returns true.
 	Connect(ctx context.Context, address string) error
+	// KeepSpares sets the addresses to which a connection is kept open beside those in use.
+	KeepSpares(addresses []string)
 	// CloseUnused closes the connections that have carried no attempt for the given time, except those to the
 	// addresses in keep.
 	CloseUnused(unusedFor time.Duration, keep map[string]bool)
@@ -105,6 +111,7 @@
 	reasonNoTarget  = "no target of the service is known"
 	reasonOverload  = "targets refuse requests or requests are late; the instance lets in fewer"
 	reasonBusy      = "the instance has as many requests in flight as it can hold"
+	reasonNoRelay   = "no instance that sends to the targets answered"
 	reasonUnreached = "no target of the service could be reached"
 	reasonCrashes   = "targets crashed while they ran this request; it is not sent again for now"
 	reasonShort     = "fewer shards answered than the route demands"
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -55,6 +55,8 @@
 
 func (f *fakeSender) NeedsConnection(string) bool { return false }
 
+func (f *fakeSender) KeepSpares([]string) {}
+
 func (f *fakeSender) CloseUnused(_ time.Duration, keep map[string]bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -16,7 +16,9 @@
 	latency  *prometheus.HistogramVec
 	missing  prometheus.Counter
 	crashes  prometheus.Counter
-	attempts [query.OutcomeFailed + 1]prometheus.Counter
+	// forwarded counts the attempts at relays by outcome.
+	forwarded *prometheus.CounterVec
+	attempts  [query.OutcomeFailed + 1]prometheus.Counter
 }
 
 // NewMetrics creates the metrics and registers them with r.
@@ -41,7 +43,10 @@
 	for o := range m.attempts {
 		m.attempts[o] = attempts.WithLabelValues(query.Outcome(o).String())
 	}
-	r.MustRegister(m.requests, m.latency, m.missing, m.crashes, attempts)
+	m.forwarded = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "hyssopcroft_forwarded_total", Help: "Requests sent to relays by what became of them there.",
+	}, []string{"outcome"})
+	r.MustRegister(m.forwarded, m.requests, m.latency, m.missing, m.crashes, attempts)
 	return m
 }
 
--- a/instance/gateway/observe.go
+++ b/instance/gateway/observe.go
@@ -22,6 +22,24 @@
 
 // observe updates the metrics for a request and logs it unless its answer was complete and in time.
 func (s *Service) observe(ctx context.Context, r *Request, q *run, resp Response, took time.Duration) {
+	objective := time.Duration(0)
+	if q != nil {
+		objective = q.resolved.route.Objective
+	}
+	attrs := s.observeOutcome(ctx, r, resp, took, objective)
+	if attrs == nil {
+		return
+	}
+	if q != nil {
+		attrs = append(attrs, q.resolved.attrs()...)
+		attrs = append(attrs, slog.Int("covered", q.machine.Covered()), q.denied.attr(), slog.Any("attempts", q.loggedAttempts()))
+	}
+	s.cfg.Log.LogAttrs(ctx, slog.LevelWarn, logMessage(resp, ctx.Err() != nil), attrs...)
+}
+
+// observeOutcome updates the metrics for a request. It returns the fields that every log line of a request has, or nil
+// if the answer was complete and in time.
+func (s *Service) observeOutcome(ctx context.Context, r *Request, resp Response, took, objective time.Duration) []slog.Attr {
 	kind := resp.Kind.String()
 	callerGone := ctx.Err() != nil
 	if callerGone {
@@ -31,8 +49,8 @@
 	m.requests.WithLabelValues(kind).Inc()
 	m.latency.WithLabelValues(kind).Observe(took.Seconds())
 	m.missing.Add(float64(resp.Missing))
-	if q != nil && !callerGone && resp.Kind <= Merged && resp.Missing == 0 && took <= q.resolved.route.Objective {
-		return
+	if !callerGone && resp.Kind <= Merged && resp.Missing == 0 && took <= objective {
+		return nil
 	}
 	attrs := []slog.Attr{
 		slog.String("request", r.ID), slog.String("outcome", kind), slog.Float64("took_ms", millis(took)),
@@ -44,14 +62,16 @@
 	if resp.RetryAfter > 0 {
 		attrs = append(attrs, slog.Float64("retry_after_ms", millis(resp.RetryAfter)))
 	}
-	attrs = append(attrs, resp.inputs...)
-	if q != nil {
-		attrs = append(attrs,
-			slog.String("route", q.resolved.route.Name), slog.Uint64("routes_version", uint64(q.resolved.table.Version)),
-			slog.Float64("objective_ms", millis(q.resolved.route.Objective)), slog.Float64("timeout_ms", millis(q.resolved.route.Timeout)), slog.Int("shards", len(q.resolved.shards)),
-			slog.Int("least", q.resolved.minShards()), slog.Int("covered", q.machine.Covered()), q.denied.attr(), slog.Any("attempts", q.loggedAttempts()))
+	return append(attrs, resp.inputs...)
+}
+
+// attrs returns the fields of a route for the log line of a request.
+func (rr resolvedRoute) attrs() []slog.Attr {
+	return []slog.Attr{
+		slog.String("route", rr.route.Name), slog.Uint64("routes_version", uint64(rr.table.Version)),
+		slog.Float64("objective_ms", millis(rr.route.Objective)), slog.Float64("timeout_ms", millis(rr.route.Timeout)),
+		slog.Int("shards", len(rr.shards)), slog.Int("least", rr.minShards()),
 	}
-	s.cfg.Log.LogAttrs(ctx, slog.LevelWarn, logMessage(resp, callerGone), attrs...)
 }
 
 // logMessage returns a message of its own for short answers, refusals and failures, so that a log limit by message
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -12,6 +12,7 @@
 	"hyssopcroft.example/query/admission"
 	"hyssopcroft.example/query/balance"
 	"hyssopcroft.example/query/merge"
+	"hyssopcroft.example/query/routing"
 	"hyssopcroft.example/query/scatter"
 )
 
@@ -91,28 +92,39 @@
 	}
 }
 
-// Do runs a request. It updates the metrics, and logs the request unless its answer was complete and in time.
+// Do runs a request, here or at a relay. It updates the metrics, and logs the request unless its answer was complete and
+// in time.
 func (s *Service) Do(ctx context.Context, r *Request) Response {
 	start := time.Now()
-	resp, q := s.do(ctx, r, start)
+	s.awaitReady(ctx, r)
+	if rr, ok := s.resolveForwarded(r); ok {
+		if resp, f, ok := s.forward(ctx, r, rr, start); ok {
+			s.observeForwarded(ctx, f, resp, time.Since(start))
+			return resp
+		}
+	}
+	resp, q := s.runHere(ctx, r, nil, start)
 	s.observe(ctx, r, q, resp, time.Since(start))
 	return resp
 }
 
-func (s *Service) do(ctx context.Context, r *Request, start time.Time) (Response, *run) {
+// runHere runs a request at the targets, by the given version of the routes or, if table is nil, the one in force.
+func (s *Service) runHere(ctx context.Context, r *Request, table *routing.Table, start time.Time) (Response, *run) {
 	defer s.inFlight.Add(-1)
 	if s.inFlight.Add(1) > maxInFlight {
 		return Response{Kind: Refused, Reason: reasonBusy, RetryAfter: busyRetryAfter}, nil
 	}
-	s.awaitReady(ctx, r)
 	crashes, refused := s.suspects.check(r)
 	if refused != nil {
 		return *refused, nil
 	}
-	rr, refused := s.admit(r)
+	rr, refused := s.resolve(r, table)
 	if refused != nil {
 		return *refused, nil
 	}
+	if refused := s.enterGate(&rr); refused != nil {
+		return *refused, nil
+	}
 	result := admission.InTime
 	defer func() { s.releaseGate(rr.gate, time.Since(start), result) }()
 	q := s.newRun(r, rr, start, crashes)
@@ -129,7 +141,7 @@
 	q := &run{
 		service: s, request: r, resolved: rr, id: query.RequestID(rand.Uint64()), start: start, priorCrashes: crashes,
 		deadline: start.Add(rr.timeout(r)),
-		answerBy: start.Add(rr.route.Objective - balance.AnswerReserve),
+		answerBy: start.Add(rr.route.Objective - answerReserve(r)),
 		replies:  make(chan attemptReply, 2*len(rr.shards)),
 		offers:   make(chan query.Shard, len(rr.shards)),
 		cancels:  make(map[query.AttemptID]context.CancelFunc, len(rr.shards)),
@@ -140,7 +152,7 @@
 		},
 		Map:    query.Map{Version: rr.table.Version, Shards: rr.shards},
 		Policy: &runPolicy{run: q, policy: rr.policy}, NextAttempt: s.nextAttempt, DistinctTargets: true, MaxLimitBackoff: maxLimitBackoff,
-		MaxAttempts: attemptLimit(rr.route.MaxAttempts, crashes), AtMostOnce: !rr.route.Repeatable, CrashLimit: max(1, crashLimit-crashes),
+		MaxAttempts: attemptLimit(max(rr.route.MaxAttempts-r.SpentAttempts, 1), crashes), AtMostOnce: !rr.route.Repeatable, CrashLimit: max(1, crashLimit-crashes),
 	}
 	if rr.route.Gather {
 		q.records = merge.NewRecords(q.id, rr.table.Version, rr.shards)
@@ -163,9 +175,12 @@
 	if rr.route.Timeout > 0 {
 		left = min(left, rr.route.Timeout)
 	}
-	return left
+	return left - r.ReturnTime
 }
 
+// answerReserve returns the part of the objective that is reserved for the transfer of the request and of the answer.
+func answerReserve(r *Request) time.Duration { return balance.AnswerReserve + r.ReturnTime }
+
 // loop runs the query until it has finished or the caller has disconnected.
 func (q *run) loop(caller context.Context) {
 	ctx, cancel := context.WithCancel(caller)
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -18,6 +18,7 @@
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/admission"
 	"hyssopcroft.example/query/balance"
+	"hyssopcroft.example/query/forward"
 	"hyssopcroft.example/query/hedge"
 	"hyssopcroft.example/query/routing"
 )
@@ -36,6 +37,8 @@
 	// connectionShare is the fraction of a target's connections that the fleet uses. The rest is left for instances
 	// that are being replaced and for half-open connections that only the target still counts.
 	connectionShare = 0.9
+	// fleetUpdatePause is the minimum time between two updates of what is derived from the members.
+	fleetUpdatePause = 30 * time.Millisecond
 	// maxConnections bounds the connections to one target. Targets have 2 to 6 slots.
 	maxConnections = 8
 )
@@ -55,6 +58,8 @@
 	Bus           *kernel.Bus
 	// Members lists the instances among which connections and budgets are divided.
 	Members Members
+	// Forward sends a request to the relay at an address. onAlive is called when the relay confirms that it runs it.
+	Forward func(ctx context.Context, address string, r peer.ForwardedRequest, onAlive func()) peer.ForwardedResponse
 	// SendSuspicion sends a suspicion to the peer at an address.
 	SendSuspicion func(ctx context.Context, address string, m peer.Suspicion) error
 }
@@ -73,6 +78,9 @@
 	background  sync.WaitGroup
 	suspects    *suspects
 
+	relayMu      sync.Mutex // guards relayChooser and the machines that use it; locked before mu
+	relayChooser *forward.Chooser
+
 	mu           sync.Mutex // guards the fields below
 	table        *routing.Table
 	balancer     *balance.Balancer
@@ -85,9 +93,13 @@
 	policies     map[string]*balance.Policy
 	queues       map[query.Shard]*admission.Queue[*run]
 	gates        map[query.Shard]*admission.Gate // by the first shard of the requests
-	share        share
-	connectExtra bool // targets of all services accept enough connections to open some for hedges and retries in advance
-	cancel       context.CancelFunc
+	fleet        fleet
+	tables       map[query.Version]*routing.Table // the versions that forwarded requests may follow
+	tableChanged chan struct{}                    // closed when the next table arrives
+	// forwardBudget bounds the requests that are sent to a second relay.
+	forwardBudget *hedge.WindowBudget
+	connectExtra  bool // targets of all services accept enough connections to open some for hedges and retries in advance
+	cancel        context.CancelFunc
 }
 
 // New returns a service without routes and targets.
@@ -96,10 +108,12 @@
 		cfg: cfg, ready: make(chan struct{}), balancer: balance.NewBalancer(cfg.ExtraAttempts), shardIDs: map[string]query.Shard{},
 		roster: roster.New(), targets: map[query.TargetID]roster.Entry{}, policies: map[string]*balance.Policy{},
 		gates: map[query.Shard]*admission.Gate{}, queues: map[query.Shard]*admission.Queue[*run]{},
+		relayChooser: forward.NewChooser(), forwardBudget: newForwardBudget(cfg.ExtraAttempts),
+		tables: map[query.Version]*routing.Table{}, tableChanged: make(chan struct{}),
 	}
 	s.suspects = newSuspects()
-	s.share = shareOf(nil, cfg.FailureDomain)
-	s.balancer.SetInstances(s.share.instances)
+	s.fleet = s.fleetOf(nil, nil, nil)
+	s.balancer.SetInstances(s.fleet.all.instances)
 	s.lastAttempt.Store(rand.Uint64())
 	return s
 }
@@ -126,25 +140,59 @@
 	if err != nil {
 		return err
 	}
+	membersChanged := make(chan struct{}, 1)
+	s.background.Go(func() { s.fleetLoop(ctx, membersChanged) })
 	return kernel.Subscribe(ctx, s.cfg.Bus, func(members.Changed) {
-		s.updateShare()
-		s.sendQuarantinedToJoined()
+		select {
+		case membersChanged <- struct{}{}:
+		default: // A change is pending already.
+		}
 	})
 }
 
-// updateShare applies the current number of instances to connection limits and budgets.
-func (s *Service) updateShare() {
-	next := shareOf(s.cfg.Members.Members(), s.cfg.FailureDomain)
+// fleetLoop applies changes of the members. Changes in quick succession, as when the whole fleet starts, are applied
+// together.
+func (s *Service) fleetLoop(ctx context.Context, membersChanged <-chan struct{}) {
+	for {
+		select {
+		case <-membersChanged:
+		case <-ctx.Done():
+			return
+		}
+		s.updateFleet()
+		s.sendQuarantinedToJoined()
+		if !kernel.Sleep(ctx, fleetUpdatePause) {
+			return
+		}
+	}
+}
+
+// updateFleet applies the current members to connection limits, budgets and the choice of relays.
+func (s *Service) updateFleet() {
+	s.relayMu.Lock()
+	defer s.relayMu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if next != s.share {
-		s.cfg.Log.Info("share of connections and budgets changed", "instances", next.instances, "in_domain", next.sameDomain)
-		s.share = next
-		s.balancer.SetInstances(next.instances)
+	if s.refreshFleet() {
 		s.applyTargets()
 	}
 }
 
+// refreshFleet describes the fleet by the current members, routes and targets. It reports whether the connections or
+// budgets of this instance changed. It must be called with relayMu and mu held.
+func (s *Service) refreshFleet() bool {
+	previous := s.fleet
+	s.fleet = s.fleetOf(s.cfg.Members.Members(), s.table, s.roster.Entries(time.Now()))
+	s.relayChooser.SetRelays(s.fleet.others)
+	if s.fleet.all == previous.all && s.fleet.relays == previous.relays && s.fleet.isRelay == previous.isRelay {
+		return false
+	}
+	s.cfg.Log.Info("share of connections and budgets changed", "instances", s.fleet.all.instances, "in_domain", s.fleet.all.sameDomain,
+		"relays", s.fleet.relays.instances, "is_relay", s.fleet.isRelay)
+	s.balancer.SetInstances(s.fleet.all.instances)
+	return true
+}
+
 // Stop implements kernel.Service.
 func (s *Service) Stop(context.Context) error {
 	s.cancel()
@@ -156,6 +204,8 @@
 // SetTable replaces the routes in force.
 func (s *Service) SetTable(t *routing.Table) {
 	t.Index()
+	s.relayMu.Lock()
+	defer s.relayMu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var previous query.Version
@@ -164,13 +214,17 @@
 	}
 	s.cfg.Log.Info("routes in force", "version", t.Version, "before", previous, "routes", len(t.Routes))
 	s.table = t
+	s.keepTable(t)
 	s.signalReady()
 	s.policies = map[string]*balance.Policy{}
+	s.refreshFleet()
 	s.applyTargets()
 }
 
 // SetTargets applies a new list of targets.
 func (s *Service) SetTargets(ev directory.TargetsChanged) {
+	s.relayMu.Lock()
+	defer s.relayMu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -180,6 +234,7 @@
 	s.roster.Replace(now, ev.Entries, ev.Incomplete)
 	s.targetsRead = true
 	s.signalReady()
+	s.refreshFleet()
 	s.applyTargets()
 }
 
@@ -237,8 +292,9 @@
 // with mu held.
 func (s *Service) applyTargets() {
 	s.connectExtra = s.table != nil && !slices.ContainsFunc(s.table.Services, func(v routing.Service) bool {
-		return !s.share.allowsExtra(v.Connections)
+		return !s.fleet.allowsExtra(v)
 	})
+	s.balancer.SetSenders(s.senders())
 	now := time.Now()
 	entries := s.roster.Entries(now)
 	limits := make(map[string]int, len(entries))
@@ -270,7 +326,21 @@
 	if !ok || service.Connections <= 0 {
 		return 1
 	}
-	return s.share.connections(service.Connections, e.FailureDomain == s.cfg.FailureDomain)
+	return s.fleet.connections(service, e.FailureDomain == s.cfg.FailureDomain)
+}
+
+// senders returns the instances that send to the shards which not all instances send to. It must be called with mu
+// held.
+func (s *Service) senders() map[query.Shard]balance.Senders {
+	out := map[query.Shard]balance.Senders{}
+	senders := balance.Senders{Count: s.fleet.all.instances, BudgetShare: relayBudgetShare}
+	if s.fleet.isRelay {
+		senders.Count = s.fleet.relays.instances
+	}
+	for name := range s.fleet.relayed {
+		out[s.shardID(name)] = senders
+	}
+	return out
 }
 
 func (s *Service) distance(domain string) balance.Distance {
@@ -293,49 +363,68 @@
 	return id
 }
 
-// admit resolves the route of a request and admits the request to its gate, or returns the refusal. After an
-// admission, releaseGate has to be called.
-func (s *Service) admit(r *Request) (resolvedRoute, *Response) {
+// resolve resolves the route of a request in a version of the routes, the one in force if table is nil. It returns a
+// refusal if no route matches or too few shards have targets.
+func (s *Service) resolve(r *Request, table *routing.Table) (resolvedRoute, *Response) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.table == nil || !s.targetsRead {
+	if table == nil {
+		table = s.table
+	}
+	if table == nil || !s.targetsRead {
 		age := time.Since(s.started)
 		return resolvedRoute{}, &Response{
 			Kind: Refused, Reason: reasonNotReady, RetryAfter: admission.StartRetryAfter(age), inputs: []slog.Attr{slog.Float64("age_ms", millis(age))},
 		}
 	}
-	route := s.table.Match(r.Host, r.Path)
+	route := table.Match(r.Host, r.Path)
 	if route == nil {
 		return resolvedRoute{}, &Response{Kind: NoRoute, Reason: reasonNoRoute}
 	}
-	rr := resolvedRoute{table: s.table, route: route, services: route.Services, policy: s.policy(route)}
+	services := route.Services
 	if !route.Gather {
-		rr.services = []string{s.splitter.Pick(s.table.Version, route)}
+		services = []string{s.splitter.Pick(table.Version, route)}
 	}
-	rr.shards = make([]query.Shard, 0, len(rr.services))
+	rr := s.resolved(table, route, services)
 	served := 0
-	for _, name := range rr.services {
-		shard := s.shardID(name)
-		rr.shards = append(rr.shards, shard)
+	for _, shard := range rr.shards {
 		if s.balancer.HasTargets(shard) {
 			served++
 		}
 	}
 	if served < rr.minShards() {
 		return resolvedRoute{}, &Response{Kind: Refused, Reason: reasonNoTarget, RetryAfter: noTargetRetryAfter, inputs: []slog.Attr{
-			slog.String("route", route.Name), slog.Uint64("routes_version", uint64(s.table.Version)),
+			slog.String("route", route.Name), slog.Uint64("routes_version", uint64(table.Version)),
 			slog.Int("shards", len(rr.shards)), slog.Int("least", rr.minShards()), slog.Int("served", served),
 		}}
 	}
+	return rr, nil
+}
+
+// resolved returns a route with the shards of its services. It must be called with mu held.
+func (s *Service) resolved(table *routing.Table, route *routing.Route, services []string) resolvedRoute {
+	rr := resolvedRoute{table: table, route: route, services: services, shards: make([]query.Shard, 0, len(services))}
+	for _, name := range services {
+		rr.shards = append(rr.shards, s.shardID(name))
+	}
+	return rr
+}
+
+// enterGate admits a request that runs at this instance to its gate, or returns the refusal. After an admission,
+// releaseGate has to be called.
+func (s *Service) enterGate(rr *resolvedRoute) *Response {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rr.policy = s.policy(rr.route)
 	rr.gate = s.gate(rr.shards[0])
-	if !rr.gate.Admit(route.Rank) {
+	if !rr.gate.Admit(rr.route.Rank) {
 		inFlight, limit := rr.gate.State()
-		return resolvedRoute{}, &Response{Kind: Refused, Reason: reasonOverload, RetryAfter: rr.gate.RetryAfter(rand.Float64()), inputs: []slog.Attr{
-			slog.String("route", route.Name), slog.Uint64("routes_version", uint64(s.table.Version)),
-			slog.Int("rank", route.Rank), slog.Int("in_flight", inFlight), slog.Float64("limit", limit),
+		return &Response{Kind: Refused, Reason: reasonOverload, RetryAfter: rr.gate.RetryAfter(rand.Float64()), inputs: []slog.Attr{
+			slog.String("route", rr.route.Name), slog.Uint64("routes_version", uint64(rr.table.Version)),
+			slog.Int("rank", rr.route.Rank), slog.Int("in_flight", inFlight), slog.Float64("limit", limit),
 		}}
 	}
-	return rr, nil
+	return nil
 }
 
 // gate returns the admission gate of the requests with the given first shard. Routes over the same set of shards list
--- a/instance/gateway/suspects_test.go
+++ b/instance/gateway/suspects_test.go
@@ -165,6 +165,8 @@
 func (c *cluster) SetConnections(map[string]int) {}
 
 // CloseUnused implements gateway.Sender.
+func (c *cluster) KeepSpares([]string) {}
+
 func (c *cluster) CloseUnused(time.Duration, map[string]bool) {}
 
 // NeedsConnection implements gateway.Sender.
--- a/instance/members/registry.go
+++ b/instance/members/registry.go
@@ -91,7 +91,7 @@
 		if i.State == platform.InstanceLeaving {
 			state = membership.Leaving
 		}
-		records = append(records, membership.Member{ID: i.ID, Address: i.Address, FailureDomain: i.FailureDomain, State: state})
+		records = append(records, membership.Member{ID: i.ID, Address: i.Address, FailureDomain: i.FailureDomain, State: state, Capacity: i.Capacity})
 	}
 	s.update(func(now time.Time) { s.node.OnInstanceList(records, now) })
 	s.removeReaped(ctx, list)
@@ -111,7 +111,7 @@
 		return nil, err
 	}
 	self := s.Self()
-	entry := platform.Instance{ID: self.ID, Address: self.Address, FailureDomain: self.FailureDomain, State: platform.InstanceLive}
+	entry := platform.Instance{ID: self.ID, Address: self.Address, FailureDomain: self.FailureDomain, State: platform.InstanceLive, Capacity: self.Capacity}
 	ownIndex := slices.IndexFunc(list, func(i platform.Instance) bool { return i.ID == entry.ID })
 	if ownIndex < 0 || list[ownIndex] != entry {
 		if err := registry.WriteInstance(ctx, entry, ownIndex >= 0); err != nil {
--- a/instance/relay/service.go
+++ b/instance/relay/service.go
@@ -24,6 +24,8 @@
 	OnSuspicion(s peer.Suspicion)
 	// OnDrainingReport handles another instance's report that a target is leaving.
 	OnDrainingReport(d peer.DrainingReport)
+	// RunForwarded runs a request of a caller of another instance.
+	RunForwarded(ctx context.Context, r peer.ForwardedRequest) peer.ForwardedResponse
 }
 
 // Service implements relaypb.Relay. It is safe for concurrent use.
@@ -66,6 +68,17 @@
 	return &relaypb.DrainingResponse{}, nil
 }
 
+// Forward implements relaypb.Relay. Failures are reported as outcomes in the response.
+func (s *Service) Forward(ctx context.Context, req *relaypb.ForwardRequest) (*relaypb.ForwardResponse, error) {
+	resp := peer.ForwardedResponse{Outcome: peer.ForwardUnavailable, Reason: "the instance is leaving"}
+	if s.startWork() {
+		defer s.endWork()
+		resp = s.backend.RunForwarded(ctx, peer.ForwardedRequestFromWire(req))
+	}
+	s.counters.Counter("relay_forwarded_" + resp.Outcome.String()).Add(1)
+	return peer.ForwardedResponseToWire(resp), nil
+}
+
 func (s *Service) run(ctx context.Context, g peer.GroupRequest) peer.GroupResponse {
 	if !s.startWork() {
 		return peer.GroupResponse{Reply: group.Reply{Attempt: g.Attempt, Outcome: query.OutcomeDraining}}
--- a/instance/relay/service_test.go
+++ b/instance/relay/service_test.go
@@ -23,6 +23,10 @@
 
 func (b *backend) OnDrainingReport(peer.DrainingReport) {}
 
+func (b *backend) RunForwarded(context.Context, peer.ForwardedRequest) peer.ForwardedResponse {
+	return peer.ForwardedResponse{}
+}
+
 // Guards against a leaving instance that runs a group although it refuses new work, and against a refusal whose outcome
 // does not exclude that the group ran.
 func TestLeavingRelayRefusesGroups(t *testing.T) {
--- a/query/balance/balancer.go
+++ b/query/balance/balancer.go
@@ -31,6 +31,9 @@
 	// known. Divided by maxDelayDivisor, it is the maximum hedge delay while the budget is full.
 	unknownDelayDivisor = 4
 	maxDelayDivisor     = 3
+	// extraReplicas is the number of replicas of a shard that extra attempts are expected at. Which of two distant
+	// replicas is the better one changes from query to query.
+	extraReplicas = 2
 	// retryReserve is the share of the budget that is reserved for retries. A hedge is sent only while
 	// more than this remains.
 	retryReserve = 0.1
@@ -68,6 +71,7 @@
 	byShard       map[query.Shard][]*targetState
 	firstAttempts map[query.Shard]int // number of first attempts sent
 	budgets       map[query.Shard]*hedge.WindowBudget
+	senders       map[query.Shard]Senders // of the shards that not all instances send to
 	routes        map[string]*routeLatencies
 }
 
@@ -80,7 +84,7 @@
 func NewBalancer(limits hedge.BudgetLimits) *Balancer {
 	return &Balancer{
 		limits: limits, instances: 1, targets: map[query.TargetID]*targetState{}, byShard: map[query.Shard][]*targetState{},
-		firstAttempts: map[query.Shard]int{}, budgets: map[query.Shard]*hedge.WindowBudget{},
+		firstAttempts: map[query.Shard]int{}, budgets: map[query.Shard]*hedge.WindowBudget{}, senders: map[query.Shard]Senders{},
 		routes: map[string]*routeLatencies{},
 	}
 }
@@ -88,6 +92,37 @@
 // SetInstances sets the number of instances that share the slack of the budgets.
 func (lb *Balancer) SetInstances(n int) { lb.instances = max(1, n) }
 
+// Senders describes the instances that send attempts to the targets of a shard.
+type Senders struct {
+	// Count is the number of instances that share the slack of the budget.
+	Count int
+	// BudgetShare is the share of the budget that these instances may use.
+	BudgetShare float64
+}
+
+// SetSenders sets the senders of the shards that only some instances send to. All instances send to other shards.
+func (lb *Balancer) SetSenders(byShard map[query.Shard]Senders) {
+	lb.senders = byShard
+	for shard, budget := range lb.budgets {
+		budget.SetLimits(lb.limitsOf(shard))
+	}
+}
+
+func (lb *Balancer) limitsOf(s query.Shard) hedge.BudgetLimits {
+	if senders, ok := lb.senders[s]; ok {
+		return lb.limits.Scale(senders.BudgetShare)
+	}
+	return lb.limits
+}
+
+// sendersOf returns the number of instances that share the slack of a shard's budget.
+func (lb *Balancer) sendersOf(s query.Shard) int {
+	if senders, ok := lb.senders[s]; ok {
+		return senders.Count
+	}
+	return lb.instances
+}
+
 // SetTargets replaces the list of targets. The statistics of a target are kept while its incarnation and its
 // shard stay the same.
 func (lb *Balancer) SetTargets(list []Target) {
@@ -146,28 +181,31 @@
 }
 
 // LikelyTargets returns the targets that the next attempts are likely to go to: for each shard the one with the
-// lowest cost and, if withSecond is set, after all of these the one that a second attempt would go to. An attempt
-// that has to open a connection first takes two more round trips.
-func (lb *Balancer) LikelyTargets(now time.Time, withSecond bool) []query.TargetID {
-	firsts := make([]query.TargetID, 0, 2*len(lb.byShard))
-	seconds := make([]query.TargetID, 0, len(lb.byShard))
+// lowest cost and, if withExtra is set, after all of these those that extra attempts may go to. An attempt that has to
+// open a connection first takes two more round trips.
+func (lb *Balancer) LikelyTargets(now time.Time, withExtra bool) []query.TargetID {
+	firsts := make([]query.TargetID, 0, extraReplicas*len(lb.byShard))
+	extra := make([]query.TargetID, 0, extraReplicas*len(lb.byShard))
 	for _, list := range lb.byShard {
 		ranked := slices.DeleteFunc(slices.Clone(list), func(s *targetState) bool { return now.Before(s.backoffUntil) })
 		slices.SortFunc(ranked, func(a, b *targetState) int { return cmp.Compare(a.cost(now), b.cost(now)) })
 		if len(ranked) > 0 {
 			firsts = append(firsts, ranked[0].id)
 		}
-		if withSecond && len(ranked) > 1 {
-			seconds = append(seconds, ranked[1].id)
+		if !withExtra {
+			continue
+		}
+		for _, s := range ranked[min(1, len(ranked)):min(1+extraReplicas, len(ranked))] {
+			extra = append(extra, s.id)
 		}
 	}
-	return append(firsts, seconds...)
+	return append(firsts, extra...)
 }
 
 func (lb *Balancer) budgetFor(s query.Shard) *hedge.WindowBudget {
 	budget := lb.budgets[s]
 	if budget == nil {
-		budget = hedge.NewWindowBudget(lb.limits)
+		budget = hedge.NewWindowBudget(lb.limitsOf(s))
 		lb.budgets[s] = budget
 	}
 	return budget
@@ -182,11 +220,11 @@
 		budget.RecordFirst(now)
 		return true
 	case replica.Hedge:
-		if budget.RemainingShare(now, lb.instances) <= retryReserve {
+		if budget.RemainingShare(now, lb.sendersOf(spec.Shard)) <= retryReserve {
 			return false
 		}
 	}
-	return budget.TryTake(now, lb.instances)
+	return budget.TryTake(now, lb.sendersOf(spec.Shard))
 }
 
 // Policy implements scatter.Policy for the requests of one route.
@@ -220,7 +258,7 @@
 		return scatter.Grant{}, replica.NoToken
 	}
 	s.begin(now)
-	after := p.hedgeAfter(s.distance, p.balancer.budgetFor(spec.Shard).RemainingShare(now, p.balancer.instances))
+	after := p.hedgeAfter(s.distance, p.balancer.budgetFor(spec.Shard).RemainingShare(now, p.balancer.sendersOf(spec.Shard)))
 	return scatter.Grant{Target: s.id, Class: replica.Class(s.distance), HedgeAfter: after}, replica.Chosen
 }
 
--- /dev/null
+++ b/query/forward/machine.go
@@ -0,0 +1,273 @@
+package forward
+
+import "time"
+
+const (
+	// takeMargin is the time, beyond two round trips, within which a relay takes a request: one round trip to open a
+	// connection, one for the request, and the scheduling delay of a loaded instance.
+	takeMargin = 30 * time.Millisecond
+	// ConfirmInterval is the time between two confirmations by a relay that it still runs a request.
+	ConfirmInterval = 40 * time.Millisecond
+	// maxRelays is the maximum number of relays to which one request is sent.
+	maxRelays = 3
+	// minTimeLeft is the time that must be left to send a request once more: a round trip to a relay in another
+	// region and the service time of its targets.
+	minTimeLeft = 50 * time.Millisecond
+)
+
+// Outcome is what is known about a request at a relay.
+type Outcome uint8
+
+const (
+	// Answered means that the relay returned the final response of the request: an answer or a failure.
+	Answered Outcome = iota
+	// Refused means that the relay ran nothing, and that other relays are expected to refuse the request too.
+	Refused
+	// Unavailable means that the relay ran nothing, because it could not be reached or is starting or leaving.
+	Unavailable
+	// Lost means that the relay may have run the request and will not answer.
+	Lost
+)
+
+// ActionKind is the kind of an Action.
+type ActionKind uint8
+
+const (
+	// Send means that the request is to be sent to the relay.
+	Send ActionKind = iota
+	// Cancel means that the attempt at the relay is to be cancelled.
+	Cancel
+	// RunHere means that the instance is to run the request itself. No relay will answer it.
+	RunHere
+	// Finish means that the response of the relay is the response to the caller.
+	Finish
+	// Fail means that no relay answered, and that the request may have run.
+	Fail
+)
+
+// Action is one step that the machine asks for.
+type Action struct {
+	Kind  ActionKind
+	Relay Relay
+	// SpentAttempts is the number of attempts at each shard that other relays may have made, for Send and RunHere.
+	SpentAttempts int
+}
+
+// Budget grants attempts beyond the first one.
+type Budget interface {
+	// TryTake reports whether another attempt is within the budget, and counts it.
+	TryTake(now time.Time) bool
+}
+
+// Machine forwards one request. It is not safe for concurrent use.
+//
+// It is designed for the loss of a relay under load. A relay confirms at once that it has taken a request, and again
+// while it runs it; one that does not is silent, and the request goes to the next relay while it can still be in time.
+// What certainly did not run costs no budget.
+//
+// A request may reach a limited number of targets of each shard, whichever relays send it. The attempt at a silent relay
+// is cancelled before the next one gets the request, and the next one after a relay that took it makes fewer attempts.
+type Machine struct {
+	cfg      Config
+	attempts []attempt
+	tried    map[string]bool
+	// mayHaveRun is set once an attempt has ended without proof that it did not run.
+	mayHaveRun bool
+	finished   bool
+}
+
+// Config holds the parameters of a Machine.
+type Config struct {
+	Chooser *Chooser
+	Budget  Budget
+	// Random returns numbers from 0 to 1.
+	Random func() float64
+	// Deadline is when the request ends.
+	Deadline time.Time
+}
+
+type attempt struct {
+	relay Relay
+	sent  time.Time
+	// aliveAt is when the relay last confirmed that it runs the request, the zero time before it has taken it.
+	aliveAt time.Time
+	// overdue is set once the attempt no longer keeps the machine from sending another one.
+	overdue bool
+	ended   bool
+}
+
+func (a attempt) taken() bool { return !a.aliveAt.IsZero() }
+
+// New returns a machine that has sent nothing.
+func New(cfg Config) *Machine { return &Machine{cfg: cfg, tried: map[string]bool{}} }
+
+// Start sends the request to the first relay.
+func (m *Machine) Start(now time.Time) []Action { return m.next(now, false) }
+
+// OnAlive handles the confirmation that a relay has taken the request or still runs it.
+func (m *Machine) OnAlive(now time.Time, id string) {
+	m.cfg.Chooser.OnAlive(id)
+	if a := m.find(id); a != nil {
+		a.aliveAt, a.overdue = now, false
+	}
+}
+
+// OnOutcome handles the end of an attempt.
+func (m *Machine) OnOutcome(now time.Time, id string, o Outcome) []Action {
+	a := m.find(id)
+	if m.finished || a == nil || a.ended {
+		return nil
+	}
+	a.ended = true
+	switch o {
+	case Answered:
+		return m.finish(Action{Kind: Finish, Relay: a.relay})
+	case Refused:
+		if !m.mayHaveRun && !m.inFlight() {
+			return m.finish(Action{Kind: Finish, Relay: a.relay})
+		}
+	case Lost:
+		m.mayHaveRun = true
+		m.cfg.Chooser.OnSilent(now, id)
+	case Unavailable:
+		m.cfg.Chooser.OnSilent(now, id)
+	}
+	switch {
+	case m.waiting():
+		return nil // Another attempt may still answer in time.
+	case o == Refused:
+		return m.giveUp()
+	}
+	return m.next(now, o != Unavailable || m.mayHaveRun || m.inFlight())
+}
+
+// NextWake returns when OnWake is due.
+func (m *Machine) NextWake() time.Time {
+	next := m.cfg.Deadline
+	for _, a := range m.attempts {
+		if at := m.overdueAt(a); !a.ended && !a.overdue && at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// OnWake must be called at NextWake or later. It sends the request to another relay if the ones that have it are
+// silent.
+func (m *Machine) OnWake(now time.Time) []Action {
+	if m.finished {
+		return nil
+	}
+	if !now.Before(m.cfg.Deadline) {
+		m.mayHaveRun = m.mayHaveRun || m.inFlight()
+		return m.finish(Action{Kind: Fail})
+	}
+	newlyOverdue := false
+	for i := range m.attempts {
+		if a := &m.attempts[i]; !a.ended && !a.overdue && !now.Before(m.overdueAt(*a)) {
+			a.overdue, newlyOverdue = true, true
+			m.cfg.Chooser.OnSilent(now, a.relay.ID)
+		}
+	}
+	if !newlyOverdue || m.waiting() {
+		return nil
+	}
+	return m.next(now, true)
+}
+
+// overdueAt returns the time from which an attempt no longer keeps the machine from sending another one.
+func (m *Machine) overdueAt(a attempt) time.Time {
+	if a.taken() {
+		return a.aliveAt.Add(ConfirmInterval + a.relay.Distance.RoundTrip() + takeMargin)
+	}
+	return a.sent.Add(2*a.relay.Distance.RoundTrip() + takeMargin)
+}
+
+// next sends the request to another relay, or runs it here if there is none. extra is set if targets may have received
+// the request already, so that another attempt costs budget.
+func (m *Machine) next(now time.Time, extra bool) []Action {
+	if extra && (m.cfg.Deadline.Sub(now) < minTimeLeft || len(m.attempts) >= maxRelays || !m.cfg.Budget.TryTake(now)) {
+		return m.giveUp()
+	}
+	spent := m.spentAttempts()
+	relay, ok := m.cfg.Chooser.Choose(now, m.tried, m.cfg.Random())
+	if !ok || len(m.attempts) >= maxRelays {
+		if m.inFlight() {
+			return nil
+		}
+		return m.finish(Action{Kind: RunHere, SpentAttempts: spent})
+	}
+	actions := m.cancelSilent()
+	m.tried[relay.ID] = true
+	m.attempts = append(m.attempts, attempt{relay: relay, sent: now})
+	return append(actions, Action{Kind: Send, Relay: relay, SpentAttempts: spent})
+}
+
+// spentAttempts returns the number of attempts at each shard that the relays may have made. One that did not confirm the
+// request has not had it for long enough to make a second attempt.
+func (m *Machine) spentAttempts() int {
+	spent := 0
+	for _, a := range m.attempts {
+		if a.taken() {
+			spent++
+		}
+	}
+	return spent
+}
+
+// cancelSilent cancels the attempts at relays that do not confirm that they run the request.
+func (m *Machine) cancelSilent() []Action {
+	var actions []Action
+	for i := range m.attempts {
+		if a := &m.attempts[i]; !a.ended {
+			a.ended, m.mayHaveRun = true, true
+			actions = append(actions, Action{Kind: Cancel, Relay: a.relay})
+		}
+	}
+	return actions
+}
+
+// giveUp ends the request unless an attempt may still answer.
+func (m *Machine) giveUp() []Action {
+	if m.inFlight() {
+		return nil
+	}
+	return m.finish(Action{Kind: Fail})
+}
+
+func (m *Machine) finish(a Action) []Action {
+	m.finished = true
+	return []Action{a}
+}
+
+func (m *Machine) find(id string) *attempt {
+	for i := range m.attempts {
+		if m.attempts[i].relay.ID == id {
+			return &m.attempts[i]
+		}
+	}
+	return nil
+}
+
+// inFlight reports whether an attempt has not ended.
+func (m *Machine) inFlight() bool {
+	for _, a := range m.attempts {
+		if !a.ended {
+			return true
+		}
+	}
+	return false
+}
+
+// waiting reports whether an attempt is neither ended nor overdue.
+func (m *Machine) waiting() bool {
+	for _, a := range m.attempts {
+		if !a.ended && !a.overdue {
+			return true
+		}
+	}
+	return false
+}
+
+// MayHaveRun reports whether targets may have run the request. It must be called after Fail.
+func (m *Machine) MayHaveRun() bool { return m.mayHaveRun }
--- a/query/hedge/window_budget.go
+++ b/query/hedge/window_budget.go
@@ -20,6 +20,13 @@
 	Span  time.Duration
 }
 
+// Scale returns the limits of a part of the extra attempts.
+func (l BudgetLimits) Scale(part float64) BudgetLimits {
+	l.Share *= part
+	l.Slack *= part
+	return l
+}
+
 // WindowBudget counts the first and the extra attempts of this instance at one service over a sliding
 // window, and grants extra attempts within the instance's part of the common bound. The part grows with the
 // first attempts that the instance sends, so instances with more load may spend more. The slack is divided
@@ -42,6 +49,9 @@
 // NewWindowBudget returns a budget that has counted no attempts.
 func NewWindowBudget(l BudgetLimits) *WindowBudget { return &WindowBudget{limits: l} }
 
+// SetLimits replaces the limits. The attempts of the current window stay counted.
+func (b *WindowBudget) SetLimits(l BudgetLimits) { b.limits = l }
+
 // RecordFirst counts a first attempt.
 func (b *WindowBudget) RecordFirst(now time.Time) {
 	i := b.advance(now)
