--- a/adapter/http1/client.go
+++ b/adapter/http1/client.go
@@ -28,6 +28,8 @@
 type Client struct {
 	dial   func(ctx context.Context, address string) (net.Conn, error)
 	onOpen func() // called for each new connection
+	// onTooLarge is called for each response that exceeds its maximum size.
+	onTooLarge func(address string)
 
 	mu    sync.Mutex // guards hosts and their fields
 	hosts map[string]*host
@@ -63,9 +65,13 @@
 	if onOpen == nil {
 		onOpen = func() {}
 	}
-	return &Client{dial: dial, onOpen: onOpen, hosts: map[string]*host{}}
+	return &Client{dial: dial, onOpen: onOpen, onTooLarge: func(string) {}, hosts: map[string]*host{}}
 }
 
+// OnTooLarge sets a function that is called for each response that exceeds its maximum size. It must be called before
+// the client is used.
+func (c *Client) OnTooLarge(f func(address string)) { c.onTooLarge = f }
+
 // SetLimits sets the maximum number of connections per address and closes idle connections in excess of it. An
 // address that is not in limits has the limit 0.
 func (c *Client) SetLimits(limits map[string]int) {
@@ -102,6 +108,9 @@
 	}
 	c.release(address, cn, reusable && (r.Matches == nil || r.Matches(resp)))
 	if failure != nil {
+		if errors.Is(failure, ErrTooLarge) {
+			c.onTooLarge(address)
+		}
 		return nil, failure
 	}
 	return resp, nil
--- a/adapter/http1/conn.go
+++ b/adapter/http1/conn.go
@@ -27,6 +27,10 @@
 	// defaultMaxIdle is the maximum idle time of a connection if the target announces no idle timeout. It is
 	// below the idle timeout of common HTTP servers, 60 s.
 	defaultMaxIdle = 30 * time.Second
+	// maxHeadBytes is the maximum size of the header of a response together with the interim responses before it.
+	maxHeadBytes = 64 << 10
+	// maxFramingBytes is the maximum size of the framing of a body: chunk sizes, chunk extensions and trailers.
+	maxFramingBytes = 1 << 20
 	// connBufferBytes is the size of the read buffer. It holds the header and a small body of a response.
 	connBufferBytes = 4 << 10
 )
@@ -37,17 +41,41 @@
 // conn is a connection that carries one request at a time. It is not safe for concurrent use.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	input  *boundedInput
+	reader *bufio.Reader // reads from input
 	// usedAt is the time at which the last response was complete or, before the first, the connection was opened.
 	usedAt time.Time
 	// idleTimeout is the time for which the target keeps an idle connection open, 0 if it announced none.
 	idleTimeout time.Duration
 	// answered is set once a complete response has arrived on the connection.
 	answered bool
+	// responding is set once the header of a response has arrived on the connection.
+	responding bool
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, connBufferBytes), usedAt: time.Now()}
+	input := &boundedInput{reader: c, left: maxHeadBytes}
+	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, connBufferBytes), usedAt: time.Now()}
+}
+
+// ErrTooLarge means that a target sent more bytes than a response may have. What it sent is no answer; bytes that do not
+// end would otherwise fill the memory until the deadline of the request.
+var ErrTooLarge = errors.New("response exceeds its maximum size")
+
+// boundedInput reads at most left bytes.
+type boundedInput struct {
+	reader io.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (b *boundedInput) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, ErrTooLarge
+	}
+	n, err := b.reader.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
 }
 
 // usable reports whether an idle connection may carry a request: the target has neither closed it nor sent
@@ -130,7 +158,7 @@
 		return NotSent
 	case closedByPeer(err) && c.answered:
 		return Closed
-	case closedByPeer(err):
+	case closedByPeer(err) && !c.responding:
 		return Refused
 	}
 	return Sent
@@ -149,8 +177,9 @@
 // write sends a request. written reports whether any byte may have been sent.
 func (c *conn) write(r *Request) (written bool, err error) {
 	var b strings.Builder
-	b.Grow(512 + len(r.Body))
+	b.Grow(512 + len(r.EncodedHeader) + len(r.Body))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	b.Write(r.EncodedHeader)
 	if err := r.Header.Write(&b); err != nil {
 		return false, errors.Wrap(err, "encode header")
 	}
@@ -166,21 +195,24 @@
 // read returns the next final response and whether the connection is reusable. sendErr is the error of sending
 // the request, if any.
 func (c *conn) read(method string, sendErr error) (*Response, bool, error) {
+	c.input.left = maxHeadBytes
 	for {
 		head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, false, err
 		}
+		c.responding = true
 		if head.StatusCode < http.StatusOK {
 			_ = head.Body.Close() // Interim responses have no body.
 			continue
 		}
+		c.input.left = maxResponseBytes + maxFramingBytes
 		body, err := io.ReadAll(io.LimitReader(head.Body, maxResponseBytes+1))
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read body")
 		}
 		if len(body) > maxResponseBytes {
-			return nil, false, errors.Errorf("body has more than %d bytes", maxResponseBytes)
+			return nil, false, ErrTooLarge
 		}
 		if announced := announcedIdleTimeout(head.Header); announced > 0 {
 			c.idleTimeout = announced
--- a/adapter/http1/request.go
+++ b/adapter/http1/request.go
@@ -17,7 +17,9 @@
 	// Header holds the other header fields. It must not contain connection-specific fields, Host or
 	// Content-Length.
 	Header http.Header
-	Body   []byte
+	// EncodedHeader holds further header fields, encoded, each with its line end.
+	EncodedHeader []byte
+	Body          []byte
 	// Matches reports whether a response belongs to the request. A connection on which another response
 	// arrives is not reused. A nil Matches accepts every response.
 	Matches func(*Response) bool
@@ -41,8 +43,8 @@
 	// Closed means that the target may have run the request, and closed a connection on which it had answered
 	// earlier requests.
 	Closed
-	// Refused means that the target may have run the request, and closed a connection on which it had not
-	// answered any request.
+	// Refused means that the target may have run the request, and closed a connection on which it had not sent any
+	// response.
 	Refused
 )
 
--- a/adapter/peer/forward.go
+++ b/adapter/peer/forward.go
@@ -6,15 +6,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
 	"hyssopcroft.example/adapter/wire/relaypb"
-	"hyssopcroft.example/kernel"
-	"hyssopcroft.example/query/forward"
 )
 
 // ForwardedRequest is a request that another instance runs.
@@ -76,13 +73,13 @@
 	Reason string
 }
 
-// Forward sends a request to the relay at the given address and waits for its response. onAlive is called whenever the
-// relay confirms that it has the request and still runs it. A failed call returns a response with the outcome of the failure.
-func (c *RelayClient) Forward(ctx context.Context, address string, r ForwardedRequest, onAlive func()) ForwardedResponse {
+// Forward sends a request to the relay at the given address and waits for its response. onTaken is called when the
+// relay confirms that it has the request. A failed call returns a response with the outcome of the failure.
+func (c *RelayClient) Forward(ctx context.Context, address string, r ForwardedRequest, onTaken func()) ForwardedResponse {
 	sent := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaders:   func() { sent = true },
-		Got1xxResponse: func(int, textproto.MIMEHeader) error { onAlive(); return nil },
+		Got1xxResponse: func(int, textproto.MIMEHeader) error { onTaken(); return nil },
 	})
 	resp, err := relaypb.NewRelayProtobufClient("http://"+address, c.http).Forward(ctx, forwardedToWire(r))
 	if err != nil {
@@ -94,6 +91,19 @@
 	}
 }
 
+// Connect opens a connection to the peer at the given address, so that a later request need not wait for it.
+func (c *RelayClient) Connect(ctx context.Context, address string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodHead, "http://"+address+"/", nil)
+	if err != nil {
+		return errors.Wrap(err, "connect to relay")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "connect to relay")
+	}
+	return errors.Wrap(resp.Body.Close(), "connect to relay")
+}
+
 // forwardFailure returns the outcome of a call that failed with an error. Only a failure to connect, and a peer without
 // the method, prove that the peer did not run the request.
 func forwardFailure(err error, sent bool) ForwardOutcome {
@@ -169,63 +179,18 @@
 	}
 }
 
-// ConfirmForwarded wraps the handler of the relay service: it confirms a forwarded request with an interim response at
-// once and every forward.ConfirmInterval while it runs, so that its sender can tell a relay that waits for targets from
-// one that is lost.
+// ConfirmForwarded wraps the handler of the relay service: it confirms a forwarded request with an interim response
+// before the request runs, so that its sender can tell a relay that waits for targets from one that is lost.
 func ConfirmForwarded(next http.Handler) http.Handler {
 	const path = relaypb.RelayPathPrefix + "Forward"
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != path {
-			next.ServeHTTP(w, r)
-			return
+		if r.URL.Path == path {
+			w.WriteHeader(http.StatusProcessing)
 		}
-		c := &confirmingWriter{ResponseWriter: w}
-		c.confirm()
-		next.ServeHTTP(c, r)
-		c.stop()
+		next.ServeHTTP(w, r)
 	})
 }
 
-// confirmingWriter sends interim responses until the final response begins.
-type confirmingWriter struct {
-	http.ResponseWriter
-
-	mu      sync.Mutex // guards the fields below and the writer until the final response begins
-	stopped bool
-	timer   *time.Timer
-}
-
-func (c *confirmingWriter) confirm() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.stopped {
-		return
-	}
-	c.ResponseWriter.WriteHeader(http.StatusProcessing)
-	c.timer = kernel.AfterFunc(forward.ConfirmInterval, c.confirm)
-}
-
-func (c *confirmingWriter) stop() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stopped = true
-	if c.timer != nil {
-		c.timer.Stop()
-	}
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (c *confirmingWriter) WriteHeader(status int) {
-	c.stop()
-	c.ResponseWriter.WriteHeader(status)
-}
-
-// Write implements http.ResponseWriter.
-func (c *confirmingWriter) Write(p []byte) (int, error) {
-	c.stop()
-	return c.ResponseWriter.Write(p)
-}
-
 func microseconds(n uint32) time.Duration { return time.Duration(n) * time.Microsecond }
 
 func wireMicroseconds(d time.Duration) uint32 {
--- a/cmd/hyssopcroft/gateway.go
+++ b/cmd/hyssopcroft/gateway.go
@@ -95,8 +95,15 @@
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "hyssopcroft_log_lines_dropped_total", Help: "Log lines dropped because nobody read the output.",
 	}, func() float64 { return float64(out.Dropped()) })
-	registry.MustRegister(calls, opened, dropped)
+	tooLarge := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "hyssopcroft_oversized_responses_total", Help: "Responses of targets that exceeded their maximum size.",
+	})
+	registry.MustRegister(calls, opened, dropped, tooLarge)
 	client := http1.NewClient(nil, opened.Inc)
+	client.OnTooLarge(func(address string) {
+		tooLarge.Inc()
+		log.Warn("response exceeds its maximum size; its connection is closed", "address", address)
+	})
 	store := platform.NewStore(s.Store, log, func(call string) { calls.WithLabelValues(call).Inc() })
 	return edge.Adapter{
 		Store: store, Instances: platform.NewInstanceRegistry(store),
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -99,7 +99,7 @@
 			Share: s.ExtraShare, Slack: s.ExtraSlack, Span: time.Duration(s.ExtraSeconds * float64(time.Second)),
 		},
 		Metrics: gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
-		SendSuspicion: relays.ReportSuspicion, Forward: relays.Forward,
+		SendSuspicion: relays.ReportSuspicion, Forward: relays.Forward, ConnectRelay: relays.Connect,
 	})
 	saver := directory.NewTargetSaver(a.Store, e.kernel.Bus(), fleet, log)
 	for _, service := range []kernel.Service{e.gateway, saver, objects, fleet} {
--- a/instance/gateway/connect.go
+++ b/instance/gateway/connect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hyssopcroft.example/kernel"
+	"hyssopcroft.example/query/forward"
 )
 
 const (
@@ -16,6 +17,9 @@
 	maxConnectsPerPeriod = 8
 	// maxAcceptsPerSecond bounds the connections that a target accepts from all relays together.
 	maxAcceptsPerSecond = 9
+	// relayConnectPeriod is the mean time between two requests that keep the connections to relays open. It is below
+	// the idle timeout of connections between instances.
+	relayConnectPeriod = 15 * time.Second
 	// unusedTimeout is how long an unused connection stays open where targets accept few connections and the next
 	// first attempts are not likely to need it. It is half of the 10 s for which targets keep idle connections.
 	// Hedges and retries need such connections while nearby targets are slow, which lasts some seconds.
@@ -95,3 +99,41 @@
 	}
 	return addresses, s.connectExtra
 }
+
+// connectRelaysLoop keeps connections open to the relays of the instance's region: the round trips to open one are a
+// part of the time in which a relay takes a request.
+func (s *Service) connectRelaysLoop(ctx context.Context) {
+	connectedAt := map[string]time.Time{} // by address
+	for kernel.Sleep(ctx, connectPeriod/2+rand.N(connectPeriod)) {
+		now := time.Now()
+		for _, address := range s.nearRelays() {
+			if now.Sub(connectedAt[address]) < relayConnectPeriod/2+rand.N(relayConnectPeriod) {
+				continue
+			}
+			connectedAt[address] = now
+			s.background.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+				defer cancel()
+				if err := s.cfg.ConnectRelay(ctx, address); err != nil && ctx.Err() == nil {
+					s.cfg.Log.Info("cannot connect to a relay in advance", "address", address, "error", err)
+				}
+			})
+		}
+	}
+}
+
+// nearRelays returns the addresses of the relays of the instance's region, none if the instance is a relay itself.
+func (s *Service) nearRelays() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fleet.isRelay {
+		return nil
+	}
+	var addresses []string
+	for _, r := range s.fleet.others {
+		if r.Distance != forward.OtherRegion {
+			addresses = append(addresses, r.Address)
+		}
+	}
+	return addresses
+}
--- a/instance/gateway/forward.go
+++ b/instance/gateway/forward.go
@@ -51,7 +51,7 @@
 	attempts []forwardAttempt
 }
 
-// forwardEvent reports that a relay runs the request or, with a response, that its attempt has ended.
+// forwardEvent reports that a relay has taken the request or, with a response, that its attempt has ended.
 type forwardEvent struct {
 	relay    string
 	response *peer.ForwardedResponse
@@ -160,9 +160,7 @@
 		SpentAttempts: a.SpentAttempts,
 	}
 	go func() {
-		resp := f.service.cfg.Forward(ctx, relay.Address, req, func() {
-			f.report(ctx, forwardEvent{relay: relay.ID})
-		})
+		resp := f.service.cfg.Forward(ctx, relay.Address, req, func() { f.report(ctx, forwardEvent{relay: relay.ID}) })
 		f.report(ctx, forwardEvent{relay: relay.ID, response: &resp})
 	}()
 }
@@ -188,7 +186,7 @@
 	}
 	return f.locked(func(now time.Time) []forward.Action {
 		if ev.response == nil {
-			f.machine.OnAlive(now, ev.relay)
+			f.machine.OnTaken(ev.relay)
 			return nil
 		}
 		return f.machine.OnOutcome(now, ev.relay, outcomeAtRelay(ev.response.Outcome))
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -3,11 +3,15 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/admission"
 	"hyssopcroft.example/query/balance"
@@ -33,6 +37,22 @@
 	ReturnTime time.Duration
 	// SpentAttempts is the number of attempts at each shard that other instances may have made for this request.
 	SpentAttempts int
+
+	encodeHeader  sync.Once
+	encodedHeader []byte
+}
+
+// EncodedHeader returns Header as HTTP/1.1 header fields, each with its line end. A request is sent to many targets with
+// the same header.
+func (r *Request) EncodedHeader() []byte {
+	r.encodeHeader.Do(func() {
+		var b bytes.Buffer
+		if err := r.Header.Write(&b); err != nil {
+			panic(errors.Wrap(err, "encode header")) // Writes to a bytes.Buffer return no error.
+		}
+		r.encodedHeader = b.Bytes()
+	})
+	return r.encodedHeader
 }
 
 // ResponseKind is the kind of a Response.
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -183,7 +183,7 @@
 
 // loop runs the query until it has finished or the caller has disconnected.
 func (q *run) loop(caller context.Context) {
-	ctx, cancel := context.WithCancel(caller)
+	ctx, cancel := context.WithDeadline(caller, q.deadline)
 	defer cancel() // Cancels the attempts that are still in flight.
 	defer q.service.leaveQueues(q)
 	finished := q.perform(ctx, q.machine.Start(time.Now()))
@@ -241,7 +241,7 @@
 }
 
 func (q *run) send(ctx context.Context, a scatter.Action) {
-	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	ctx, cancel := context.WithCancel(ctx)
 	q.cancels[a.Attempt] = cancel
 	q.attempts = append(q.attempts, attemptRecord{id: a.Attempt, shard: a.Shard, target: a.Target, sent: time.Since(q.start)})
 	shard, version := a.Shard, q.resolved.table.Version
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -58,8 +58,10 @@
 	Bus           *kernel.Bus
 	// Members lists the instances among which connections and budgets are divided.
 	Members Members
-	// Forward sends a request to the relay at an address. onAlive is called when the relay confirms that it runs it.
-	Forward func(ctx context.Context, address string, r peer.ForwardedRequest, onAlive func()) peer.ForwardedResponse
+	// Forward sends a request to the relay at an address. onTaken is called when the relay confirms that it has it.
+	Forward func(ctx context.Context, address string, r peer.ForwardedRequest, onTaken func()) peer.ForwardedResponse
+	// ConnectRelay opens a connection to the relay at an address.
+	ConnectRelay func(ctx context.Context, address string) error
 	// SendSuspicion sends a suspicion to the peer at an address.
 	SendSuspicion func(ctx context.Context, address string, m peer.Suspicion) error
 }
@@ -142,6 +144,7 @@
 	}
 	membersChanged := make(chan struct{}, 1)
 	s.background.Go(func() { s.fleetLoop(ctx, membersChanged) })
+	s.background.Go(func() { s.connectRelaysLoop(ctx) })
 	return kernel.Subscribe(ctx, s.cfg.Bus, func(members.Changed) {
 		select {
 		case membersChanged <- struct{}{}:
--- a/query/forward/chooser.go
+++ b/query/forward/chooser.go
@@ -100,8 +100,8 @@
 	return Relay{}, false
 }
 
-// OnAlive records that a relay took a request or still runs it.
-func (c *Chooser) OnAlive(id string) { delete(c.avoid, id) }
+// OnTaken records that a relay took a request.
+func (c *Chooser) OnTaken(id string) { delete(c.avoid, id) }
 
 // OnSilent records that a relay did not take a request.
 func (c *Chooser) OnSilent(now time.Time, id string) {
--- a/query/forward/machine.go
+++ b/query/forward/machine.go
@@ -4,12 +4,12 @@
 
 const (
 	// takeMargin is the time, beyond two round trips, within which a relay takes a request: one round trip to open a
-	// connection, one for the request, and the scheduling delay of a loaded instance.
-	takeMargin = 30 * time.Millisecond
-	// ConfirmInterval is the time between two confirmations by a relay that it still runs a request.
-	ConfirmInterval = 40 * time.Millisecond
+	// connection, one for the request, and the scheduling delays of two loaded instances.
+	takeMargin = 60 * time.Millisecond
 	// maxRelays is the maximum number of relays to which one request is sent.
 	maxRelays = 3
+	// maxStarted is the maximum number of relays that may have begun to run one request.
+	maxStarted = 2
 	// minTimeLeft is the time that must be left to send a request once more: a round trip to a relay in another
 	// region and the service time of its targets.
 	minTimeLeft = 50 * time.Millisecond
@@ -61,12 +61,13 @@
 
 // Machine forwards one request. It is not safe for concurrent use.
 //
-// It is designed for the loss of a relay under load. A relay confirms at once that it has taken a request, and again
-// while it runs it; one that does not is silent, and the request goes to the next relay while it can still be in time.
-// What certainly did not run costs no budget.
+// It is designed for the loss of a relay under load. A relay confirms at once that it has taken a request; one that does
+// not is silent, and the request goes to the next relay while it can still be in time. What certainly did not run costs
+// no budget.
 //
-// A request may reach a limited number of targets of each shard, whichever relays send it. The attempt at a silent relay
-// is cancelled before the next one gets the request, and the next one after a relay that took it makes fewer attempts.
+// A request may reach a limited number of targets of each shard, whichever relays send it. Therefore the attempt at a
+// silent relay is cancelled before the next one gets the request, the next one makes fewer attempts, and a relay that
+// has taken a request keeps it until its connection is lost: it may only be waiting for targets.
 type Machine struct {
 	cfg      Config
 	attempts []attempt
@@ -89,26 +90,26 @@
 type attempt struct {
 	relay Relay
 	sent  time.Time
-	// aliveAt is when the relay last confirmed that it runs the request, the zero time before it has taken it.
-	aliveAt time.Time
+	// taken is set once the relay has confirmed that it has the request.
+	taken bool
 	// overdue is set once the attempt no longer keeps the machine from sending another one.
 	overdue bool
 	ended   bool
+	// notRun is set if the relay certainly ran nothing.
+	notRun bool
 }
 
-func (a attempt) taken() bool { return !a.aliveAt.IsZero() }
-
 // New returns a machine that has sent nothing.
 func New(cfg Config) *Machine { return &Machine{cfg: cfg, tried: map[string]bool{}} }
 
 // Start sends the request to the first relay.
 func (m *Machine) Start(now time.Time) []Action { return m.next(now, false) }
 
-// OnAlive handles the confirmation that a relay has taken the request or still runs it.
-func (m *Machine) OnAlive(now time.Time, id string) {
-	m.cfg.Chooser.OnAlive(id)
+// OnTaken handles the confirmation that a relay has taken the request.
+func (m *Machine) OnTaken(id string) {
+	m.cfg.Chooser.OnTaken(id)
 	if a := m.find(id); a != nil {
-		a.aliveAt, a.overdue = now, false
+		a.taken, a.overdue = true, false
 	}
 }
 
@@ -118,7 +119,7 @@
 	if m.finished || a == nil || a.ended {
 		return nil
 	}
-	a.ended = true
+	a.ended, a.notRun = true, o == Refused || o == Unavailable
 	switch o {
 	case Answered:
 		return m.finish(Action{Kind: Finish, Relay: a.relay})
@@ -177,8 +178,8 @@
 
 // overdueAt returns the time from which an attempt no longer keeps the machine from sending another one.
 func (m *Machine) overdueAt(a attempt) time.Time {
-	if a.taken() {
-		return a.aliveAt.Add(ConfirmInterval + a.relay.Distance.RoundTrip() + takeMargin)
+	if a.taken {
+		return m.cfg.Deadline
 	}
 	return a.sent.Add(2*a.relay.Distance.RoundTrip() + takeMargin)
 }
@@ -186,36 +187,36 @@
 // next sends the request to another relay, or runs it here if there is none. extra is set if targets may have received
 // the request already, so that another attempt costs budget.
 func (m *Machine) next(now time.Time, extra bool) []Action {
-	if extra && (m.cfg.Deadline.Sub(now) < minTimeLeft || len(m.attempts) >= maxRelays || !m.cfg.Budget.TryTake(now)) {
+	started := m.started()
+	if extra && (m.cfg.Deadline.Sub(now) < minTimeLeft || started >= maxStarted || !m.cfg.Budget.TryTake(now)) {
 		return m.giveUp()
 	}
-	spent := m.spentAttempts()
 	relay, ok := m.cfg.Chooser.Choose(now, m.tried, m.cfg.Random())
 	if !ok || len(m.attempts) >= maxRelays {
 		if m.inFlight() {
 			return nil
 		}
-		return m.finish(Action{Kind: RunHere, SpentAttempts: spent})
+		return m.finish(Action{Kind: RunHere, SpentAttempts: started})
 	}
 	actions := m.cancelSilent()
 	m.tried[relay.ID] = true
 	m.attempts = append(m.attempts, attempt{relay: relay, sent: now})
-	return append(actions, Action{Kind: Send, Relay: relay, SpentAttempts: spent})
+	return append(actions, Action{Kind: Send, Relay: relay, SpentAttempts: started})
 }
 
-// spentAttempts returns the number of attempts at each shard that the relays may have made. One that did not confirm the
-// request has not had it for long enough to make a second attempt.
-func (m *Machine) spentAttempts() int {
-	spent := 0
+// started returns the number of relays that may have begun to run the request. Each is taken to have made one attempt at
+// each shard.
+func (m *Machine) started() int {
+	n := 0
 	for _, a := range m.attempts {
-		if a.taken() {
-			spent++
+		if !a.notRun {
+			n++
 		}
 	}
-	return spent
+	return n
 }
 
-// cancelSilent cancels the attempts at relays that do not confirm that they run the request.
+// cancelSilent cancels the attempts at relays that have not confirmed the request.
 func (m *Machine) cancelSilent() []Action {
 	var actions []Action
 	for i := range m.attempts {
--- a/query/placement/relays.go
+++ b/query/placement/relays.go
@@ -32,8 +32,9 @@
 // It is designed for hundreds of instances, each of which would meet a given target once in several seconds over a
 // connection that has timed out meanwhile. Few senders reuse their connections, notice within a second that a target
 // is slow, and share the budget of extra attempts in whole numbers. Each region has relays of its own, so that the loss
-// of a region leaves the others theirs: in the failure domains of most targets first, because a query crosses the
-// border of a failure domain once on the way to the relay and as often as it has shards behind it.
+// of a region leaves the others theirs. Strong instances come first, because a hundred sub-requests take a weak one as
+// long as an urgent query has; then those in the failure domains of most targets, because a query crosses the border of
+// a failure domain once on the way to the relay and as often as it has shards behind it.
 func Relays(candidates []Candidate, usable int, targetsByDomain map[string]int) []Candidate {
 	byRegion := map[string][]Candidate{}
 	for _, c := range candidates {
@@ -49,6 +50,16 @@
 	return slices.DeleteFunc(slices.Clone(candidates), func(c Candidate) bool { return !chosen[c.ID] })
 }
 
+func compareFalseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // capacity returns the processor capacity in thousandths of a core. An instance that does not state it counts as a whole
 // core.
 func (c Candidate) capacity() uint32 {
@@ -63,17 +74,19 @@
 	for _, c := range list {
 		most = max(most, targetsByDomain[c.FailureDomain])
 	}
-	// The loss of some targets must not move the relays, so domains with a similar number of them are equal.
-	far := func(c Candidate) int {
-		if 2*targetsByDomain[c.FailureDomain] >= most {
-			return 0
-		}
-		return 1
+	// The loss of some targets must not move the relays, so domains with a similar number of them are equal. Neither must
+	// a slight difference in capacity outweigh the way to the targets.
+	var strongest uint32
+	for _, c := range list {
+		strongest = max(strongest, c.capacity())
 	}
+	weak := func(c Candidate) bool { return 2*c.capacity() < strongest }
+	far := func(c Candidate) bool { return 2*targetsByDomain[c.FailureDomain] < most }
 	ranked := slices.Clone(list)
 	slices.SortFunc(ranked, func(a, b Candidate) int {
 		return cmp.Or(
-			cmp.Compare(far(a), far(b)),
+			compareFalseFirst(weak(a), weak(b)),
+			compareFalseFirst(far(a), far(b)),
 			cmp.Compare(b.capacity(), a.capacity()),
 			cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)),
 			cmp.Compare(a.ID, b.ID),
