Ask the store seldom in large fleets, and announce members together

Each change of a member was published and logged on its own, 600 times at each of 295 starting instances, and each push compressed its object again.

Change: one watcher in each failure domain from six domains on, two below. At the first start an instance adds its entry before it reads the list, and waits up to 5 s for the objects that the watchers read. Members that change together share an event and, from nine on, a log line. The message of an object is made once.

--- a/control/config/watcher.go
+++ b/control/config/watcher.go
@@ -7,19 +7,29 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// WatchersPerDomain is the number of instances of a failure domain that watch the store: one more
-// than needed, to tolerate the loss of one.
-const WatchersPerDomain = 2
+// minWatchers is the minimum number of instances of the fleet that watch the store. One in three instances may be
+// turned away by the store at the same time; that all of six are is a matter of one in 700.
+const minWatchers = 6
 
-// Watchers selects the instances of a failure domain that watch the store, by rendezvous hashing: the
+// WatchersPerDomain returns the number of instances of each failure domain that watch the store: two in a fleet of few
+// failure domains, to tolerate the loss of one. Where there are many, others learn of a change by exchanges between
+// failure domains within about two seconds if their own watcher is lost.
+func WatchersPerDomain(domains int) int {
+	if domains >= minWatchers {
+		return 1
+	}
+	return 2
+}
+
+// Watchers selects n instances of a failure domain that watch the store, by rendezvous hashing: the
 // loss of an instance does not change the other watchers.
-func Watchers(domain string, members []string) []string {
+func Watchers(domain string, members []string, n int) []string {
 	ranked := slices.Clone(members)
 	rank := func(id string) uint64 { return xxhash.Sum64String(domain + "\x00" + id) }
 	slices.SortFunc(ranked, func(a, b string) int {
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b))
 	})
-	return ranked[:min(len(ranked), WatchersPerDomain)]
+	return ranked[:min(len(ranked), n)]
 }
 
 // PushReceivers returns the members of a failure domain to which one of its watchers pushes new objects.
--- a/instance/configsync/distribute.go
+++ b/instance/configsync/distribute.go
@@ -54,13 +54,26 @@
 	}
 }
 
+// wireObject returns the message for an object. An object goes to several peers, and compressing it takes far longer
+// than sending it.
+func (s *Service) wireObject(o config.Object) *memberpb.Object {
+	s.wireMu.Lock()
+	defer s.wireMu.Unlock()
+	cached := s.wireObjects[o.Key]
+	if cached == nil || cached.Revision != o.Revision {
+		cached = peer.ObjectToWire(o)
+		s.wireObjects[o.Key] = cached
+	}
+	return cached
+}
+
 // pushTo sends an object to one receiver, to be forwarded to others, and reports whether the push
 // succeeded.
 func (s *Service) pushTo(o config.Object, address string, forwardTo []string) bool {
 	ctx, cancel := context.WithTimeout(s.ctx, repairTimeout)
 	defer cancel()
 	s.counters.Counter("pushes_sent").Add(1)
-	req := &memberpb.PushRequest{Object: peer.ObjectToWire(o), Onward: forwardTo, Stamp: peer.NewStamp(s.ring.Clock())}
+	req := &memberpb.PushRequest{Object: s.wireObject(o), Onward: forwardTo, Stamp: peer.NewStamp(s.ring.Clock())}
 	_, err := peer.DistributionClient(address, s.fleet.Transport()).Push(ctx, req)
 	if err != nil {
 		s.counters.Counter("push_failures").Add(1)
@@ -94,7 +107,7 @@
 	s.mu.Unlock()
 	resp := &memberpb.FetchResponse{Ready: ready, Older: revisionsToWire(older), Stamp: peer.NewStamp(s.ring.Clock())}
 	for _, o := range newer {
-		resp.Newer = append(resp.Newer, peer.ObjectToWire(o))
+		resp.Newer = append(resp.Newer, s.wireObject(o))
 	}
 	return resp, nil
 }
--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -1,5 +1,5 @@
 // Package configsync replicates the platform's objects to an instance: the configuration, the partition
-// maps, the target lists and the quarantined requests. Two instances of each failure domain watch the
+// maps, the target lists and the quarantined requests. One or two instances of each failure domain watch the
 // store; all other instances receive new objects from the watchers and from their peers.
 package configsync
 
@@ -17,6 +17,7 @@
 
 	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/adapter/trace"
+	"hyssopcroft.example/adapter/wire/memberpb"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/kernel"
@@ -104,14 +105,16 @@
 
 // Service replicates the objects of a schema. It is safe for concurrent use.
 type Service struct {
-	client   *platform.Client // writes quarantined requests; nil if the service only reads
-	source   Source
-	schema   Schema
-	fleet    Fleet
-	bus      *kernel.Bus
-	ring     *timeline.Ring
-	log      *slog.Logger
-	counters *counters.Set
+	client *platform.Client // writes quarantined requests; nil if the service only reads
+	source Source
+	schema Schema
+	fleet  Fleet
+	// firstStart is set if the whole fleet starts for the first time.
+	firstStart bool
+	bus        *kernel.Bus
+	ring       *timeline.Ring
+	log        *slog.Logger
+	counters   *counters.Set
 
 	ctx    context.Context // done once Stop is called
 	cancel context.CancelFunc
@@ -119,6 +122,9 @@
 
 	quarantineQueue quarantineQueue
 
+	wireMu      sync.Mutex                      // guards wireObjects
+	wireObjects map[config.Key]*memberpb.Object // the latest message of each object
+
 	publishMu sync.Mutex // keeps events in the order of revisions; locked before mu
 
 	mu               sync.Mutex // guards the fields below
@@ -145,13 +151,17 @@
 // store.
 func NewWithSchema(schema Schema, source Source, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Service{source: source, schema: schema, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel, startRevisions: map[string]platform.Version{}}
+	return &Service{source: source, schema: schema, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel, startRevisions: map[string]platform.Version{}, wireObjects: map[config.Key]*memberpb.Object{}}
 }
 
 // UseRecorder sets the recorder of the configuration versions that are offered. subject is the ID of
 // this instance. It must be called before Start.
 func (s *Service) UseRecorder(r *trace.Recorder, subject string) { s.state.RecordTo(r, subject) }
 
+// OnFirstStart states that the whole fleet starts for the first time, so that the objects may not exist yet. It must be
+// called before Start.
+func (s *Service) OnFirstStart() { s.firstStart = true }
+
 // UseFleet sets the fleet. It must be called before Start.
 func (s *Service) UseFleet(f Fleet) { s.fleet = f }
 
--- a/instance/configsync/start.go
+++ b/instance/configsync/start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,13 @@
 // different failure domains if possible.
 const coldPeers = 3
 
+const (
+	// watchersTimeout is the time for which an instance waits for the watchers at the first start of the fleet.
+	watchersTimeout = 5 * time.Second
+	// watchersPollInterval is the interval at which it checks whether they have delivered.
+	watchersPollInterval = 200 * time.Millisecond
+)
+
 // errStoreEmpty is returned if the store responds but contains no object of the required kind.
 var errStoreEmpty = errors.New("the store contains no configuration")
 
@@ -29,7 +37,10 @@
 // concurrently until either succeeds, because a timeout is the only sign of an unresponsive store or a
 // lost peer.
 func (s *Service) coldStart() {
-	err := s.readStore(s.ctx, 0)
+	var err error
+	if !s.firstStart || !s.awaitWatchers() {
+		err = s.readStore(s.ctx, 0)
+	}
 	if err != nil && !s.retryReads(errors.Is(err, errStoreEmpty)) {
 		return
 	}
@@ -39,6 +50,34 @@
 	s.fleet.ConfigChanged()
 }
 
+// awaitWatchers waits for the objects that the watchers read, while the whole fleet starts for the first time: hundreds
+// of instances would otherwise read each object from a store that has none yet. It returns false if this instance is a
+// watcher, or if the objects have not arrived within watchersTimeout.
+func (s *Service) awaitWatchers() bool {
+	deadline := time.Now().Add(watchersTimeout)
+	for time.Now().Before(deadline) && kernel.Sleep(s.ctx, watchersPollInterval) {
+		self := s.fleet.Self()
+		switch {
+		case s.hasAllKinds():
+			return true
+		case len(s.fleet.Members()) > 1 && slices.Contains(s.watchersOf(self.FailureDomain), self.ID):
+			return false
+		}
+	}
+	return false
+}
+
+// hasAllKinds reports whether there is an object of each kind.
+func (s *Service) hasAllKinds() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := map[string]bool{}
+	for _, r := range s.objects.Revisions() {
+		held[r.Kind] = true
+	}
+	return !slices.ContainsFunc(s.schema.Kinds, func(kind string) bool { return !held[kind] })
+}
+
 // retryReads reads from the store and from peers until a read succeeds. It returns false if the service is
 // stopped first. Peers are not read while the store responds that it is empty.
 func (s *Service) retryReads(storeEmpty bool) bool {
@@ -165,7 +204,7 @@
 		s.offer(o)
 	}
 	for _, o := range s.newerThan(revisionsFromWire(resp.Older)) {
-		if _, err := client.Push(ctx, &memberpb.PushRequest{Object: peer.ObjectToWire(o), Stamp: peer.NewStamp(s.ring.Clock())}); err != nil {
+		if _, err := client.Push(ctx, &memberpb.PushRequest{Object: s.wireObject(o), Stamp: peer.NewStamp(s.ring.Clock())}); err != nil {
 			s.counters.Counter("push_failures").Add(1)
 		}
 	}
--- a/instance/configsync/watch.go
+++ b/instance/configsync/watch.go
@@ -155,14 +155,16 @@
 
 // watchersOf returns the IDs of the watchers of a failure domain.
 func (s *Service) watchersOf(domain string) []string {
-	return config.Watchers(domain, ids(s.candidates()[domain]))
+	candidates := s.candidates()
+	return config.Watchers(domain, ids(candidates[domain]), config.WatchersPerDomain(len(candidates)))
 }
 
 // otherWatchers returns the addresses of all watchers except this instance.
 func (s *Service) otherWatchers() []string {
 	var out []string
-	for domain, members := range s.candidates() {
-		out = append(out, s.watcherAddresses(domain, members)...)
+	candidates := s.candidates()
+	for domain := range candidates {
+		out = append(out, s.watcherAddresses(domain, candidates)...)
 	}
 	return out
 }
@@ -170,15 +172,15 @@
 // otherDomainWatchers returns the addresses of the other watchers of the instance's failure domain.
 func (s *Service) otherDomainWatchers() []string {
 	domain := s.fleet.Self().FailureDomain
-	return s.watcherAddresses(domain, s.candidates()[domain])
+	return s.watcherAddresses(domain, s.candidates())
 }
 
 // watcherAddresses returns the addresses of the watchers of a failure domain, except this instance.
-// members are the candidates of the domain.
-func (s *Service) watcherAddresses(domain string, members []membership.Member) []string {
-	watchers := config.Watchers(domain, ids(members))
+// candidates are the members that are eligible, by failure domain.
+func (s *Service) watcherAddresses(domain string, candidates map[string][]membership.Member) []string {
+	watchers := config.Watchers(domain, ids(candidates[domain]), config.WatchersPerDomain(len(candidates)))
 	var out []string
-	for _, m := range members {
+	for _, m := range candidates[domain] {
 		if m.ID != s.fleet.Self().ID && slices.Contains(watchers, m.ID) {
 			out = append(out, m.Address)
 		}
@@ -190,8 +192,9 @@
 // watcher.
 func (s *Service) receivers() []string {
 	self := s.fleet.Self()
-	members := s.candidates()[self.FailureDomain]
-	watchers := config.Watchers(self.FailureDomain, ids(members))
+	candidates := s.candidates()
+	members := candidates[self.FailureDomain]
+	watchers := config.Watchers(self.FailureDomain, ids(members), config.WatchersPerDomain(len(candidates)))
 	if !slices.Contains(watchers, self.ID) {
 		return nil
 	}
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -91,6 +91,10 @@
 	objects := configsync.NewWithSchema(directory.Schema(), directory.NewSource(a.Store, log), e.kernel.Bus(), ring, log, c)
 	fleet := members.New(self, a.Instances, objects, e.kernel.Bus(), ring, log, c)
 	fleet.UseSeeds(s.Seeds)
+	if s.FirstStart {
+		objects.OnFirstStart()
+		fleet.OnFirstStart()
+	}
 	e.fleet = fleet
 	relays := peer.NewRelayClient(fleet.Transport())
 	e.gateway = gateway.New(gateway.Config{
--- a/instance/edge/settings.go
+++ b/instance/edge/settings.go
@@ -35,6 +35,8 @@
 	MetricsPort int    `json:"metrics_port"`
 	// Store is the address of the platform's store.
 	Store string `json:"store"`
+	// FirstStart is set if the whole fleet starts for the first time.
+	FirstStart bool `json:"first_start"`
 	// Seeds are the control addresses of some instances. They may be stale.
 	Seeds []string `json:"seeds"`
 	// ShutdownSeconds is the time from the stop signal until the process is killed.
--- a/instance/members/registry.go
+++ b/instance/members/registry.go
@@ -106,12 +106,18 @@
 		// A stale list suffices: instances that joined since then are known from exchanges with peers.
 		return s.lister.Instances(ctx, "list_instances")
 	}
+	self := s.Self()
+	entry := platform.Instance{ID: self.ID, Address: self.Address, FailureDomain: self.FailureDomain, State: platform.InstanceLive, Capacity: self.Capacity}
+	if s.firstStart {
+		s.firstStart = false
+		if err := registry.WriteInstance(ctx, entry, false); err != nil {
+			s.log.Info("no entry added to the list of instances at the first start", "error", err)
+		}
+	}
 	list, err := registry.FreshInstances(ctx)
 	if err != nil {
 		return nil, err
 	}
-	self := s.Self()
-	entry := platform.Instance{ID: self.ID, Address: self.Address, FailureDomain: self.FailureDomain, State: platform.InstanceLive, Capacity: self.Capacity}
 	ownIndex := slices.IndexFunc(list, func(i platform.Instance) bool { return i.ID == entry.ID })
 	if ownIndex < 0 || list[ownIndex] != entry {
 		if err := registry.WriteInstance(ctx, entry, ownIndex >= 0); err != nil {
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -28,12 +28,17 @@
 	leaveTimeout = membership.ExchangeTimeout
 )
 
-// Changed is published when the record of a member has changed.
+// Changed is published when the records of members have changed. Changes that become known together share an event:
+// when a fleet of hundreds starts, each instance learns of each other one twice.
 type Changed struct {
+	// ID and State are those of the last member that changed.
 	ID    string `json:"id"`
 	State string `json:"state"`
 }
 
+// maxLoggedChanges is the maximum number of changes known together that are logged one by one.
+const maxLoggedChanges = 8
+
 // Topic implements kernel.Event.
 func (Changed) Topic() string { return "member_changed" }
 
@@ -59,6 +64,9 @@
 	wg     sync.WaitGroup
 	wake   chan struct{} // wakes runNode after a change
 
+	// firstStart is set until the instance has tried to add its entry at the first start of the whole fleet; used only
+	// by the goroutine that reads the list.
+	firstStart bool
 	registered bool // the list has the instance's own entry; used only by the goroutine that reads the list
 
 	mu   sync.Mutex // guards node
@@ -95,6 +103,10 @@
 // is unavailable. The addresses may be out of date. It must be called before Start.
 func (s *Service) UseSeeds(addresses []string) { s.seeds = addresses }
 
+// OnFirstStart states that the whole fleet starts for the first time, so that the list lacks the instance. It must be
+// called before Start.
+func (s *Service) OnFirstStart() { s.firstStart = true }
+
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
@@ -172,19 +184,35 @@
 	return max(1, len(membership.LiveIDs(s.Members())))
 }
 
+// announceChanges logs and publishes the changes of members.
+func (s *Service) announceChanges(changed []membership.Member) {
+	if len(changed) == 0 {
+		return
+	}
+	byState := map[string]int{}
+	for _, m := range changed {
+		s.ring.Add("member_changed", m.ID, m.State.String())
+		byState[m.State.String()]++
+		if len(changed) <= maxLoggedChanges {
+			s.log.Info("member changed", "member", m.ID, "state", m.State.String(), "incarnation", m.Incarnation)
+		}
+	}
+	if len(changed) > maxLoggedChanges {
+		s.log.Info("members changed", "count", len(changed), "by_state", byState)
+	}
+	last := changed[len(changed)-1]
+	if err := s.bus.Publish(Changed{ID: last.ID, State: last.State.String()}); err != nil {
+		s.log.Error("event not published", "topic", "member_changed", "error", err)
+	}
+}
+
 // update runs f with s.mu held, publishes the changes and wakes runNode.
 func (s *Service) update(f func(now time.Time)) {
 	s.mu.Lock()
 	f(time.Now())
 	changed := s.node.TakeChanges()
 	s.mu.Unlock()
-	for _, m := range changed {
-		s.ring.Add("member_changed", m.ID, m.State.String())
-		s.log.Info("member changed", "member", m.ID, "state", m.State.String(), "incarnation", m.Incarnation)
-		if err := s.bus.Publish(Changed{ID: m.ID, State: m.State.String()}); err != nil {
-			s.log.Error("event not published", "topic", "member_changed", "error", err)
-		}
-	}
+	s.announceChanges(changed)
 	select {
 	case s.wake <- struct{}{}:
 	default: // A wake-up is pending already.
