Compress large messages between instances, and drain HTTP/1.1 connections of both programs

An instance of the product's own interface closed HTTP/1.1 connections by http.Server.Shutdown, which cuts off a request whose header has begun to arrive, as gateways did.

--- a/adapter/peer/peer.go
+++ b/adapter/peer/peer.go
@@ -22,13 +22,13 @@
 // MembershipHandler returns the path prefix and the handler that serve the membership service.
 func MembershipHandler(s memberpb.Membership) (string, http.Handler) {
 	h := memberpb.NewMembershipServer(s)
-	return h.PathPrefix(), countServed(h)
+	return h.PathPrefix(), countServed(compressResponses(h))
 }
 
 // DistributionHandler returns the path prefix and the handler that serve the distribution service.
 func DistributionHandler(s memberpb.Distribution) (string, http.Handler) {
 	h := memberpb.NewDistributionServer(s)
-	return h.PathPrefix(), countServed(h)
+	return h.PathPrefix(), countServed(compressResponses(h))
 }
 
 // MemberToWire converts a member record.
--- a/adapter/peer/traffic.go
+++ b/adapter/peer/traffic.go
@@ -23,6 +23,9 @@
 	sent, received atomic.Int64 // bytes not yet added to traffic
 }
 
+// NetConn returns the underlying connection.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/emulator/fleet/two_level_test.go
+++ b/emulator/fleet/two_level_test.go
@@ -48,8 +48,11 @@
 		t.Cleanup(func() { require.NoError(t, a.Stop(context.Background())) })
 	}
 	for _, a := range apps {
+		// The status shows a member before the placement that follows from it is computed; until then searches go to the
+		// searchers directly.
 		require.Eventually(t, func() bool {
-			return hasLiveMembers(t, a, len(apps)) && searchCompleteAt(t, a, 1)
+			before := groupsSent(t, a)
+			return hasLiveMembers(t, a, len(apps)) && searchCompleteAt(t, a, 1) && groupsSent(t, a) > before
 		}, settleTimeout, settlePollInterval)
 	}
 	return f, apps
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -21,6 +21,7 @@
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/claims"
 	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/instance/conndrain"
 	"hyssopcroft.example/instance/entry"
 	"hyssopcroft.example/instance/limits"
 	"hyssopcroft.example/instance/members"
@@ -42,9 +43,11 @@
 
 	server      *http.Server
 	connections *connections
-	idle        []*http.Transport // transports whose idle connections Stop closes
-	listener    net.Listener
-	closeTrace  func() error
+	// httpConns closes the HTTP/1.1 connections; connections closes the rest.
+	httpConns  *conndrain.Conns
+	idle       []*http.Transport // transports whose idle connections Stop closes
+	listener   net.Listener
+	closeTrace func() error
 }
 
 // Network opens the listener and the connections of an instance.
@@ -134,13 +137,16 @@
 	})
 	rel.UseDrain(d.startRequest, d.endRequest)
 	a := &App{
-		settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(),
+		settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), httpConns: conndrain.New(),
 		idle: []*http.Transport{store, claimPeers, limitPeers}, listener: listener, closeTrace: closeTrace,
 	}
 	a.server = newServer(s, op, d, c,
 		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)).stamped(stamps),
 		route(peer.LendingHandler(li)).stamped(stamps), route(peer.RelayHandler(rel)).stamped(stamps))
-	a.server.ConnState = a.connections.onStateChange
+	a.server.ConnState = func(c net.Conn, s http.ConnState) {
+		a.connections.onStateChange(c, s)
+		a.httpConns.OnConnState(c, s)
+	}
 	a.server.ConnContext = peer.ConnContext(m.Traffic())
 	return a, nil
 }
@@ -188,7 +194,7 @@
 		return errors.Wrap(err, "start services")
 	}
 	go func() {
-		if err := a.server.Serve(peer.Listener{Listener: a.listener}); !errors.Is(err, http.ErrServerClosed) {
+		if err := a.server.Serve(peer.Listener{Listener: a.httpConns.Wrap(a.listener)}); !errors.Is(err, http.ErrServerClosed) {
 			a.log.Error("HTTP server failed", "error", err)
 		}
 	}()
@@ -220,6 +226,7 @@
 	case <-idle:
 	case <-ctx.Done():
 	}
+	a.httpConns.Drain(ctx)
 	err := a.connections.close(ctx, a.server)
 	if stopErr := a.kernel.Stop(ctx); err == nil {
 		err = stopErr
--- a/instance/app/connections_test.go
+++ b/instance/app/connections_test.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -10,6 +11,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/instance/conndrain"
 )
 
 // pipeListener accepts the server ends of the pipes that dial creates.
@@ -129,3 +133,41 @@
 		time.Sleep(handlerDuration)
 	})
 }
+
+// Guards against a shutdown that cuts off an HTTP/1.1 request of which a part has been read: its connection still
+// counts as idle for http.Server.Shutdown.
+func TestStopAnswersRequestThatHasBegunToArrive(t *testing.T) {
+	conns := conndrain.New()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	states := newConnections()
+	server := &http.Server{Handler: http.NotFoundHandler(), ConnState: func(c net.Conn, s http.ConnState) {
+		states.onStateChange(c, s)
+		conns.OnConnState(c, s)
+	}}
+	go func() { _ = server.Serve(peer.Listener{Listener: conns.Wrap(listener)}) }() // Ends when the test stops it.
+	c, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	exchange := func(text string) {
+		_, err := io.WriteString(c, text)
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err, "closed without an answer")
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+	}
+	exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !conns.Quiet() }, 5*time.Second, time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		conns.Drain(t.Context())
+		_ = states.close(t.Context(), server)
+	}()
+	exchange("Host: h\r\n\r\n")
+	<-stopped
+}
--- a/instance/edge/caller_conns.go
+++ b/instance/conndrain/conns.go
@@ -1,6 +1,8 @@
-package edge
+// Package conndrain closes the connections of a stopping server without cutting off a request.
+package conndrain
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -21,38 +23,43 @@
 	acceptQuietPeriod = 50 * time.Millisecond
 )
 
+// http2Preface is the beginning of the client preface of HTTP/2.
+var http2Preface = []byte("PRI * HTTP/2")
+
 // expiredDeadline makes a pending read fail at once.
 var expiredDeadline = time.Unix(1, 0)
 
-// callerConns tracks the connections of callers. http.Server.Shutdown closes a connection that counts as idle even if
+// Conns tracks the connections of an HTTP server. http.Server.Shutdown closes a connection that counts as idle even if
 // a part of the next request has been read already, because a connection counts as active only once the whole header
-// has been parsed. The caller of such a request gets no answer. drain closes a connection only if it has no input.
-type callerConns struct {
+// has been parsed. The caller of such a request gets no answer. Drain closes a connection only if it has no input. It
+// leaves HTTP/2 connections to http.Server.Shutdown, which tells their clients first.
+type Conns struct {
 	mu         sync.Mutex // guards the fields below
-	conns      map[*callerConn]struct{}
+	conns      map[*trackedConn]struct{}
 	acceptedAt time.Time // time of the last new connection
 }
 
-func newCallerConns() *callerConns { return &callerConns{conns: map[*callerConn]struct{}{}} }
+// New returns a Conns without connections.
+func New() *Conns { return &Conns{conns: map[*trackedConn]struct{}{}} }
 
-// wrap returns a listener whose connections are tracked.
-func (c *callerConns) wrap(l net.Listener) net.Listener {
-	return &callerListener{Listener: l, conns: c}
+// Wrap returns a listener whose connections are tracked.
+func (c *Conns) Wrap(l net.Listener) net.Listener {
+	return &listener{Listener: l, conns: c}
 }
 
-type callerListener struct {
+type listener struct {
 	net.Listener
-	conns *callerConns
+	conns *Conns
 }
 
 // Accept implements net.Listener.
-func (l *callerListener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
 	now := time.Now()
-	tracked := &callerConn{Conn: conn, state: http.StateNew, since: now}
+	tracked := &trackedConn{Conn: conn, state: http.StateNew, since: now}
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.conns[tracked] = struct{}{}
@@ -60,9 +67,12 @@
 	return tracked, nil
 }
 
-// onConnState is the ConnState hook of the server.
-func (c *callerConns) onConnState(conn net.Conn, s http.ConnState) {
-	tracked, ok := conn.(*callerConn)
+// OnConnState is the ConnState hook of the server.
+func (c *Conns) OnConnState(conn net.Conn, s http.ConnState) {
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapped.NetConn()
+	}
+	tracked, ok := conn.(*trackedConn)
 	if !ok {
 		return
 	}
@@ -74,9 +84,9 @@
 	}
 }
 
-// drain closes the idle connections that have no input, until none is left and no new one has arrived for
+// Drain closes the idle connections that have no input, until none is left and no new one has arrived for
 // acceptQuietPeriod. Requests that arrive meanwhile are answered by the server. It returns early if ctx is done.
-func (c *callerConns) drain(ctx context.Context) {
+func (c *Conns) Drain(ctx context.Context) {
 	for !c.expireIdle(time.Now()) {
 		if !kernel.Sleep(ctx, drainPollInterval) {
 			return
@@ -86,11 +96,13 @@
 
 // expireIdle makes the server close the idle connections that have no input. It reports whether no connection is left
 // and none is expected.
-func (c *callerConns) expireIdle(now time.Time) (drained bool) {
+func (c *Conns) expireIdle(now time.Time) (drained bool) {
 	c.mu.Lock()
-	list := make([]*callerConn, 0, len(c.conns))
+	list := make([]*trackedConn, 0, len(c.conns))
 	for conn := range c.conns {
-		list = append(list, conn)
+		if !conn.isHTTP2() {
+			list = append(list, conn)
+		}
 	}
 	drained = len(list) == 0 && now.Sub(c.acceptedAt) >= acceptQuietPeriod
 	c.mu.Unlock()
@@ -100,20 +112,46 @@
 	return drained
 }
 
-// callerConn is a connection of a caller.
-type callerConn struct {
+// Quiet reports whether no connection has input that does not belong to a finished request.
+func (c *Conns) Quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.conns {
+		if conn.hasReceived() {
+			return false
+		}
+	}
+	return true
+}
+
+// trackedConn is a connection of a caller.
+type trackedConn struct {
 	net.Conn
 
 	mu    sync.Mutex // guards the fields below
 	state http.ConnState
 	since time.Time // time of the last change of state
 	// received is set when input is read, and cleared when the connection becomes idle.
-	received     bool
+	received bool
+	// http2 is set if the connection began with the client preface of HTTP/2.
+	http2        bool
 	expired      bool      // the read deadline is expiredDeadline instead of readDeadline
 	readDeadline time.Time // as the server set it
 }
 
-func (c *callerConn) setState(s http.ConnState) {
+func (c *trackedConn) hasReceived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received
+}
+
+func (c *trackedConn) isHTTP2() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.http2
+}
+
+func (c *trackedConn) setState(s http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since = s, time.Now()
@@ -123,13 +161,14 @@
 }
 
 // Read implements net.Conn. Input that arrives together with the expiry of an idle connection revokes the expiry.
-func (c *callerConn) Read(p []byte) (int, error) {
+func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.http2 = c.http2 || c.state == http.StateNew && bytes.HasPrefix(p[:n], http2Preface)
 	c.received = true
 	if c.expired {
 		c.expired = false
@@ -141,7 +180,7 @@
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline, c.expired = t, false
@@ -149,7 +188,7 @@
 }
 
 // expireIfIdle expires the read deadline of a connection that has no request and no input. The server then closes it.
-func (c *callerConn) expireIfIdle(now time.Time) {
+func (c *trackedConn) expireIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.since) >= newConnTimeout
@@ -161,7 +200,7 @@
 }
 
 // hasPendingInput reports whether the socket has received bytes that have not been read.
-func (c *callerConn) hasPendingInput() bool {
+func (c *trackedConn) hasPendingInput() bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false // Only tests use in-memory connections.
--- a/instance/edge/caller_conns_test.go
+++ b/instance/conndrain/conns_test.go
@@ -1,4 +1,4 @@
-package edge
+package conndrain
 
 import (
 	"bufio"
@@ -17,21 +17,21 @@
 
 // startCallerServer serves requests over tracked connections on loopback, and answers with the path.
 // onConnState is called before each change of state is tracked.
-func startCallerServer(t *testing.T, onConnState func(*callerConn, http.ConnState)) (*http.Server, *callerConns, string) {
+func startCallerServer(t *testing.T, onConnState func(*trackedConn, http.ConnState)) (*http.Server, *Conns, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	conns := newCallerConns()
+	conns := New()
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, r.URL.Path) }),
 		ConnState: func(conn net.Conn, state http.ConnState) {
-			onConnState(conn.(*callerConn), state)
-			conns.onConnState(conn, state)
+			onConnState(conn.(*trackedConn), state)
+			conns.OnConnState(conn, state)
 		},
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: 5 * time.Second,
 	}
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(conns.wrap(listener)) }()
+	go func() { done <- server.Serve(conns.Wrap(listener)) }()
 	t.Cleanup(func() {
 		_ = server.Close() // A test may have shut it down already.
 		require.ErrorIs(t, <-done, http.ErrServerClosed)
@@ -71,7 +71,7 @@
 }
 
 // anyConn returns the only connection of a server.
-func (c *callerConns) anyConn(t *testing.T) *callerConn {
+func (c *Conns) anyConn(t *testing.T) *trackedConn {
 	t.Helper()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -82,16 +82,10 @@
 	return nil
 }
 
-func (c *callerConn) hasReceived() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.received
-}
-
 // Guards against a shutdown that cuts off a request of which a part has been read: such a connection still counts as
 // idle for http.Server.Shutdown.
 func TestShutdownAnswersRequestThatHasBegunToArrive(t *testing.T) {
-	server, conns, address := startCallerServer(t, func(*callerConn, http.ConnState) {})
+	server, conns, address := startCallerServer(t, func(*trackedConn, http.ConnState) {})
 	c := connect(t, address)
 	c.send(t, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.Equal(t, "/first", c.receive(t))
@@ -103,7 +97,7 @@
 	drained := make(chan struct{})
 	go func() {
 		defer close(drained)
-		conns.drain(t.Context())
+		conns.Drain(t.Context())
 		_ = server.Shutdown(context.Background())
 	}()
 	require.Never(t, func() bool { return isClosed(drained) }, 50*time.Millisecond, 10*time.Millisecond)
@@ -126,7 +120,7 @@
 func TestShutdownCutsNoRequestThatWasRead(t *testing.T) {
 	for round := range 20 {
 		var cut atomic.Int32
-		server, conns, address := startCallerServer(t, func(c *callerConn, state http.ConnState) {
+		server, conns, address := startCallerServer(t, func(c *trackedConn, state http.ConnState) {
 			if state == http.StateClosed && c.readWithoutRequest() {
 				cut.Add(1)
 			}
@@ -150,7 +144,7 @@
 			})
 		}
 		close(start)
-		conns.drain(t.Context())
+		conns.Drain(t.Context())
 		require.NoError(t, server.Shutdown(t.Context()))
 		sent.Wait()
 		require.Zero(t, cut.Load())
@@ -158,7 +152,7 @@
 }
 
 // readWithoutRequest reports whether input was read of which no whole request came about.
-func (c *callerConn) readWithoutRequest() bool {
+func (c *trackedConn) readWithoutRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.received && c.state != http.StateActive
@@ -169,7 +163,7 @@
 func TestExpiryIsRevokedByInput(t *testing.T) {
 	server, client := net.Pipe()
 	defer client.Close()
-	conn := &callerConn{Conn: server, state: http.StateIdle}
+	conn := &trackedConn{Conn: server, state: http.StateIdle}
 	var read [4]byte
 	result := make(chan error, 1)
 	go func() {
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -20,6 +20,7 @@
 	"hyssopcroft.example/control/drain"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/instance/conndrain"
 	"hyssopcroft.example/instance/directory"
 	"hyssopcroft.example/instance/gateway"
 	"hyssopcroft.example/instance/members"
@@ -67,7 +68,7 @@
 	fleet          *members.Service
 	gate           *gate
 	callers        *http.Server
-	callerConns    *callerConns
+	callerConns    *conndrain.Conns
 	servers        []*http.Server // the other servers, closed after callers has shut down
 	listeners      map[*http.Server]net.Listener
 	stopStallWatch context.CancelFunc // stops watchStalls
@@ -80,7 +81,7 @@
 	}
 	e := &Edge{
 		settings: s, log: log, kernel: kernel.New(), gate: newGate(s.shutdownTimeout(), log),
-		listeners: map[*http.Server]net.Listener{}, callerConns: newCallerConns(),
+		listeners: map[*http.Server]net.Listener{}, callerConns: conndrain.New(),
 	}
 	c := counters.NewSet()
 	ring := timeline.NewRing(s.Instance, timelineEvents, hlc.New(time.Now))
@@ -121,12 +122,12 @@
 	e.callers = e.server(limiter.wrap(e.gate.wrap(a.CallerHandler(e.gateway))))
 	e.callers.ConnState = func(conn net.Conn, state http.ConnState) {
 		limiter.onConnState(conn, state)
-		e.callerConns.onConnState(conn, state)
+		e.callerConns.OnConnState(conn, state)
 	}
 	if err := e.listen(e.callers, s.Callers); err != nil {
 		return nil, err
 	}
-	e.listeners[e.callers] = e.callerConns.wrap(e.listeners[e.callers])
+	e.listeners[e.callers] = e.callerConns.Wrap(e.listeners[e.callers])
 	ready := chi.NewRouter()
 	ready.Get("/ready", e.serveReady)
 	metrics := chi.NewRouter()
@@ -230,7 +231,7 @@
 	case <-drained:
 	case <-ctx.Done():
 	}
-	e.callerConns.drain(ctx)
+	e.callerConns.Drain(ctx)
 	err := e.callers.Shutdown(ctx)
 	for _, s := range e.servers {
 		_ = s.Close() // The process is about to end.
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -82,7 +82,7 @@
 	}
 	pool := peer.NewTransport(traffic)
 	s := &Service{
-		lister: lister, config: cfg, transport: peer.CountMessages(pool, traffic), pool: pool,
+		lister: lister, config: cfg, transport: peer.CountMessages(peer.CompressMessages(pool), traffic), pool: pool,
 		traffic: traffic, bus: bus, ring: ring, log: log, counters: c, wake: make(chan struct{}, 1),
 		node: membership.NewNode(self, time.Now(), rand.New(rand.NewPCG(self.Incarnation, rand.Uint64()))),
 	}
