Send the route with a forwarded request, and share events instead of encoding them

Cause: while configurations follow each other quickly, instances skip versions. Each event of a process was encoded and decoded for each subscriber, also a configuration of 1,400 routes at 295 instances.

Change: a forwarded request carries its route, so that relays need no version of their own. Events reach subscribers as values. A relay has 120 ms beyond two round trips to confirm. The shards that are relayed follow from a table once, not from each change of a member.

--- a/adapter/peer/forward.go
+++ b/adapter/peer/forward.go
@@ -12,6 +12,8 @@
 	"github.com/twitchtv/twirp"
 
 	"hyssopcroft.example/adapter/wire/relaypb"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/routing"
 )
 
 // ForwardedRequest is a request that another instance runs.
@@ -23,8 +25,9 @@
 	Target, Path, Host string
 	Header             http.Header
 	Body               []byte
-	// RoutesVersion is the version of the routes that the request has to follow.
-	RoutesVersion uint64
+	// RoutesVersion is the version of the routes at the first instance, Route the route of the request in it.
+	RoutesVersion query.Version
+	Route         routing.Route
 	// TimeLeft is the time that the caller waits, counted from the arrival at the first instance; 0 if not stated.
 	TimeLeft time.Duration
 	// Elapsed is the time from the arrival at the first instance until the arrival at the receiver.
@@ -47,8 +50,8 @@
 	ForwardFailed
 	// ForwardTimedOut means the same as ForwardFailed, and that the deadline has passed.
 	ForwardTimedOut
-	// ForwardUnavailable means that the receiver could not be reached, is starting or leaving, or lacks the version of
-	// the routes. No target ran the request or will run it.
+	// ForwardUnavailable means that the receiver could not be reached, or is starting or leaving. No target ran the
+	// request or will run it.
 	ForwardUnavailable
 	// ForwardLost means that the receiver may have run the request, and that no response will arrive.
 	ForwardLost
@@ -147,7 +150,7 @@
 func forwardedToWire(r ForwardedRequest) *relaypb.ForwardRequest {
 	out := &relaypb.ForwardRequest{
 		Id: r.ID, Caller: r.Caller, Method: r.Method, Target: r.Target, Path: r.Path, Host: r.Host, Body: r.Body,
-		RoutesVersion: r.RoutesVersion, TimeLeftUs: wireMicroseconds(r.TimeLeft), ElapsedUs: wireMicroseconds(r.Elapsed),
+		Route: routeToWire(r.RoutesVersion, r.Route), TimeLeftUs: wireMicroseconds(r.TimeLeft), ElapsedUs: wireMicroseconds(r.Elapsed),
 		ReturnUs: wireMicroseconds(r.ReturnTime), SpentAttempts: uint32(max(0, r.SpentAttempts)),
 	}
 	for name, values := range r.Header {
@@ -158,6 +161,23 @@
 	return out
 }
 
+func routeToWire(v query.Version, r routing.Route) *relaypb.ForwardRoute {
+	return &relaypb.ForwardRoute{
+		Version: uint64(v), Name: r.Name, Services: r.Services, MaxAttempts: uint32(max(0, r.MaxAttempts)),
+		TimeoutUs: wireMicroseconds(r.Timeout), ObjectiveUs: wireMicroseconds(r.Objective), Rank: uint32(max(0, r.Rank)),
+		Limit: uint32(max(0, r.Limit)), MinCoverage: r.MinCoverage,
+	}
+}
+
+// routeFromWire converts the route of a forwarded request. Only gathered requests, which may be repeated, are forwarded.
+func routeFromWire(r *relaypb.ForwardRoute) routing.Route {
+	return routing.Route{
+		Name: r.GetName(), Gather: true, Repeatable: true, Services: r.GetServices(), MaxAttempts: int(r.GetMaxAttempts()),
+		Timeout: microseconds(r.GetTimeoutUs()), Objective: microseconds(r.GetObjectiveUs()), Rank: int(r.GetRank()),
+		Limit: int(r.GetLimit()), MinCoverage: r.GetMinCoverage(),
+	}
+}
+
 // ForwardedRequestFromWire converts a forwarded request.
 func ForwardedRequestFromWire(r *relaypb.ForwardRequest) ForwardedRequest {
 	header := make(http.Header, len(r.GetHeader()))
@@ -166,7 +186,7 @@
 	}
 	return ForwardedRequest{
 		ID: r.GetId(), Caller: r.GetCaller(), Method: r.GetMethod(), Target: r.GetTarget(), Path: r.GetPath(), Host: r.GetHost(),
-		Header: header, Body: r.GetBody(), RoutesVersion: r.GetRoutesVersion(), TimeLeft: microseconds(r.GetTimeLeftUs()),
+		Header: header, Body: r.GetBody(), RoutesVersion: query.Version(r.GetRoute().GetVersion()), Route: routeFromWire(r.GetRoute()), TimeLeft: microseconds(r.GetTimeLeftUs()),
 		Elapsed: microseconds(r.GetElapsedUs()), ReturnTime: microseconds(r.GetReturnUs()), SpentAttempts: int(r.GetSpentAttempts()),
 	}
 }
--- a/adapter/peer/forward_test.go
+++ b/adapter/peer/forward_test.go
@@ -10,6 +10,7 @@
 
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/wire/relaypb"
+	"hyssopcroft.example/query/routing"
 )
 
 // serveRelay serves a relay over unencrypted HTTP/2, as instances do, and returns its address.
@@ -32,6 +33,10 @@
 	want := peer.ForwardedRequest{
 		ID: "id", Caller: "1.2.3.4:5", Method: "POST", Target: "/a/b?c", Path: "/a/b", Host: "h",
 		Header: http.Header{"X": {"1", "2"}, "Y": {"3"}}, Body: []byte("body"), RoutesVersion: 7,
+		Route: routing.Route{
+			Name: "r", Gather: true, Repeatable: true, Services: []string{"s", "t"}, MaxAttempts: 2, Timeout: time.Second,
+			Objective: 100 * time.Millisecond, Rank: 1, Limit: 10, MinCoverage: 0.85,
+		},
 		TimeLeft: 800 * time.Millisecond, Elapsed: 2 * time.Millisecond, ReturnTime: 4 * time.Millisecond, SpentAttempts: 1,
 	}
 	for _, answer := range []peer.ForwardedResponse{
--- a/instance/conndrain/conns.go
+++ b/instance/conndrain/conns.go
@@ -18,8 +18,8 @@
 	newConnTimeout = time.Second
 	// drainPollInterval is the interval at which idle connections are examined during a shutdown.
 	drainPollInterval = 5 * time.Millisecond
-	// acceptQuietPeriod is the time without a new connection after which the listener is closed. Connections that
-	// wait in its backlog are reset then.
+	// acceptQuietPeriod is the time without an HTTP/1.1 connection after which Drain ends. The listener is closed then,
+	// which resets the connections in its backlog.
 	acceptQuietPeriod = 50 * time.Millisecond
 )
 
@@ -34,9 +34,9 @@
 // has been parsed. The caller of such a request gets no answer. Drain closes a connection only if it has no input. It
 // leaves HTTP/2 connections to http.Server.Shutdown, which tells their clients first.
 type Conns struct {
-	mu         sync.Mutex // guards the fields below
-	conns      map[*trackedConn]struct{}
-	acceptedAt time.Time // time of the last new connection
+	mu     sync.Mutex // guards the fields below
+	conns  map[*trackedConn]struct{}
+	seenAt time.Time // when the last HTTP/1.1 connection was open or new, since Drain began
 }
 
 // New returns a Conns without connections.
@@ -58,12 +58,10 @@
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
-	tracked := &trackedConn{Conn: conn, state: http.StateNew, since: now}
+	tracked := &trackedConn{Conn: conn, state: http.StateNew, since: time.Now()}
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.conns[tracked] = struct{}{}
-	l.conns.acceptedAt = now
 	return tracked, nil
 }
 
@@ -104,7 +102,10 @@
 			list = append(list, conn)
 		}
 	}
-	drained = len(list) == 0 && now.Sub(c.acceptedAt) >= acceptQuietPeriod
+	if len(list) > 0 || c.seenAt.IsZero() {
+		c.seenAt = now
+	}
+	drained = now.Sub(c.seenAt) >= acceptQuietPeriod
 	c.mu.Unlock()
 	for _, conn := range list {
 		conn.expireIfIdle(now)
--- a/instance/gateway/fleet.go
+++ b/instance/gateway/fleet.go
@@ -16,9 +16,6 @@
 	// which only relays send to. The rest is for requests that are sent to a second relay, each of which may cost one
 	// extra attempt at every shard.
 	relayBudgetShare = 0.6
-	// maxForwardTables is the number of versions of the routes that a relay keeps for requests of instances whose
-	// routes are newer or older than its own.
-	maxForwardTables = 8
 )
 
 // fleet is what the decisions on connections, budgets and relays need to know of the instances.
@@ -55,40 +52,41 @@
 	return f.all.allowsExtra(v.Connections)
 }
 
-// relayedServices returns the services that get attempts from relays only, and the lowest number of connections that
-// one of their targets accepts. These are the shards of gathered answers, once there are too many instances for each to
-// send to every shard.
-func relayedServices(t *routing.Table, instances int) (relayed map[string]bool, connections int) {
-	if t == nil || instances <= maxDirectInstances {
-		return nil, 0
-	}
-	relayed = map[string]bool{}
+// gathered are the shards of gathered answers. They get attempts from relays only, once there are too many instances for
+// each to send to every shard.
+type gathered struct {
+	services map[string]bool
+	// connections is the lowest number of connections that a target of one of them accepts.
+	connections int
+}
+
+func gatheredServices(t *routing.Table) gathered {
+	g := gathered{services: map[string]bool{}}
 	for _, r := range t.Routes {
 		if !r.Gather {
 			continue
 		}
 		for _, name := range r.Services {
 			v, ok := t.Service(name)
-			if ok && v.Connections > 0 && !relayed[name] {
-				relayed[name] = true
-				if connections == 0 || v.Connections < connections {
-					connections = v.Connections
+			if ok && v.Connections > 0 && !g.services[name] {
+				g.services[name] = true
+				if g.connections == 0 || v.Connections < g.connections {
+					g.connections = v.Connections
 				}
 			}
 		}
 	}
-	return relayed, connections
+	return g
 }
 
 // fleetOf describes the fleet to this instance. Relays are chosen among all members that may be alive, so that a short
 // doubt about one does not move connections; a doubtful relay is only chosen for a request if there is no other.
-func (s *Service) fleetOf(members []membership.Member, t *routing.Table, entries []roster.Entry) fleet {
+func (s *Service) fleetOf(members []membership.Member, shards gathered, entries []roster.Entry) fleet {
 	f := fleet{all: shareOf(members, s.cfg.FailureDomain)}
-	var connections int
-	f.relayed, connections = relayedServices(t, f.all.instances)
-	if len(f.relayed) == 0 {
+	if f.all.instances <= maxDirectInstances || len(shards.services) == 0 {
 		return f
 	}
+	f.relayed = shards.services
 	targetsByDomain := map[string]int{}
 	for _, e := range entries {
 		if f.relayed[e.Service] {
@@ -106,7 +104,7 @@
 			ID: m.ID, FailureDomain: m.FailureDomain, Region: s.cfg.Regions[m.FailureDomain], Capacity: m.Capacity,
 		})
 	}
-	for _, c := range placement.Relays(candidates, int(connectionShare*float64(connections)), targetsByDomain) {
+	for _, c := range placement.Relays(candidates, int(connectionShare*float64(shards.connections)), targetsByDomain) {
 		f.relays.instances++
 		if c.FailureDomain == s.cfg.FailureDomain {
 			f.relays.sameDomain++
--- a/instance/gateway/forward.go
+++ b/instance/gateway/forward.go
@@ -15,10 +15,6 @@
 	"hyssopcroft.example/query/routing"
 )
 
-// routesWait is the time for which a relay waits for the version of the routes that a request has to follow. A new
-// version reaches all instances within about half a second of each other.
-const routesWait = 150 * time.Millisecond
-
 // cancelSettleTime is the time between the arrival of a forwarded request and its first attempt. A relay that was paused
 // finds the cancellation of a request right behind the request itself, and must not run it: another relay has it.
 const cancelSettleTime = time.Millisecond
@@ -78,7 +74,7 @@
 	if route == nil || !route.Gather || !s.anyRelayed(route.Services) {
 		return resolvedRoute{}, false
 	}
-	return s.resolved(s.table, route, route.Services), true
+	return s.resolved(s.table.Version, route, route.Services), true
 }
 
 // anyRelayed reports whether targets of one of the services get attempts from relays only. It must be called with mu
@@ -156,7 +152,7 @@
 	oneWay := relay.Distance.RoundTrip() / 2
 	req := peer.ForwardedRequest{
 		ID: r.ID, Caller: r.Caller, Method: r.Method, Target: r.Target, Path: r.Path, Host: r.Host, Header: r.Header, Body: r.Body,
-		RoutesVersion: uint64(f.resolved.table.Version), TimeLeft: r.TimeLeft, Elapsed: now.Sub(f.start) + oneWay, ReturnTime: oneWay,
+		RoutesVersion: f.resolved.version, Route: *f.resolved.route, TimeLeft: r.TimeLeft, Elapsed: now.Sub(f.start) + oneWay, ReturnTime: oneWay,
 		SpentAttempts: a.SpentAttempts,
 	}
 	go func() {
@@ -229,6 +225,12 @@
 	return Response{Kind: Failed, Reason: reasonNoRelay}
 }
 
+// forwardedRoute is the route of a request that another instance received.
+type forwardedRoute struct {
+	version query.Version
+	route   *routing.Route
+}
+
 // RunForwarded implements relay.Backend: it runs a request of another instance's caller at the targets.
 func (s *Service) RunForwarded(ctx context.Context, in peer.ForwardedRequest) peer.ForwardedResponse {
 	start := time.Now().Add(-in.Elapsed)
@@ -239,11 +241,7 @@
 		ID: in.ID, Caller: in.Caller, Method: in.Method, Target: in.Target, Path: in.Path, Host: in.Host, Header: in.Header, Body: in.Body,
 		TimeLeft: in.TimeLeft, ReturnTime: in.ReturnTime, SpentAttempts: in.SpentAttempts,
 	}
-	table := s.awaitTable(ctx, query.Version(in.RoutesVersion))
-	if table == nil {
-		return peer.ForwardedResponse{Outcome: peer.ForwardUnavailable, Reason: "the relay does not have this version of the routes"}
-	}
-	resp, q := s.runHere(ctx, r, table, start)
+	resp, q := s.runHere(ctx, r, &forwardedRoute{version: in.RoutesVersion, route: &in.Route}, start)
 	s.observe(ctx, r, q, resp, time.Since(start))
 	return forwardedResponse(resp)
 }
@@ -269,43 +267,6 @@
 	return out
 }
 
-// awaitTable returns the routes of a version, or nil if they do not arrive within routesWait or have been dropped.
-func (s *Service) awaitTable(ctx context.Context, v query.Version) *routing.Table {
-	alarm := kernel.NewAlarm(routesWait)
-	defer alarm.Stop()
-	for {
-		s.mu.Lock()
-		table, changed := s.tables[v], s.tableChanged
-		behind := s.targetsRead && (s.table == nil || s.table.Version < v)
-		s.mu.Unlock()
-		if table != nil || !behind {
-			return table
-		}
-		select {
-		case <-changed:
-		case <-alarm.C:
-			return nil
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// keepTable adds routes to those that forwarded requests may follow, and drops the oldest. It must be called with mu
-// held.
-func (s *Service) keepTable(t *routing.Table) {
-	s.tables[t.Version] = t
-	for len(s.tables) > maxForwardTables {
-		oldest := t.Version
-		for v := range s.tables {
-			oldest = min(oldest, v)
-		}
-		delete(s.tables, oldest)
-	}
-	close(s.tableChanged)
-	s.tableChanged = make(chan struct{})
-}
-
 // observeForwarded updates the metrics for a request that relays ran, and logs it unless its answer was complete and in
 // time.
 func (s *Service) observeForwarded(ctx context.Context, f *forwarding, resp Response, took time.Duration) {
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -140,7 +140,7 @@
 
 // resolvedRoute is the route of an admitted request with its shards and policy, all from one version of the routes.
 type resolvedRoute struct {
-	table    *routing.Table
+	version  query.Version // of the routes
 	route    *routing.Route
 	services []string
 	shards   []query.Shard
--- a/instance/gateway/observe.go
+++ b/instance/gateway/observe.go
@@ -68,7 +68,7 @@
 // attrs returns the fields of a route for the log line of a request.
 func (rr resolvedRoute) attrs() []slog.Attr {
 	return []slog.Attr{
-		slog.String("route", rr.route.Name), slog.Uint64("routes_version", uint64(rr.table.Version)),
+		slog.String("route", rr.route.Name), slog.Uint64("routes_version", uint64(rr.version)),
 		slog.Float64("objective_ms", millis(rr.route.Objective)), slog.Float64("timeout_ms", millis(rr.route.Timeout)),
 		slog.Int("shards", len(rr.shards)), slog.Int("least", rr.minShards()),
 	}
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -12,7 +12,6 @@
 	"hyssopcroft.example/query/admission"
 	"hyssopcroft.example/query/balance"
 	"hyssopcroft.example/query/merge"
-	"hyssopcroft.example/query/routing"
 	"hyssopcroft.example/query/scatter"
 )
 
@@ -108,8 +107,8 @@
 	return resp
 }
 
-// runHere runs a request at the targets, by the given version of the routes or, if table is nil, the one in force.
-func (s *Service) runHere(ctx context.Context, r *Request, table *routing.Table, start time.Time) (Response, *run) {
+// runHere runs a request at the targets, by the route that another instance has chosen or else by the routes in force.
+func (s *Service) runHere(ctx context.Context, r *Request, forwarded *forwardedRoute, start time.Time) (Response, *run) {
 	defer s.inFlight.Add(-1)
 	if s.inFlight.Add(1) > maxInFlight {
 		return Response{Kind: Refused, Reason: reasonBusy, RetryAfter: busyRetryAfter}, nil
@@ -118,7 +117,7 @@
 	if refused != nil {
 		return *refused, nil
 	}
-	rr, refused := s.resolve(r, table)
+	rr, refused := s.resolve(r, forwarded)
 	if refused != nil {
 		return *refused, nil
 	}
@@ -150,12 +149,12 @@
 		Request: query.Request{
 			ID: q.id, Plan: rr.route.Name, Index: rr.route.Name, Deadline: q.deadline, PreferCoverage: true,
 		},
-		Map:    query.Map{Version: rr.table.Version, Shards: rr.shards},
+		Map:    query.Map{Version: rr.version, Shards: rr.shards},
 		Policy: &runPolicy{run: q, policy: rr.policy}, NextAttempt: s.nextAttempt, DistinctTargets: true, MaxLimitBackoff: maxLimitBackoff,
 		MaxAttempts: attemptLimit(max(rr.route.MaxAttempts-r.SpentAttempts, 1), crashes), AtMostOnce: !rr.route.Repeatable, CrashLimit: max(1, crashLimit-crashes),
 	}
 	if rr.route.Gather {
-		q.records = merge.NewRecords(q.id, rr.table.Version, rr.shards)
+		q.records = merge.NewRecords(q.id, rr.version, rr.shards)
 		cfg.Collector, cfg.MinShards = q.records, rr.minShards()
 		cfg.AnswerBy = q.answerBy
 	} else {
@@ -244,7 +243,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	q.cancels[a.Attempt] = cancel
 	q.attempts = append(q.attempts, attemptRecord{id: a.Attempt, shard: a.Shard, target: a.Target, sent: time.Since(q.start)})
-	shard, version := a.Shard, q.resolved.table.Version
+	shard, version := a.Shard, q.resolved.version
 	entry, ok := q.service.target(a.Target)
 	go func() {
 		defer cancel()
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -83,21 +83,20 @@
 	relayMu      sync.Mutex // guards relayChooser and the machines that use it; locked before mu
 	relayChooser *forward.Chooser
 
-	mu           sync.Mutex // guards the fields below
-	table        *routing.Table
-	balancer     *balance.Balancer
-	splitter     routing.Splitter
-	shardIDs     map[string]query.Shard // by service; entries are never removed, so that ids stay unique
-	roster       *roster.Roster
-	targets      map[query.TargetID]roster.Entry
-	targetsRead  bool // a list of targets has been read
-	started      time.Time
-	policies     map[string]*balance.Policy
-	queues       map[query.Shard]*admission.Queue[*run]
-	gates        map[query.Shard]*admission.Gate // by the first shard of the requests
-	fleet        fleet
-	tables       map[query.Version]*routing.Table // the versions that forwarded requests may follow
-	tableChanged chan struct{}                    // closed when the next table arrives
+	mu          sync.Mutex // guards the fields below
+	table       *routing.Table
+	gathered    gathered // of table
+	balancer    *balance.Balancer
+	splitter    routing.Splitter
+	shardIDs    map[string]query.Shard // by service; entries are never removed, so that ids stay unique
+	roster      *roster.Roster
+	targets     map[query.TargetID]roster.Entry
+	targetsRead bool // a list of targets has been read
+	started     time.Time
+	policies    map[string]*balance.Policy
+	queues      map[query.Shard]*admission.Queue[*run]
+	gates       map[query.Shard]*admission.Gate // by the first shard of the requests
+	fleet       fleet
 	// forwardBudget bounds the requests that are sent to a second relay.
 	forwardBudget *hedge.WindowBudget
 	connectExtra  bool // targets of all services accept enough connections to open some for hedges and retries in advance
@@ -111,10 +110,9 @@
 		roster: roster.New(), targets: map[query.TargetID]roster.Entry{}, policies: map[string]*balance.Policy{},
 		gates: map[query.Shard]*admission.Gate{}, queues: map[query.Shard]*admission.Queue[*run]{},
 		relayChooser: forward.NewChooser(), forwardBudget: newForwardBudget(cfg.ExtraAttempts),
-		tables: map[query.Version]*routing.Table{}, tableChanged: make(chan struct{}),
 	}
 	s.suspects = newSuspects()
-	s.fleet = s.fleetOf(nil, nil, nil)
+	s.fleet = s.fleetOf(nil, gathered{}, nil)
 	s.balancer.SetInstances(s.fleet.all.instances)
 	s.lastAttempt.Store(rand.Uint64())
 	return s
@@ -185,7 +183,7 @@
 // budgets of this instance changed. It must be called with relayMu and mu held.
 func (s *Service) refreshFleet() bool {
 	previous := s.fleet
-	s.fleet = s.fleetOf(s.cfg.Members.Members(), s.table, s.roster.Entries(time.Now()))
+	s.fleet = s.fleetOf(s.cfg.Members.Members(), s.gathered, s.roster.Entries(time.Now()))
 	s.relayChooser.SetRelays(s.fleet.others)
 	if s.fleet.all == previous.all && s.fleet.relays == previous.relays && s.fleet.isRelay == previous.isRelay {
 		return false
@@ -216,8 +214,7 @@
 		previous = s.table.Version
 	}
 	s.cfg.Log.Info("routes in force", "version", t.Version, "before", previous, "routes", len(t.Routes))
-	s.table = t
-	s.keepTable(t)
+	s.table, s.gathered = t, gatheredServices(t)
 	s.signalReady()
 	s.policies = map[string]*balance.Policy{}
 	s.refreshFleet()
@@ -366,29 +363,28 @@
 	return id
 }
 
-// resolve resolves the route of a request in a version of the routes, the one in force if table is nil. It returns a
-// refusal if no route matches or too few shards have targets.
-func (s *Service) resolve(r *Request, table *routing.Table) (resolvedRoute, *Response) {
+// resolve resolves the route of a request, by the routes in force unless another instance has chosen the route. It
+// returns a refusal if no route matches or too few shards have targets.
+func (s *Service) resolve(r *Request, forwarded *forwardedRoute) (resolvedRoute, *Response) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if table == nil {
-		table = s.table
-	}
-	if table == nil || !s.targetsRead {
+	if s.table == nil || !s.targetsRead {
 		age := time.Since(s.started)
 		return resolvedRoute{}, &Response{
 			Kind: Refused, Reason: reasonNotReady, RetryAfter: admission.StartRetryAfter(age), inputs: []slog.Attr{slog.Float64("age_ms", millis(age))},
 		}
 	}
-	route := table.Match(r.Host, r.Path)
-	if route == nil {
+	version, route := s.table.Version, (*routing.Route)(nil)
+	if forwarded != nil {
+		version, route = forwarded.version, forwarded.route
+	} else if route = s.table.Match(r.Host, r.Path); route == nil {
 		return resolvedRoute{}, &Response{Kind: NoRoute, Reason: reasonNoRoute}
 	}
 	services := route.Services
 	if !route.Gather {
-		services = []string{s.splitter.Pick(table.Version, route)}
+		services = []string{s.splitter.Pick(version, route)}
 	}
-	rr := s.resolved(table, route, services)
+	rr := s.resolved(version, route, services)
 	served := 0
 	for _, shard := range rr.shards {
 		if s.balancer.HasTargets(shard) {
@@ -397,7 +393,7 @@
 	}
 	if served < rr.minShards() {
 		return resolvedRoute{}, &Response{Kind: Refused, Reason: reasonNoTarget, RetryAfter: noTargetRetryAfter, inputs: []slog.Attr{
-			slog.String("route", route.Name), slog.Uint64("routes_version", uint64(table.Version)),
+			slog.String("route", route.Name), slog.Uint64("routes_version", uint64(version)),
 			slog.Int("shards", len(rr.shards)), slog.Int("least", rr.minShards()), slog.Int("served", served),
 		}}
 	}
@@ -405,8 +401,8 @@
 }
 
 // resolved returns a route with the shards of its services. It must be called with mu held.
-func (s *Service) resolved(table *routing.Table, route *routing.Route, services []string) resolvedRoute {
-	rr := resolvedRoute{table: table, route: route, services: services, shards: make([]query.Shard, 0, len(services))}
+func (s *Service) resolved(version query.Version, route *routing.Route, services []string) resolvedRoute {
+	rr := resolvedRoute{version: version, route: route, services: services, shards: make([]query.Shard, 0, len(services))}
 	for _, name := range services {
 		rr.shards = append(rr.shards, s.shardID(name))
 	}
@@ -423,7 +419,7 @@
 	if !rr.gate.Admit(rr.route.Rank) {
 		inFlight, limit := rr.gate.State()
 		return &Response{Kind: Refused, Reason: reasonOverload, RetryAfter: rr.gate.RetryAfter(rand.Float64()), inputs: []slog.Attr{
-			slog.String("route", rr.route.Name), slog.Uint64("routes_version", uint64(rr.table.Version)),
+			slog.String("route", rr.route.Name), slog.Uint64("routes_version", uint64(rr.version)),
 			slog.Int("rank", rr.route.Rank), slog.Int("in_flight", inFlight), slog.Float64("limit", limit),
 		}}
 	}
--- a/kernel/bus.go
+++ b/kernel/bus.go
@@ -20,24 +20,25 @@
 }
 
 // Bus delivers events between the services of a process. It is meant for state changes only and not
-// for per-query messages, because each event is encoded and copied to every subscriber.
+// for per-query messages. Subscribers share the value of an event, so that a configuration of a megabyte is not
+// encoded and decoded for each of them; they must not change what it refers to.
 type Bus struct {
 	pubsub *gochannel.GoChannel
 }
 
 // NewBus returns an open bus.
 func NewBus() *Bus {
-	cfg := gochannel.Config{OutputChannelBuffer: subscriberBuffer}
+	cfg := gochannel.Config{OutputChannelBuffer: subscriberBuffer, PreserveContext: true}
 	return &Bus{pubsub: gochannel.NewGoChannel(cfg, watermill.NopLogger{})}
 }
 
+// eventKey is the context key of the event of a message.
+type eventKey struct{}
+
 // Publish delivers an event to the current subscribers of its topic.
 func (b *Bus) Publish(ev Event) error {
-	payload, err := json.Marshal(ev)
-	if err != nil {
-		return errors.Wrapf(err, "encode event %s", ev.Topic())
-	}
-	msg := message.NewMessage(watermill.NewUUID(), payload)
+	msg := message.NewMessage(watermill.NewUUID(), nil)
+	msg.SetContext(context.WithValue(context.Background(), eventKey{}, ev))
 	return errors.Wrapf(b.pubsub.Publish(ev.Topic(), msg), "publish event %s", ev.Topic())
 }
 
@@ -51,17 +52,30 @@
 	}
 	go func() {
 		for msg := range messages {
-			var ev T
-			if err := json.Unmarshal(msg.Payload, &ev); err != nil {
-				panic(errors.Wrapf(err, "decode event of topic %s", zero.Topic()))
-			}
-			handle(ev)
+			handle(eventOf[T](msg))
 			msg.Ack()
 		}
 	}()
 	return nil
 }
 
+// eventOf returns the event of a message. A publisher may extend the type of an event; the event is then converted.
+func eventOf[T Event](msg *message.Message) T {
+	value := msg.Context().Value(eventKey{})
+	ev, ok := value.(T)
+	if ok {
+		return ev
+	}
+	encoded, err := json.Marshal(value)
+	if err == nil {
+		err = json.Unmarshal(encoded, &ev)
+	}
+	if err != nil {
+		panic(errors.Wrapf(err, "convert event of topic %s", ev.Topic()))
+	}
+	return ev
+}
+
 // Close ends all subscriptions.
 func (b *Bus) Close() error {
 	return errors.Wrap(b.pubsub.Close(), "close event bus")
--- a/query/forward/machine.go
+++ b/query/forward/machine.go
@@ -5,7 +5,7 @@
 const (
 	// takeMargin is the time, beyond two round trips, within which a relay takes a request: one round trip to open a
 	// connection, one for the request, and the scheduling delays of two loaded instances.
-	takeMargin = 60 * time.Millisecond
+	takeMargin = 120 * time.Millisecond
 	// maxRelays is the maximum number of relays to which one request is sent.
 	maxRelays = 3
 	// maxStarted is the maximum number of relays that may have begun to run one request.
