--- a/instance/app/connections_test.go
+++ b/instance/app/connections_test.go
@@ -134,6 +134,30 @@
 	})
 }
 
+// readListener reports each read that returned input.
+type readListener struct {
+	net.Listener
+	reads chan<- struct{}
+}
+
+func (l readListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return readConn{c, l.reads}, err
+}
+
+type readConn struct {
+	net.Conn
+	reads chan<- struct{}
+}
+
+func (c readConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.reads <- struct{}{}
+	}
+	return n, err
+}
+
 // Guards against a shutdown that cuts off an HTTP/1.1 request of which a part has been read: its connection still
 // counts as idle for http.Server.Shutdown.
 func TestStopAnswersRequestThatHasBegunToArrive(t *testing.T) {
@@ -145,7 +169,8 @@
 		states.onStateChange(c, s)
 		conns.OnConnState(c, s)
 	}}
-	go func() { _ = server.Serve(peer.Listener{Listener: conns.Wrap(listener)}) }() // Ends when the test stops it.
+	reads := make(chan struct{}, 100)
+	go func() { _ = server.Serve(peer.Listener{Listener: conns.Wrap(readListener{listener, reads})}) }() // Ends when the test stops it.
 	c, err := net.Dial("tcp", listener.Addr().String())
 	require.NoError(t, err)
 	defer c.Close()
@@ -159,9 +184,10 @@
 		require.NoError(t, err)
 	}
 	exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-reads // the first request
 	_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
 	require.NoError(t, err)
-	require.Eventually(t, func() bool { return !conns.Quiet() }, 5*time.Second, time.Millisecond)
+	<-reads
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/instance/conndrain/conns.go
+++ b/instance/conndrain/conns.go
@@ -113,18 +113,6 @@
 	return drained
 }
 
-// Quiet reports whether no connection has input that does not belong to a finished request.
-func (c *Conns) Quiet() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn := range c.conns {
-		if conn.hasReceived() {
-			return false
-		}
-	}
-	return true
-}
-
 // trackedConn is a connection of a caller.
 type trackedConn struct {
 	net.Conn
@@ -140,12 +128,6 @@
 	readDeadline time.Time // as the server set it
 }
 
-func (c *trackedConn) hasReceived() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.received
-}
-
 func (c *trackedConn) isHTTP2() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/instance/conndrain/conns_test.go
+++ b/instance/conndrain/conns_test.go
@@ -151,6 +151,12 @@
 	}
 }
 
+func (c *trackedConn) hasReceived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received
+}
+
 // readWithoutRequest reports whether input was read of which no whole request came about.
 func (c *trackedConn) readWithoutRequest() bool {
 	c.mu.Lock()
--- a/instance/gateway/fleet.go
+++ b/instance/gateway/fleet.go
@@ -1,8 +1,12 @@
 package gateway
 
 import (
+	"context"
+	"time"
+
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query/forward"
 	"hyssopcroft.example/query/placement"
 	"hyssopcroft.example/query/routing"
@@ -121,3 +125,46 @@
 	f.relays.sameDomain = max(f.relays.sameDomain, 1)
 	return f
 }
+
+// fleetLoop applies changes of the members. Changes in quick succession, as when the whole fleet starts, are applied
+// together.
+func (s *Service) fleetLoop(ctx context.Context, membersChanged <-chan struct{}) {
+	for {
+		select {
+		case <-membersChanged:
+		case <-ctx.Done():
+			return
+		}
+		s.updateFleet()
+		s.sendQuarantinedToJoined()
+		if !kernel.Sleep(ctx, fleetUpdatePause) {
+			return
+		}
+	}
+}
+
+// updateFleet applies the current members to connection limits, budgets and the choice of relays.
+func (s *Service) updateFleet() {
+	s.relayMu.Lock()
+	defer s.relayMu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refreshFleet() {
+		s.applyTargets()
+	}
+}
+
+// refreshFleet describes the fleet by the current members, routes and targets. It reports whether the connections or
+// budgets of this instance changed. It must be called with relayMu and mu held.
+func (s *Service) refreshFleet() bool {
+	previous := s.fleet
+	s.fleet = s.fleetOf(s.cfg.Members.Members(), s.gathered, s.roster.Entries(time.Now()))
+	s.relayChooser.SetRelays(s.fleet.others)
+	if s.fleet.all == previous.all && s.fleet.relays == previous.relays && s.fleet.isRelay == previous.isRelay {
+		return false
+	}
+	s.cfg.Log.Info("share of connections and budgets changed", "instances", s.fleet.all.instances, "in_domain", s.fleet.all.sameDomain,
+		"relays", s.fleet.relays.instances, "is_relay", s.fleet.isRelay)
+	s.balancer.SetInstances(s.fleet.all.instances)
+	return true
+}
--- a/instance/gateway/forward.go
+++ b/instance/gateway/forward.go
@@ -60,6 +60,7 @@
 	Taken  bool    `json:"taken"`
 	TookMS float64 `json:"took_ms,omitempty"`
 	Ended  string  `json:"ended"`
+	Reason string  `json:"reason,omitempty"`
 }
 
 // resolveForwarded resolves the route of a request that is to run at a relay: this instance is none, and targets of the
@@ -176,7 +177,7 @@
 		case ev.response == nil:
 			a.Taken = true
 		default:
-			a.TookMS, a.Ended = millis(time.Since(f.start))-a.SentMS, ev.response.Outcome.String()
+			a.TookMS, a.Ended, a.Reason = millis(time.Since(f.start))-a.SentMS, ev.response.Outcome.String(), ev.response.Reason
 			f.service.cfg.Metrics.forwarded.WithLabelValues(a.Ended).Inc()
 		}
 	}
--- /dev/null
+++ b/instance/gateway/targets.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/instance/directory"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/balance"
+	"hyssopcroft.example/query/routing"
+)
+
+// SetTargets applies a new list of targets.
+func (s *Service) SetTargets(ev directory.TargetsChanged) {
+	s.relayMu.Lock()
+	defer s.relayMu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if s.roster.ReadyCount() == 0 {
+		s.roster.Replace(now, ev.BeforeOutage, false)
+	}
+	s.roster.Replace(now, ev.Entries, ev.Incomplete)
+	s.targetsRead = true
+	s.signalReady()
+	s.refreshFleet()
+	s.applyTargets()
+}
+
+// applyTargets passes the usable targets to the balancer, and their connection limits to the sender. It must be called
+// with mu held.
+func (s *Service) applyTargets() {
+	s.connectExtra = s.table != nil && !slices.ContainsFunc(s.table.Services, func(v routing.Service) bool {
+		return !s.fleet.allowsExtra(v)
+	})
+	s.balancer.SetSenders(s.senders())
+	now := time.Now()
+	entries := s.roster.Entries(now)
+	limits := make(map[string]int, len(entries))
+	list := make([]balance.Target, 0, len(entries))
+	clear(s.targets)
+	for _, e := range entries {
+		if e.Draining {
+			continue
+		}
+		connections := s.connections(e)
+		limits[e.Address] = connections
+		id := query.TargetID(e.ID)
+		s.targets[id] = e
+		list = append(list, balance.Target{
+			ID: id, Shard: s.shardID(e.Service), Incarnation: e.Incarnation, Distance: s.distance(e.FailureDomain),
+			Limit: connections, ColdUntil: now.Add(e.ColdFor),
+		})
+	}
+	s.balancer.SetTargets(list)
+	s.cfg.Sender.SetConnections(limits)
+}
+
+// connections returns this instance's share of a target's connections.
+func (s *Service) connections(e roster.Entry) int {
+	if s.table == nil {
+		return 1
+	}
+	service, ok := s.table.Service(e.Service)
+	if !ok || service.Connections <= 0 {
+		return 1
+	}
+	return s.fleet.connections(service, e.FailureDomain == s.cfg.FailureDomain)
+}
+
+// senders returns the instances that send to the shards which not all instances send to. It must be called with mu
+// held.
+func (s *Service) senders() map[query.Shard]balance.Senders {
+	out := map[query.Shard]balance.Senders{}
+	senders := balance.Senders{Count: s.fleet.all.instances, BudgetShare: relayBudgetShare}
+	if s.fleet.isRelay {
+		senders.Count = s.fleet.relays.instances
+	}
+	for name := range s.fleet.relayed {
+		out[s.shardID(name)] = senders
+	}
+	return out
+}
+
+func (s *Service) distance(domain string) balance.Distance {
+	switch {
+	case domain == s.cfg.FailureDomain:
+		return balance.SameDomain
+	case s.cfg.Regions[domain] == s.cfg.Region:
+		return balance.SameRegion
+	}
+	return balance.OtherRegion
+}
+
+// shardID returns the shard id of a service, and assigns one if it has none. It must be called with mu held.
+func (s *Service) shardID(service string) query.Shard {
+	id, ok := s.shardIDs[service]
+	if !ok {
+		id = query.Shard(len(s.shardIDs) + 1)
+		s.shardIDs[service] = id
+	}
+	return id
+}
+
+// target returns the entry of a target, or false if the target has been removed.
+func (s *Service) target(id query.TargetID) (roster.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.targets[id]
+	return e, ok
+}
+
+// onAddressReused removes the entry of a target whose address now belongs to another target.
+func (s *Service) onAddressReused(id query.TargetID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.targets[id]
+	if !ok {
+		return
+	}
+	s.cfg.Log.Warn("another target has this address; the entry is left out", "target", id, "address", e.Address)
+	s.roster.OnAddressReused(e)
+	s.applyTargets()
+}
