Say failed, not refused, if a relay may have run a request before

Cause: an instance that ran a request itself after a relay had been silent answered 503 when the targets refused it, which says that the request has not run and never will. The silent relay may have run it. Change: such an answer is a failure (502). Result: TestRefusalAfterSilentRelay fails without the change and passes with it.

--- a/instance/gateway/forward_test.go
+++ b/instance/gateway/forward_test.go
@@ -11,6 +11,7 @@
 
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/instance/directory"
 	"hyssopcroft.example/instance/gateway"
 	"hyssopcroft.example/query"
 )
@@ -133,6 +134,22 @@
 	}
 }
 
+// Guards against a refusal that says "not run" of a request that a relay may have run before this instance tried.
+func TestRefusalAfterSilentRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwardingFleet(t)
+		f.silent["relay0"] = true
+		delete(f.relays, "relay1")
+		delete(f.relays, "relay2")
+		f.entry.SetTargets(directory.TargetsChanged{}) // The instance itself knows no target.
+		for range 30 {                                 // The order of the relays is random; if the silent one comes last, the instance waits for it.
+			got := do(t.Context(), f.entry, "/all/x")
+			require.Contains(t, []gateway.ResponseKind{gateway.Failed, gateway.TimedOut}, got.Kind, got.Reason)
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
+
 // Guards against answers from two versions of the routes, and against requests that find no relay while versions differ:
 // a relay follows the route of the instance that received the request, whichever versions it has had itself. Load:
 // configurations in quick succession, of which each instance skips some.
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -96,13 +96,19 @@
 func (s *Service) Do(ctx context.Context, r *Request) Response {
 	start := time.Now()
 	s.awaitReady(ctx, r)
+	mayHaveRun := false // at relays
 	if rr, ok := s.resolveForwarded(r); ok {
-		if resp, f, ok := s.forward(ctx, r, rr, start); ok {
+		resp, f, ok := s.forward(ctx, r, rr, start)
+		if ok {
 			s.observeForwarded(ctx, f, resp, time.Since(start))
 			return resp
 		}
+		mayHaveRun = f.machine.MayHaveRun()
 	}
 	resp, q := s.runHere(ctx, r, nil, start)
+	if mayHaveRun && resp.Kind == Refused {
+		resp.Kind, resp.RetryAfter = Failed, 0
+	}
 	s.observe(ctx, r, q, resp, time.Since(start))
 	return resp
 }
