Leave a request at a relay that is silent

Cause: a request moved to a second relay if the first one had not confirmed it within two round trips and 120 ms.

Change: silence only makes later requests avoid the relay. A request moves once its relay certainly did not run it, or once the connection to it has ended. Ruled out for now: a question over a new connection, which would tell a lost relay from a lost packet.

--- a/instance/gateway/forward.go
+++ b/instance/gateway/forward.go
@@ -43,7 +43,6 @@
 	deadline time.Time
 	machine  *forward.Machine
 	events   chan forwardEvent
-	cancels  map[string]context.CancelFunc // by relay
 	attempts []forwardAttempt
 }
 
@@ -88,7 +87,6 @@
 func (s *Service) forward(ctx context.Context, r *Request, rr resolvedRoute, start time.Time) (Response, *forwarding, bool) {
 	f := &forwarding{
 		service: s, request: r, resolved: rr, start: start, deadline: start.Add(rr.timeout(r)), events: make(chan forwardEvent, 8),
-		cancels: map[string]context.CancelFunc{},
 	}
 	f.machine = forward.New(forward.Config{
 		Chooser: s.relayChooser, Budget: forwardBudget{s}, Random: rand.Float64, Deadline: f.deadline,
@@ -114,8 +112,6 @@
 			switch a.Kind {
 			case forward.Send:
 				f.send(ctx, a)
-			case forward.Cancel:
-				f.cancels[a.Relay.ID]()
 			case forward.RunHere:
 				f.request.SpentAttempts = a.SpentAttempts
 				return Response{}, false
@@ -147,7 +143,6 @@
 
 func (f *forwarding) send(ctx context.Context, a forward.Action) {
 	now, relay := time.Now(), a.Relay
-	ctx, f.cancels[relay.ID] = context.WithCancel(ctx)
 	f.attempts = append(f.attempts, forwardAttempt{Relay: relay.ID, SentMS: millis(now.Sub(f.start)), Ended: "in flight"})
 	r := f.request
 	oneWay := relay.Distance.RoundTrip() / 2
--- a/query/forward/machine.go
+++ b/query/forward/machine.go
@@ -35,8 +35,6 @@
 const (
 	// Send means that the request is to be sent to the relay.
 	Send ActionKind = iota
-	// Cancel means that the attempt at the relay is to be cancelled.
-	Cancel
 	// RunHere means that the instance is to run the request itself. No relay will answer it.
 	RunHere
 	// Finish means that the response of the relay is the response to the caller.
@@ -62,12 +60,12 @@
 // Machine forwards one request. It is not safe for concurrent use.
 //
 // It is designed for the loss of a relay under load. A relay confirms at once that it has taken a request; one that does
-// not is silent, and the request goes to the next relay while it can still be in time. What certainly did not run costs
-// no budget.
+// not is silent, and later requests avoid it. A request goes to the next relay once the first one certainly did not run
+// it, which costs no budget, or once the connection to it is lost.
 //
-// A request may reach a limited number of targets of each shard, whichever relays send it. Therefore the attempt at a
-// silent relay is cancelled before the next one gets the request, the next one makes fewer attempts, and a relay that
-// has taken a request keeps it until its connection is lost: it may only be waiting for targets.
+// A request may reach a limited number of targets of each shard, whichever relays send it. Therefore silence does not
+// move a request: after the loss of one packet the confirmation is late while the relay makes all its attempts. A relay
+// that follows one whose connection was lost makes fewer attempts.
 type Machine struct {
 	cfg      Config
 	attempts []attempt
@@ -92,7 +90,7 @@
 	sent  time.Time
 	// taken is set once the relay has confirmed that it has the request.
 	taken bool
-	// overdue is set once the attempt no longer keeps the machine from sending another one.
+	// overdue is set once the relay is known to be silent.
 	overdue bool
 	ended   bool
 	// notRun is set if the relay certainly ran nothing.
@@ -133,13 +131,10 @@
 	case Unavailable:
 		m.cfg.Chooser.OnSilent(now, id)
 	}
-	switch {
-	case m.waiting():
-		return nil // Another attempt may still answer in time.
-	case o == Refused:
+	if o == Refused {
 		return m.giveUp()
 	}
-	return m.next(now, o != Unavailable || m.mayHaveRun || m.inFlight())
+	return m.next(now, o != Unavailable || m.mayHaveRun)
 }
 
 // NextWake returns when OnWake is due.
@@ -153,8 +148,7 @@
 	return next
 }
 
-// OnWake must be called at NextWake or later. It sends the request to another relay if the ones that have it are
-// silent.
+// OnWake must be called at NextWake or later. It notes which relay is silent, and ends the request at its deadline.
 func (m *Machine) OnWake(now time.Time) []Action {
 	if m.finished {
 		return nil
@@ -163,20 +157,16 @@
 		m.mayHaveRun = m.mayHaveRun || m.inFlight()
 		return m.finish(Action{Kind: Fail})
 	}
-	newlyOverdue := false
 	for i := range m.attempts {
 		if a := &m.attempts[i]; !a.ended && !a.overdue && !now.Before(m.overdueAt(*a)) {
-			a.overdue, newlyOverdue = true, true
+			a.overdue = true
 			m.cfg.Chooser.OnSilent(now, a.relay.ID)
 		}
 	}
-	if !newlyOverdue || m.waiting() {
-		return nil
-	}
-	return m.next(now, true)
+	return nil
 }
 
-// overdueAt returns the time from which an attempt no longer keeps the machine from sending another one.
+// overdueAt returns the time from which a relay that has not taken the request is silent.
 func (m *Machine) overdueAt(a attempt) time.Time {
 	if a.taken {
 		return m.cfg.Deadline
@@ -198,10 +188,9 @@
 		}
 		return m.finish(Action{Kind: RunHere, SpentAttempts: started})
 	}
-	actions := m.cancelSilent()
 	m.tried[relay.ID] = true
 	m.attempts = append(m.attempts, attempt{relay: relay, sent: now})
-	return append(actions, Action{Kind: Send, Relay: relay, SpentAttempts: started})
+	return []Action{{Kind: Send, Relay: relay, SpentAttempts: started}}
 }
 
 // started returns the number of relays that may have begun to run the request. Each is taken to have made one attempt at
@@ -216,18 +205,6 @@
 	return n
 }
 
-// cancelSilent cancels the attempts at relays that have not confirmed the request.
-func (m *Machine) cancelSilent() []Action {
-	var actions []Action
-	for i := range m.attempts {
-		if a := &m.attempts[i]; !a.ended {
-			a.ended, m.mayHaveRun = true, true
-			actions = append(actions, Action{Kind: Cancel, Relay: a.relay})
-		}
-	}
-	return actions
-}
-
 // giveUp ends the request unless an attempt may still answer.
 func (m *Machine) giveUp() []Action {
 	if m.inFlight() {
@@ -260,15 +237,5 @@
 	return false
 }
 
-// waiting reports whether an attempt is neither ended nor overdue.
-func (m *Machine) waiting() bool {
-	for _, a := range m.attempts {
-		if !a.ended && !a.overdue {
-			return true
-		}
-	}
-	return false
-}
-
 // MayHaveRun reports whether targets may have run the request. It must be called after Fail.
 func (m *Machine) MayHaveRun() bool { return m.mayHaveRun }
