--- a/instance/gateway/forward_test.go
+++ b/instance/gateway/forward_test.go
@@ -151,7 +151,7 @@
 			}
 			require.Equal(t, before+1, f.taken(), "each request has one relay")
 		}
-		require.LessOrEqual(t, late, 2, "the first request shows that the relay is silent")
+		require.LessOrEqual(t, late, 1, "the first request shows that the relay is silent")
 	})
 }
 
--- a/query/forward/chooser.go
+++ b/query/forward/chooser.go
@@ -35,7 +35,7 @@
 const (
 	// minAvoid and maxAvoid bound the time for which a relay that did not take a request gets no other one. The
 	// members notice the loss of an instance within 5 s.
-	minAvoid = 500 * time.Millisecond
+	minAvoid = 2 * time.Second
 	maxAvoid = 4 * time.Second
 )
 
