Fail a request whose connection to its relay is lost

Cause: a connection to a relay that went silent is closed by its ping after two seconds, while the relay has run the request with all its attempts. Change: such a request is answered 502 at once, and its caller may submit it again; a request moves only if its relay certainly did not run it.

--- a/query/forward/machine.go
+++ b/query/forward/machine.go
@@ -60,12 +60,12 @@
 // Machine forwards one request. It is not safe for concurrent use.
 //
 // It is designed for the loss of a relay under load. A relay confirms at once that it has taken a request; one that does
-// not is silent, and later requests avoid it. A request goes to the next relay once the first one certainly did not run
-// it, which costs no budget, or once the connection to it is lost.
+// not is silent, and later requests avoid it. A request goes to the next relay only once the first one certainly did not
+// run it.
 //
-// A request may reach a limited number of targets of each shard, whichever relays send it. Therefore silence does not
-// move a request: after the loss of one packet the confirmation is late while the relay makes all its attempts. A relay
-// that follows one whose connection was lost makes fewer attempts.
+// A request may reach a limited number of targets of each shard, whichever relays send it. Therefore neither silence nor
+// a lost connection moves a request: the relay may have made all its attempts. The caller is told at once that the
+// request failed, and may submit it again.
 type Machine struct {
 	cfg      Config
 	attempts []attempt
@@ -131,7 +131,7 @@
 	case Unavailable:
 		m.cfg.Chooser.OnSilent(now, id)
 	}
-	if o == Refused {
+	if o == Refused || o == Lost {
 		return m.giveUp()
 	}
 	return m.next(now, o != Unavailable || m.mayHaveRun)
