--- a/control/config/watcher.go
+++ b/control/config/watcher.go
@@ -7,13 +7,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// minWatchers is the minimum number of instances of the fleet that watch the store. One in three instances may be
-// turned away by the store at the same time; that all of six are is a matter of one in 700.
+// minWatchers is the minimum number of instances of the fleet that watch the store. If the store turns all of them away
+// while it answers others, the others read it for them.
 const minWatchers = 6
 
 // WatchersPerDomain returns the number of instances of each failure domain that watch the store: two in a fleet of few
 // failure domains, to tolerate the loss of one. Where there are many, others learn of a change by exchanges between
-// failure domains within about two seconds if their own watcher is lost.
+// failure domains if their own watcher is lost.
 func WatchersPerDomain(domains int) int {
 	if domains >= minWatchers {
 		return 1
--- a/instance/configsync/digest.go
+++ b/instance/configsync/digest.go
@@ -50,7 +50,7 @@
 		return
 	}
 	// Errors are counted; the next exchange retries.
-	_, _ = s.fetchFrom(ctx, address, repairTimeout)
+	_, _ = s.fetchFrom(ctx, address, false, repairTimeout)
 	s.mu.Lock()
 	s.fetching = false
 	s.mu.Unlock()
--- a/instance/configsync/distribute.go
+++ b/instance/configsync/distribute.go
@@ -98,10 +98,13 @@
 }
 
 // Fetch implements the twirp service.
-func (s *Service) Fetch(_ context.Context, req *memberpb.FetchRequest) (*memberpb.FetchResponse, error) {
+func (s *Service) Fetch(ctx context.Context, req *memberpb.FetchRequest) (*memberpb.FetchResponse, error) {
 	peer.ObserveStamp(s.ring.Clock(), req.Stamp)
 	s.counters.Counter("fetches_received").Add(1)
 	ready := s.Ready()
+	if req.ReadStore && ready {
+		s.readForPeer(ctx)
+	}
 	s.mu.Lock()
 	newer, older := s.objects.Compare(revisionsFromWire(req.Held))
 	s.mu.Unlock()
--- a/instance/configsync/start.go
+++ b/instance/configsync/start.go
@@ -103,23 +103,9 @@
 	return mean/2 + rand.N(mean)
 }
 
-// readStore reads all kinds concurrently, since no request is served before the last one is read. attempt
-// counts from 0.
+// readStore reads all kinds, since no request is served before the last one is read. attempt counts from 0.
 func (s *Service) readStore(ctx context.Context, attempt int) error {
-	readCtx, cancel := context.WithTimeout(ctx, config.ColdTimeout(attempt))
-	defer cancel()
-	results := make([]platform.Changes, len(s.schema.Kinds))
-	var reads errgroup.Group
-	for i, kind := range s.schema.Kinds {
-		reads.Go(func() (err error) {
-			results[i], err = s.source.Watch(readCtx, platform.Purpose("cold_"+kind), kind, 0, 0)
-			return err
-		})
-	}
-	err := reads.Wait()
-	for _, changes := range results {
-		s.offerAll(changes)
-	}
+	results, err := s.readKinds(ctx, "cold_", config.ColdTimeout(attempt))
 	if err != nil && ctx.Err() == nil { // Otherwise a peer was faster, or the service is stopping.
 		s.log.Warn("initial read of the store failed; retrying", "attempt", attempt, "error", err)
 	}
@@ -138,6 +124,26 @@
 	return nil
 }
 
+// readKinds reads all kinds from the store concurrently, and offers what it has read even if a read fails. The purpose
+// of each call is the given prefix and the kind.
+func (s *Service) readKinds(ctx context.Context, purposePrefix string, timeout time.Duration) ([]platform.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	results := make([]platform.Changes, len(s.schema.Kinds))
+	var reads errgroup.Group
+	for i, kind := range s.schema.Kinds {
+		reads.Go(func() (err error) {
+			results[i], err = s.source.Watch(ctx, platform.Purpose(purposePrefix+kind), kind, 0, 0)
+			return err
+		})
+	}
+	err := reads.Wait()
+	for _, changes := range results {
+		s.offerAll(changes)
+	}
+	return results, err
+}
+
 // readPeers fetches newer objects from up to coldPeers peers concurrently. It reports whether at least one
 // of them was ready and an object of the required kind is present. attempt counts from 0.
 func (s *Service) readPeers(ctx context.Context, attempt int) bool {
@@ -146,7 +152,7 @@
 	var reads sync.WaitGroup
 	for _, m := range peers[:min(len(peers), coldPeers)] {
 		reads.Go(func() {
-			if ready, err := s.fetchFrom(ctx, m.Address, config.ColdTimeout(attempt)); err == nil && ready {
+			if ready, err := s.fetchFrom(ctx, m.Address, false, config.ColdTimeout(attempt)); err == nil && ready {
 				readyPeers.Add(1)
 			}
 		})
@@ -183,14 +189,15 @@
 	return append(first, rest...)
 }
 
-// fetchFrom fetches the objects that are newer at a peer and pushes those that are newer here to it. It
-// reports whether the peer is ready.
-func (s *Service) fetchFrom(ctx context.Context, address string, timeout time.Duration) (bool, error) {
+// fetchFrom fetches the objects that are newer at a peer and pushes those that are newer here to it. With readStore, the
+// peer reads the store first. It reports whether the peer is ready.
+func (s *Service) fetchFrom(ctx context.Context, address string, readStore bool, timeout time.Duration) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s.counters.Counter("fetches_sent").Add(1)
 	client := peer.DistributionClient(address, s.fleet.Transport())
-	resp, err := client.Fetch(ctx, &memberpb.FetchRequest{Held: revisionsToWire(s.revisions()), Stamp: peer.NewStamp(s.ring.Clock())})
+	req := &memberpb.FetchRequest{Held: revisionsToWire(s.revisions()), ReadStore: readStore, Stamp: peer.NewStamp(s.ring.Clock())}
+	resp, err := client.Fetch(ctx, req)
 	if err != nil {
 		s.counters.Counter("fetch_failures").Add(1)
 		return false, errors.Wrapf(err, "fetch from %s", address)
--- a/instance/configsync/watch.go
+++ b/instance/configsync/watch.go
@@ -91,7 +91,7 @@
 		if err != nil {
 			s.counters.Counter("platform_watch_failures").Add(1)
 			s.recordStoreResult(kind, false)
-			s.fetchFromWatcher(ctx, kind)
+			s.fetchElsewhere(ctx, kind)
 			kernel.Sleep(ctx, retryDelay/2+rand.N(retryDelay))
 			continue
 		}
@@ -101,17 +101,6 @@
 	}
 }
 
-// fetchFromWatcher fetches newer objects from another watcher while the store does not respond to this
-// instance. Exchanges propagate them too, but take a second for each instance on the path.
-func (s *Service) fetchFromWatcher(ctx context.Context, kind string) {
-	watchers := s.otherWatchers()
-	if kind != s.schema.Required || len(watchers) == 0 {
-		return
-	}
-	// Errors are counted; an exchange delivers the objects later.
-	_, _ = s.fetchFrom(ctx, watchers[rand.IntN(len(watchers))], repairTimeout)
-}
-
 func (s *Service) offerAll(changes platform.Changes) {
 	for _, obj := range changes.Objects {
 		if o, ok := objectOf(obj); ok {
@@ -159,6 +148,21 @@
 	return config.Watchers(domain, ids(candidates[domain]), config.WatchersPerDomain(len(candidates)))
 }
 
+// nonWatchers returns the addresses of the members that are eligible as watchers and not selected.
+func (s *Service) nonWatchers() []string {
+	var out []string
+	candidates := s.candidates()
+	for domain, members := range candidates {
+		watchers := config.Watchers(domain, ids(members), config.WatchersPerDomain(len(candidates)))
+		for _, m := range members {
+			if !slices.Contains(watchers, m.ID) {
+				out = append(out, m.Address)
+			}
+		}
+	}
+	return out
+}
+
 // otherWatchers returns the addresses of all watchers except this instance.
 func (s *Service) otherWatchers() []string {
 	var out []string
--- a/instance/directory/directory.go
+++ b/instance/directory/directory.go
@@ -30,6 +30,11 @@
 // below the 4 s after which a fleet counts as stable again. It is not much lower because each call is charged for.
 const watchWait = 3200 * time.Millisecond
 
+// WatchAnswerTimeout is how long the answer to a watch may be overdue before the call counts as failed. A slow store
+// answers after 60 times 4 ms. With watchWait, it limits how long a store that stopped answering this instance goes
+// unnoticed.
+const WatchAnswerTimeout = 700 * time.Millisecond
+
 // lapseGrace is the time that live targets need to register again once the store is available after an outage.
 const lapseGrace = 2 * time.Second
 
