--- a/instance/configsync/distribute.go
+++ b/instance/configsync/distribute.go
@@ -102,13 +102,11 @@
 	peer.ObserveStamp(s.ring.Clock(), req.Stamp)
 	s.counters.Counter("fetches_received").Add(1)
 	ready := s.Ready()
-	if req.ReadStore && ready {
-		s.readForPeer(ctx)
-	}
+	storeRead := req.ReadStore && ready && s.readForPeer(ctx)
 	s.mu.Lock()
 	newer, older := s.objects.Compare(revisionsFromWire(req.Held))
 	s.mu.Unlock()
-	resp := &memberpb.FetchResponse{Ready: ready, Older: revisionsToWire(older), Stamp: peer.NewStamp(s.ring.Clock())}
+	resp := &memberpb.FetchResponse{Ready: ready, StoreRead: storeRead, Older: revisionsToWire(older), Stamp: peer.NewStamp(s.ring.Clock())}
 	for _, o := range newer {
 		resp.Newer = append(resp.Newer, s.wireObject(o))
 	}
--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -121,6 +121,7 @@
 	done   sync.WaitGroup
 
 	quarantineQueue quarantineQueue
+	peerReads       peerReads
 
 	wireMu      sync.Mutex                      // guards wireObjects
 	wireObjects map[config.Key]*memberpb.Object // the latest message of each object
@@ -135,7 +136,6 @@
 	confirmedAt      time.Time          // when the objects were last confirmed as the newest in the store
 	storeUnreachable bool               // the last watch call for the required kind failed
 	fetching         bool
-	lastReadForPeer  time.Time // when this instance last read the store on behalf of a peer
 	// startRevisions are the revisions, by kind, at which the store was read at the start. The first
 	// watch of a kind continues from there.
 	startRevisions map[string]platform.Version
--- a/instance/configsync/start.go
+++ b/instance/configsync/start.go
@@ -152,7 +152,7 @@
 	var reads sync.WaitGroup
 	for _, m := range peers[:min(len(peers), coldPeers)] {
 		reads.Go(func() {
-			if ready, err := s.fetchFrom(ctx, m.Address, false, config.ColdTimeout(attempt)); err == nil && ready {
+			if resp, err := s.fetchFrom(ctx, m.Address, false, config.ColdTimeout(attempt)); err == nil && resp.Ready {
 				readyPeers.Add(1)
 			}
 		})
@@ -190,8 +190,8 @@
 }
 
 // fetchFrom fetches the objects that are newer at a peer and pushes those that are newer here to it. With readStore, the
-// peer reads the store first. It reports whether the peer is ready.
-func (s *Service) fetchFrom(ctx context.Context, address string, readStore bool, timeout time.Duration) (bool, error) {
+// peer reads the store first. It returns the peer's answer.
+func (s *Service) fetchFrom(ctx context.Context, address string, readStore bool, timeout time.Duration) (*memberpb.FetchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s.counters.Counter("fetches_sent").Add(1)
@@ -200,13 +200,13 @@
 	resp, err := client.Fetch(ctx, req)
 	if err != nil {
 		s.counters.Counter("fetch_failures").Add(1)
-		return false, errors.Wrapf(err, "fetch from %s", address)
+		return nil, errors.Wrapf(err, "fetch from %s", address)
 	}
 	peer.ObserveStamp(s.ring.Clock(), resp.Stamp)
 	for _, wire := range resp.Newer {
 		o, err := peer.ObjectFromWire(wire)
 		if err != nil {
-			return false, errors.Wrapf(err, "fetch from %s", address)
+			return nil, errors.Wrapf(err, "fetch from %s", address)
 		}
 		s.offer(o)
 	}
@@ -215,5 +215,5 @@
 			s.counters.Counter("push_failures").Add(1)
 		}
 	}
-	return resp.Ready, nil
+	return resp, nil
 }
--- a/instance/configsync/turned_away_test.go
+++ b/instance/configsync/turned_away_test.go
@@ -53,6 +53,9 @@
 	return s.revision, s.changed, s.hangs[instance]
 }
 
+// callTimeout is the time after which the adapter gives up a call that does not wait.
+const callTimeout = 1500 * time.Millisecond
+
 // storeOf is the view that one instance has of a partialStore.
 type storeOf struct {
 	*partialStore
@@ -68,11 +71,12 @@
 	for {
 		revision, changed, hangs := s.read(s.instance)
 		switch {
-		case hangs && wait == 0:
-			<-ctx.Done()
-			return platform.Changes{}, ctx.Err()
-		case hangs: // The adapter gives up a call that waits.
-			kernel.Sleep(ctx, wait+directory.WatchAnswerTimeout)
+		case hangs: // The adapter gives up a call after some time.
+			timeout := wait + directory.WatchAnswerTimeout
+			if wait == 0 {
+				timeout = callTimeout
+			}
+			kernel.Sleep(ctx, timeout)
 			return platform.Changes{}, errors.New("no answer")
 		case revision > after:
 			o := platform.Object{Kind: kind, Name: "current", Version: revision, Data: []byte("1")}
