--- a/cmd/hyssopcroft/gateway.go
+++ b/cmd/hyssopcroft/gateway.go
@@ -107,7 +107,7 @@
 	store := platform.NewStore(s.Store, log, func(call string) { calls.WithLabelValues(call).Inc() })
 	return edge.Adapter{
 		Store: store, Instances: platform.NewInstanceRegistry(store),
-		Sender:        platform.NewSender(client),
+		Sender:        platform.NewSender(client, log),
 		CallerHandler: func(g *gateway.Service) http.Handler { return platform.CallerHandler(g, log) },
 	}
 }
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -16,6 +16,8 @@
 	latency  *prometheus.HistogramVec
 	missing  prometheus.Counter
 	crashes  prometheus.Counter
+	// rateLimits counts the changes of the rate limits that targets state.
+	rateLimits prometheus.Counter
 	// forwarded counts the attempts at relays by outcome.
 	forwarded *prometheus.CounterVec
 	attempts  [query.OutcomeFailed + 1]prometheus.Counter
@@ -37,6 +39,9 @@
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "hyssopcroft_suspected_crashes_total", Help: "Targets that are known to have crashed while they ran a request that no target answered.",
 	})
+	m.rateLimits = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "hyssopcroft_rate_limit_changes_total", Help: "Changes of the rate limits that targets state in their answers.",
+	})
 	attempts := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "hyssopcroft_attempts_total", Help: "Attempts at targets by outcome, those that were cancelled left out.",
 	}, []string{"outcome"})
@@ -46,7 +51,7 @@
 	m.forwarded = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "hyssopcroft_forwarded_total", Help: "Requests sent to relays by what became of them there.",
 	}, []string{"outcome"})
-	r.MustRegister(m.forwarded, m.requests, m.latency, m.missing, m.crashes, attempts)
+	r.MustRegister(m.forwarded, m.rateLimits, m.requests, m.latency, m.missing, m.crashes, attempts)
 	return m
 }
 
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -213,6 +213,7 @@
 func (q *run) onReply(r attemptReply) []scatter.Action {
 	q.service.cfg.Metrics.countAttempt(r.reply.Outcome)
 	q.endAttempt(r.attempt, replied, r.reply.Outcome)
+	q.service.observeRateLimit(r.target, r.reply)
 	if r.reply.Outcome == query.OutcomeWrongShard {
 		q.service.onAddressReused(r.target)
 	}
--- a/instance/gateway/targets.go
+++ b/instance/gateway/targets.go
@@ -111,6 +111,17 @@
 	return e, ok
 }
 
+// observeRateLimit records the rate limit that a target stated in a reply.
+func (s *Service) observeRateLimit(id query.TargetID, r query.Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.balancer.ObserveRateLimit(time.Now(), id, r) {
+		return
+	}
+	s.cfg.Metrics.rateLimits.Inc()
+	s.cfg.Log.Info("target changed its rate limit", "target", id, "limited", r.RateLimit.Stated, "per_second", r.RateLimit.PerSecond)
+}
+
 // onAddressReused removes the entry of a target whose address now belongs to another target.
 func (s *Service) onAddressReused(id query.TargetID) {
 	s.mu.Lock()
--- a/query/query.go
+++ b/query/query.go
@@ -208,6 +208,14 @@
 	Cold bool
 	// Part is the answer of a target whose answers the instance does not interpret, nil for other targets.
 	Part *Part
+	// RateLimit is the limit that the target stated in this reply.
+	RateLimit RateLimit
+}
+
+// RateLimit is the rate of requests that a target accepts from all instances together.
+type RateLimit struct {
+	Stated    bool
+	PerSecond float64 // valid only if Stated is set
 }
 
 // Part is an answer that is passed on or merged without being interpreted.
