--- a/emulator/soak/searcher.go
+++ b/emulator/soak/searcher.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -43,6 +44,8 @@
 	drainingSince time.Time // the zero time if it is not draining
 	// lateAllowed reports whether instances may not have received its draining state yet because of other faults.
 	lateAllowed func() bool
+	rateLimit   float64     // stated in answers, in requests a second of all instances; 0 if none is stated
+	arrivals    []time.Time // of requests, if a limit is stated
 }
 
 // stamp returns the stamp that identifies the searcher and the request of an answer.
@@ -71,11 +74,35 @@
 	s.drainingSince, s.lateAllowed = time.Now(), lateAllowed
 }
 
+const (
+	// A searcher that states a limit gets at most rateTolerance times the limit and rateSlack requests in a rateWindow.
+	rateWindow    = 4 * time.Second
+	rateTolerance = 1.5
+	rateSlack     = 5
+)
+
+// checkRate adds a violation if the searcher got more requests than its limit allows in any window since the given time.
+func (s *searcher) checkRate(since time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	allowed := int(rateTolerance*s.rateLimit*rateWindow.Seconds() + rateSlack)
+	for i, at := range s.arrivals {
+		if i >= allowed && !s.arrivals[i-allowed].Before(since) && at.Sub(s.arrivals[i-allowed]) < rateWindow {
+			s.recorder.addViolation("rate: %s, which states a limit of %v a second, got more than %d requests in %v", s.id, s.rateLimit, allowed, rateWindow)
+			return
+		}
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (s *searcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	requestID := r.Header.Get("Request-Id")
 	s.mu.Lock()
 	mode, drainingSince, lateAllowed := s.mode, s.drainingSince, s.lateAllowed
+	if s.rateLimit > 0 {
+		s.arrivals = append(s.arrivals, time.Now())
+		w.Header().Set("Server-Limit", strconv.FormatFloat(s.rateLimit, 'f', -1, 64))
+	}
 	s.mu.Unlock()
 	switch {
 	case r.Header.Get("Expect-Instance") != s.id:
--- a/emulator/soak/soak.go
+++ b/emulator/soak/soak.go
@@ -2,7 +2,7 @@
 // outside, and checks what callers and targets observe: a caller gets only the answer to its own request; the reported
 // coverage is correct; a request that was refused as not run has not run; non-idempotent requests run at most once; a
 // draining target gets no requests after a grace period; a graceful stop interrupts no requests; the version of the
-// routes never decreases; and the gateways recover after the last fault.
+// routes never decreases; a target gets no more requests than it states; and the gateways recover after the last fault.
 package soak
 
 import (
@@ -34,6 +34,9 @@
 	movedServiceCount = 4
 	// applyTime is the time after which undisturbed instances have applied a version of the routes.
 	applyTime = 3 * time.Second
+	// limitedRate is the limit in requests a second that one searcher states. It gets several times as many without a
+	// limit.
+	limitedRate = 6
 	// minServedShare is the minimum share of requests that must be served after recovery from the last fault.
 	minServedShare = 0.95
 )
@@ -99,9 +102,15 @@
 	for _, i := range s.instances {
 		go i.pollReadiness(done)
 	}
+	limited := s.searchers["single"][0]
+	limited.mu.Lock()
+	limited.rateLimit = limitedRate
+	limited.mu.Unlock()
 	time.Sleep(settleTime)
 	s.injectFaults(cfg.Duration)
-	time.Sleep(settleTime + recoveryTime)
+	time.Sleep(recoveryTime)
+	undisturbedSince := time.Now()
+	time.Sleep(settleTime)
 	requests, served := s.requests.Load(), s.served.Load()
 	time.Sleep(settleTime / 2)
 	requests, served = s.requests.Load()-requests, s.served.Load()-served
@@ -111,6 +120,7 @@
 	for _, i := range s.instances {
 		i.stop()
 	}
+	limited.checkRate(undisturbedSince)
 	if float64(served) < minServedShare*float64(requests) || requests == 0 {
 		s.recorder.addViolation("recovery: %d of %d requests served after the last fault", served, requests)
 	}
--- a/emulator/soak/soak_test.go
+++ b/emulator/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -80,3 +81,27 @@
 	require.False(t, s.mayRouteMovedTo(6, movedService(5)))
 	require.True(t, s.mayRouteMovedTo(0, movedService(4)), "no version is known to be in force")
 }
+
+// Guards against a check that misses a searcher that gets more requests than it states, or that counts those of windows
+// that faults may have disturbed.
+func TestCheckRate(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		interval time.Duration
+		since    time.Time
+		violated bool
+	}{
+		"within":      {250 * time.Millisecond, start, false}, // 16 in 4 s, 17 allowed
+		"beyond":      {200 * time.Millisecond, start, true},  // 20 in 4 s
+		"not counted": {200 * time.Millisecond, start.Add(17 * time.Second), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &searcher{id: "s", recorder: newRecorder(), rateLimit: 2}
+			for n := range int(20 * time.Second / c.interval) {
+				s.arrivals = append(s.arrivals, start.Add(time.Duration(n)*c.interval))
+			}
+			s.checkRate(c.since)
+			require.Equal(t, c.violated, len(s.recorder.finalCheck()) > 0)
+		})
+	}
+}
