--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -122,6 +123,8 @@
 
 	quarantineQueue quarantineQueue
 	peerReads       peerReads
+	// readingThroughPeers is set while peers read the store on behalf of this instance.
+	readingThroughPeers atomic.Bool
 
 	wireMu      sync.Mutex                      // guards wireObjects
 	wireObjects map[config.Key]*memberpb.Object // the latest message of each object
--- a/kernel/bus.go
+++ b/kernel/bus.go
@@ -17,8 +17,9 @@
 }
 
 // Bus delivers events between the services of a process. Each subscriber gets the events of a topic in the order in which
-// they were published. The bus is meant for state changes only and not for per-query messages. Subscribers share the value of an event, so that a configuration of a megabyte is not
-// encoded and decoded for each of them; they must not change what it refers to.
+// they were published. The bus is meant for state changes only and not for per-query messages. Subscribers share the value
+// of an event, so that a configuration of a megabyte is not encoded and decoded for each of them; they must not change
+// what it refers to.
 type Bus struct {
 	pubsub *gochannel.GoChannel
 }
--- a/query/balance/rate.go
+++ b/query/balance/rate.go
@@ -36,8 +36,8 @@
 // that is less than one request, the instance may send one in its turn: within a short part of each interval in which its
 // part of the rate amounts to one request. The intervals of the instances are spread evenly.
 //
-// After the end of a limit, the rate rises in steps: all instances together would otherwise return to a target that has
-// just recovered at the same moment.
+// After the end of a limit, the rate rises gradually: all instances would otherwise return at the same moment to a target
+// that has just recovered.
 //
 // It is designed for limits of a quarter to a half of the usual load at two of three replicas, for a burst after a pause,
 // and for many instances that each send less than a request a second.
