Log how the crashes of a request were decided

The log could not tell why a request that crashes targets was sent on: a probe that found a target alive, the end of a suspicion, and a member that was not told of it left no line, or none with the request's fingerprint. Each has one now, one per request at most. No logic changes.

--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -153,7 +153,10 @@
 		switch {
 		case r.hasOutcome(query.OutcomeAnswered, query.OutcomeFailed):
 			if q.priorCrashes > 0 {
-				q.service.suspects.recordAnswer(fingerprint(q.request))
+				f := fingerprint(q.request)
+				q.service.cfg.Log.Info("a target answered a suspected request; its suspicion ends", "request", q.request.ID,
+					fingerprintAttr(f), "target", r.target, "outcome", r.outcome.String(), "crashed_targets", q.priorCrashes)
+				q.service.suspects.recordAnswer(f)
 			}
 			return
 		case r.hasOutcome(query.OutcomeCrashed, query.OutcomeRefused):
@@ -178,7 +181,10 @@
 	}
 	go func() {
 		defer func() { <-s.suspects.probes }()
-		s.reportCrashes(fingerprint(r), s.confirmCrashes(closed), slog.String("request", r.ID))
+		crashes := s.confirmCrashes(closed)
+		s.cfg.Log.Info("targets probed that closed connections of an unanswered request", "request", r.ID,
+			fingerprintAttr(fingerprint(r)), "targets", closed, "crashed", len(crashes))
+		s.reportCrashes(fingerprint(r), crashes, slog.String("request", r.ID))
 	}()
 }
 
@@ -281,6 +287,6 @@
 				return
 			}
 		}
-		s.cfg.Log.Info("cannot send a suspicion to a member", "member", m.ID, "error", err)
+		s.cfg.Log.Info("cannot send a suspicion to a member", "member", m.ID, fingerprintAttr(suspicion.Fingerprint), "error", err)
 	}()
 }
