--- a/instance/gateway/suspects_test.go
+++ b/instance/gateway/suspects_test.go
@@ -40,12 +40,17 @@
 	entries   map[string]roster.Entry
 	down      map[string]bool
 	crashes   int
-	resetOnly bool // a bad request closes its connection but does not crash the target
+	resetOnly bool            // a bad request closes its connection but does not crash the target
+	failing   map[string]bool // targets that answer each request with an error
+	silent    map[string]bool // targets that answer no request
+	paused    map[string]bool // instances that answer no other instance
+	restartIn time.Duration   // time from a crash of a target to its restart
 }
 
 func newCluster(t *testing.T, instances int) *cluster {
 	c := &cluster{
 		gateways: map[string]*gateway.Service{}, buses: map[string]*kernel.Bus{}, entries: map[string]roster.Entry{}, down: map[string]bool{},
+		failing: map[string]bool{}, silent: map[string]bool{}, paused: map[string]bool{}, restartIn: restartTime,
 	}
 	for _, name := range []string{"single", "s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9"} {
 		for i, domain := range []string{"near", "far", "far", "near"} {
@@ -104,21 +109,35 @@
 // Members implements gateway.Members.
 func (c *cluster) Members() []membership.Member { return c.members }
 
-func (c *cluster) sendSuspicion(_ context.Context, address string, m peer.Suspicion) error {
+func (c *cluster) sendSuspicion(ctx context.Context, address string, m peer.Suspicion) error {
 	c.mu.Lock()
-	s := c.gateways[address]
+	s, paused := c.gateways[address], c.paused[address]
 	c.mu.Unlock()
+	if paused {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	s.OnSuspicion(m)
 	return nil
 }
 
 // Send implements gateway.Sender.
-func (c *cluster) Send(_ context.Context, a gateway.Attempt) query.Reply {
+func (c *cluster) Send(ctx context.Context, a gateway.Attempt) query.Reply {
 	id := string(a.Target)
-	if c.isDown(id) {
+	c.mu.Lock()
+	down, failing, silent := c.down[id], c.failing[id], c.silent[id]
+	c.mu.Unlock()
+	if down {
 		return outcome(query.OutcomeNotRun)
 	}
+	if silent {
+		<-ctx.Done()
+		return outcome(query.OutcomeUnknown)
+	}
 	time.Sleep(serviceTime)
+	if failing {
+		return query.Reply{Outcome: query.OutcomeFailed, Part: &query.Part{Status: http.StatusInternalServerError, Signature: id}}
+	}
 	if string(a.Request.Body) == badBody {
 		if !c.resetOnly {
 			c.crash(id)
@@ -142,7 +161,7 @@
 	defer c.mu.Unlock()
 	c.crashes++
 	c.down[id] = true
-	time.AfterFunc(restartTime, func() {
+	time.AfterFunc(c.restartIn, func() {
 		c.mu.Lock()
 		delete(c.down, id)
 		e := c.entries[id]
@@ -306,3 +325,106 @@
 		require.Equal(t, crashesBefore, c.crashes)
 	})
 }
+
+// submitBad submits the bad request of one caller through an instance, and returns the number of targets that it crashed.
+func (c *cluster) submitBad(t *testing.T, instance int) int {
+	c.mu.Lock()
+	before := c.crashes
+	c.mu.Unlock()
+	c.do(t.Context(), instance, "/one/x", badBody, "10.0.0.1:1")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashes - before
+}
+
+// Guards against a request that is let go because one target answers it with an error without running it.
+func TestErrorResponseDoesNotReleaseCrashingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		defer c.stopAll(t)
+		c.failing["single-3"] = true
+		for range 40 {
+			c.submitBad(t, 0)
+			time.Sleep(restartTime + time.Second)
+		}
+		require.LessOrEqual(t, c.crashes, 3)
+	})
+}
+
+// Guards against a crash that is not counted because the target is back before the request has ended elsewhere.
+func TestCrashCountsWhileAnotherAttemptIsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		defer c.stopAll(t)
+		c.restartIn = 400 * time.Millisecond
+		c.silent["single-1"], c.silent["single-2"], c.silent["single-3"] = true, true, true
+		for range 40 {
+			c.submitBad(t, 0)
+			time.Sleep(2 * time.Second)
+		}
+		require.LessOrEqual(t, c.crashes, 3)
+	})
+}
+
+// Guards against a crash that is not counted because the target is back under the same id before it is probed.
+func TestCrashCountsIfTargetRestartsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		defer c.stopAll(t)
+		c.restartIn = 0
+		for range 40 {
+			c.submitBad(t, 0)
+			time.Sleep(2 * time.Second)
+		}
+		require.LessOrEqual(t, c.crashes, 3)
+	})
+}
+
+// Guards against an instance that was paused while the others learnt of crashes, and sends the request on afterwards.
+func TestPausedInstanceLearnsOfCrashingRequest(t *testing.T) {
+	for name, crashes := range map[string]int{"of the third crash": 3, "of the second crash": 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 3)
+				defer c.stopAll(t)
+				c.paused["i2"] = true
+				total := 0
+				for n := 0; total < crashes; n++ {
+					total += c.submitBad(t, n%2)
+					time.Sleep(restartTime + time.Second)
+				}
+				c.mu.Lock()
+				c.paused["i2"] = false
+				c.mu.Unlock()
+				time.Sleep(5 * time.Second)
+				for range 10 {
+					total += c.submitBad(t, 2)
+					time.Sleep(restartTime + time.Second)
+				}
+				require.Equal(t, 3, total)
+			})
+		})
+	}
+}
+
+// Guards against further attempts of a submission in flight once other submissions have crashed enough targets.
+func TestQuarantineStopsSubmissionsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll(t)
+		c.silent["single-0"], c.silent["single-3"] = true, true // The targets near the instances, which are asked first.
+		var wait sync.WaitGroup
+		defer wait.Wait()
+		wait.Go(func() { c.do(t.Context(), 0, "/many/x", badBody, "10.0.0.1:1") })
+		time.Sleep(50 * time.Millisecond)
+		c.mu.Lock()
+		clear(c.silent)
+		c.mu.Unlock()
+		c.do(t.Context(), 1, "/many/x", badBody, "10.0.0.1:1")
+		require.Equal(t, 3, c.crashes)
+		time.Sleep(2 * time.Second)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		require.Equal(t, 3, c.crashes)
+	})
+}
