Keep the suspicion of a request that a target answers with an error

Callers of other requests lost targets to a request that had crashed three. An error response of any target ended its suspicion at that instance, and stopped the probes of the targets that it had crashed in the same submission. A failing target sends errors instead of running requests, so that an error proves nothing. Only a success ends a suspicion now.

TestErrorResponseDoesNotReleaseCrashingRequest failed before (4 crashes where 3 are allowed) and passes.

--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -145,17 +145,18 @@
 	return q.priorCrashes + len(targets)
 }
 
-// updateSuspicion evaluates a request that has ended. If a target ran the request and replied, the suspicion ends.
-// Otherwise, targets that closed or refused connections are probed for crashes.
+// updateSuspicion evaluates a request that has ended. If a target ran the request and succeeded, the suspicion ends.
+// Otherwise, targets that closed or refused connections are probed for crashes. An error response does not show that the
+// request is harmless: a failing target also sends one instead of running the request.
 func (q *run) updateSuspicion() {
 	var closed []query.TargetID
 	for _, r := range q.attempts {
 		switch {
-		case r.hasOutcome(query.OutcomeAnswered, query.OutcomeFailed):
+		case r.hasOutcome(query.OutcomeAnswered):
 			if q.priorCrashes > 0 {
 				f := fingerprint(q.request)
 				q.service.cfg.Log.Info("a target answered a suspected request; its suspicion ends", "request", q.request.ID,
-					fingerprintAttr(f), "target", r.target, "outcome", r.outcome.String(), "crashed_targets", q.priorCrashes)
+					fingerprintAttr(f), "target", r.target, "crashed_targets", q.priorCrashes)
 				q.service.suspects.recordAnswer(f)
 			}
 			return
