Probe a target for a crash when its connection closes

Each of 40 submissions of one request crashed a target: the probe ran when the request ended, and a second attempt at a silent target kept it in flight until the first target was back. A connection that closes in the middle of a request now starts a probe at once.

The gateway's background work now ends with the service. The tests stop each service that they start for that.

--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -108,6 +108,7 @@
 func newServiceFrom(t *testing.T, cfg gateway.Config) *gateway.Service {
 	t.Helper()
 	s := gateway.New(cfg)
+	t.Cleanup(func() { require.NoError(t, s.Stop(context.Background())) }) // Ends the work in the background.
 	table, entries := tableAndTargets()
 	s.SetTable(table)
 	s.SetTargets(directory.TargetsChanged{Entries: entries})
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -46,6 +46,7 @@
 	offers       chan query.Shard // shards with freed capacity that is offered to this request
 	cancels      map[query.AttemptID]context.CancelFunc
 	attempts     []attemptRecord // in the order of sending
+	probes       []*crashProbe   // of the targets that closed connections
 	priorCrashes int             // targets that crashed on earlier submissions of the request
 	denied       denials
 }
@@ -214,8 +215,13 @@
 	q.service.cfg.Metrics.countAttempt(r.reply.Outcome)
 	q.endAttempt(r.attempt, replied, r.reply.Outcome)
 	q.service.observeRateLimit(r.target, r.reply)
-	if r.reply.Outcome == query.OutcomeWrongShard {
+	switch r.reply.Outcome {
+	case query.OutcomeWrongShard:
 		q.service.onAddressReused(r.target)
+	case query.OutcomeCrashed, query.OutcomeRefused:
+		if p, ok := q.service.probe(r.target); ok && !slices.Contains(q.probes, p) {
+			q.probes = append(q.probes, p)
+		}
 	}
 	if q.single != nil {
 		if r.reply.Outcome == query.OutcomeFailed {
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -76,6 +76,8 @@
 	ready       chan struct{} // closed once routes and targets have been read
 	lastAttempt atomic.Uint64
 	inFlight    atomic.Int64
+	ctx         context.Context // of the work in the background, done once the service stops
+	cancel      context.CancelFunc
 	background  sync.WaitGroup
 	suspects    *suspects
 
@@ -99,7 +101,6 @@
 	// forwardBudget bounds the requests that are sent to a second relay.
 	forwardBudget *hedge.WindowBudget
 	connectExtra  bool // targets of all services accept enough connections to open some for hedges and retries in advance
-	cancel        context.CancelFunc
 }
 
 // New returns a service without routes and targets.
@@ -110,6 +111,7 @@
 		gates: map[query.Shard]*admission.Gate{}, queues: map[query.Shard]*admission.Queue[*run]{},
 		relayChooser: forward.NewChooser(), forwardBudget: newForwardBudget(cfg.ExtraAttempts),
 	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.suspects = newSuspects()
 	s.fleet = s.fleetOf(nil, gathered{}, nil)
 	s.balancer.SetInstances(s.fleet.all.instances, s.fleet.all.ratePart)
@@ -125,8 +127,7 @@
 
 // Start subscribes to changes of routes, targets and members, and opens connections in the background.
 func (s *Service) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel = cancel
+	ctx := s.ctx
 	s.mu.Lock()
 	s.started = time.Now()
 	s.mu.Unlock()
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -17,12 +17,6 @@
 )
 
 const (
-	// probeTimeout bounds the connection attempts that detect crashed targets. It allows several round trips
-	// between regions, and is shorter than the seconds that a crashed target takes to restart.
-	probeTimeout = 300 * time.Millisecond
-	// maxProbes bounds the requests whose targets are probed at the same time. When a shard loses all targets, all
-	// its requests end without an answer, and none of them is the cause.
-	maxProbes = 16
 	// suspicionTimeout bounds one attempt to send a suspicion to a peer.
 	suspicionTimeout = time.Second
 	// suspicionAttempts is the maximum number of attempts to send a suspicion to a peer. One message may be lost.
@@ -34,16 +28,16 @@
 // an answer and a target that ran it refuses connections; a target that only lost an answer still accepts them. It is
 // safe for concurrent use.
 type suspects struct {
-	probes chan struct{} // semaphore with one element for each request whose targets are being probed
-
 	mu               sync.Mutex // guards the fields below
 	list             *quarantine.List
-	liveIncarnations map[string]uint64 // by id, of the members that were live at the last call of joined
+	liveIncarnations map[string]uint64              // by id, of the members that were live at the last call of joined
+	probes           map[query.TargetID]*crashProbe // in progress, by incarnation id
 }
 
 func newSuspects() *suspects {
 	return &suspects{
-		probes: make(chan struct{}, maxProbes), list: quarantine.NewListWithThreshold(crashLimit), liveIncarnations: map[string]uint64{},
+		list: quarantine.NewListWithThreshold(crashLimit), liveIncarnations: map[string]uint64{},
+		probes: map[query.TargetID]*crashProbe{},
 	}
 }
 
@@ -146,75 +140,38 @@
 }
 
 // updateSuspicion evaluates a request that has ended. If a target ran the request and succeeded, the suspicion ends.
-// Otherwise, targets that closed or refused connections are probed for crashes. An error response does not show that the
-// request is harmless: a failing target also sends one instead of running the request.
+// Otherwise, the targets that crashed meanwhile are reported. An error response does not show that the request is
+// harmless: a failing target also sends one instead of running the request.
 func (q *run) updateSuspicion() {
-	var closed []query.TargetID
 	for _, r := range q.attempts {
-		switch {
-		case r.hasOutcome(query.OutcomeAnswered):
-			if q.priorCrashes > 0 {
-				f := fingerprint(q.request)
-				q.service.cfg.Log.Info("a target answered a suspected request; its suspicion ends", "request", q.request.ID,
-					fingerprintAttr(f), "target", r.target, "crashed_targets", q.priorCrashes)
-				q.service.suspects.recordAnswer(f)
-			}
-			return
-		case r.hasOutcome(query.OutcomeCrashed, query.OutcomeRefused):
-			if !slices.Contains(closed, r.target) {
-				closed = append(closed, r.target)
-			}
+		if !r.hasOutcome(query.OutcomeAnswered) {
+			continue
+		}
+		if q.priorCrashes > 0 {
+			f := fingerprint(q.request)
+			q.service.cfg.Log.Info("a target answered a suspected request; its suspicion ends", "request", q.request.ID,
+				fingerprintAttr(f), "target", r.target, "crashed_targets", q.priorCrashes)
+			q.service.suspects.recordAnswer(f)
 		}
-	}
-	if len(closed) > 0 {
-		q.service.probe(q.request, closed)
-	}
-}
-
-// probe checks which of the targets that closed their connections during a request have crashed. It runs in the
-// background, so that the final answer is not delayed.
-func (s *Service) probe(r *Request, closed []query.TargetID) {
-	select {
-	case s.suspects.probes <- struct{}{}:
-	default:
-		s.cfg.Log.Info("targets are not probed for crashes: too many probes in progress", "request", r.ID)
 		return
 	}
-	go func() {
-		defer func() { <-s.suspects.probes }()
-		crashes := s.confirmCrashes(closed)
-		s.cfg.Log.Info("targets probed that closed connections of an unanswered request", "request", r.ID,
-			fingerprintAttr(fingerprint(r)), "targets", closed, "crashed", len(crashes))
-		s.reportCrashes(fingerprint(r), crashes, slog.String("request", r.ID))
-	}()
+	if len(q.probes) > 0 {
+		q.service.background.Go(func() { q.service.reportProbed(q.request, q.probes) })
+	}
 }
 
-// confirmCrashes returns the targets that refuse connections as crashes. A target that does not respond within
-// probeTimeout is left out, because it may only be unreachable from this instance.
-func (s *Service) confirmCrashes(closed []query.TargetID) []quarantine.Crash {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	crashed := make([]query.TargetID, len(closed))
-	var probes sync.WaitGroup
-	for i, id := range closed {
-		e, ok := s.target(id)
-		if !ok {
-			continue
-		}
-		probes.Go(func() {
-			if err := s.cfg.Sender.CheckReachable(ctx, e.Address); err != nil && ctx.Err() == nil {
-				crashed[i] = incarnationID(id, e.Incarnation)
-			}
-		})
-	}
-	probes.Wait()
-	var crashes []quarantine.Crash
-	for _, id := range crashed {
-		if id != "" {
-			crashes = append(crashes, quarantine.Crash{Target: id})
+// reportProbed reports the targets that have crashed during a request, each as soon as its probe has found out.
+func (s *Service) reportProbed(r *Request, probes []*crashProbe) {
+	f, crashed := fingerprint(r), 0
+	for _, p := range probes {
+		<-p.done
+		if p.crashed {
+			crashed++
+			s.reportCrashes(f, []quarantine.Crash{{Target: p.target}}, slog.String("request", r.ID))
 		}
 	}
-	return crashes
+	s.cfg.Log.Info("targets probed that closed connections of an unanswered request", "request", r.ID, fingerprintAttr(f),
+		"targets", len(probes), "crashed", crashed)
 }
 
 // incarnationID returns an id for one incarnation of a target. A target may crash again after it has restarted under
