Count a crash of a target that is back at once

A request crashed a target with each submission if targets restarted before the probe reached them: they accepted the connection and counted as alive.

--- a/instance/gateway/crash_probe.go
+++ b/instance/gateway/crash_probe.go
@@ -12,46 +12,46 @@
 // probeTimeout bounds one check whether a target accepts connections. It allows several round trips between regions.
 const probeTimeout = 300 * time.Millisecond
 
-// probePauses are the pauses before the checks of a probe. The first check may find an idle connection that the crash
-// has closed too, but whose end has not arrived yet. All checks end before a target that takes seconds to restart is
-// back.
-var probePauses = []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond}
+// probeSteps are the steps of a probe, with the pause before each.
+//
+// The first connection check may find an idle connection that the crash has closed too, but whose end has not arrived
+// yet. A target that is back before the last one still shows in the list, where it registers again within seconds.
+var probeSteps = []struct {
+	pause   time.Duration
+	connect bool
+}{{0, true}, {100 * time.Millisecond, true}, {400 * time.Millisecond, true}, {500 * time.Millisecond, false}, {time.Second, false}, {time.Second, false}}
 
 // crashProbe finds out whether a target has crashed. It starts when a connection closes in the middle of a request, and
 // is shared by all requests that the target had in flight.
 type crashProbe struct {
 	target query.TargetID // incarnation id
 	done   chan struct{}  // closed once crashed is set
-	// crashed is set if the target refuses connections. A target that does not respond has not been shown to have
-	// crashed: it may only be unreachable from this instance.
+	// crashed is set if the target refuses connections or has restarted. A target that does not respond has not been
+	// shown to have crashed: it may only be unreachable from this instance.
 	crashed bool
 }
 
-// probe returns the probe of a target that has closed a connection in the middle of a request, or false if the target is
-// no longer in the list.
-func (s *Service) probe(id query.TargetID) (*crashProbe, bool) {
-	e, ok := s.target(id)
-	if !ok {
-		return nil, false
-	}
-	p := &crashProbe{target: incarnationID(id, e.Incarnation), done: make(chan struct{})}
+// probe returns the probe of a target that has closed a connection in the middle of a request. e is its entry at the time
+// at which the request was sent.
+func (s *Service) probe(e roster.Entry) *crashProbe {
+	p := &crashProbe{target: incarnationID(query.TargetID(e.ID), e.Incarnation), done: make(chan struct{})}
 	s.suspects.mu.Lock()
 	defer s.suspects.mu.Unlock()
 	if running, ok := s.suspects.probes[p.target]; ok {
-		return running, true
+		return running
 	}
 	s.suspects.probes[p.target] = p
 	s.background.Go(func() { s.runProbe(p, e) })
-	return p, true
+	return p
 }
 
 func (s *Service) runProbe(p *crashProbe, e roster.Entry) {
-	for i, pause := range probePauses {
-		kernel.Sleep(s.ctx, pause)
-		if i == len(probePauses)-1 {
+	for _, step := range probeSteps {
+		kernel.Sleep(s.ctx, step.pause)
+		if !step.connect {
 			s.suspects.endProbe(p) // A connection that closes from now on needs checks of its own.
 		}
-		if p.crashed = s.refusesConnections(e.Address); p.crashed {
+		if p.crashed = s.hasRestarted(e) || step.connect && s.refusesConnections(e.Address); p.crashed {
 			break
 		}
 	}
@@ -73,3 +73,15 @@
 	err := s.cfg.Sender.CheckReachable(ctx, address)
 	return err != nil && ctx.Err() == nil
 }
+
+// hasRestarted reports whether the list shows a later start of a target, under its id or at its address.
+func (s *Service) hasRestarted(e roster.Entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, now := range s.roster.Entries(time.Now()) {
+		if (now.ID == e.ID || now.Address == e.Address) && now.Incarnation > e.Incarnation {
+			return true
+		}
+	}
+	return false
+}
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"hyssopcroft.example/control/roster"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/admission"
@@ -62,6 +63,7 @@
 	id     query.AttemptID
 	shard  query.Shard
 	target query.TargetID
+	entry  roster.Entry  // of the target, when the attempt was sent
 	sent   time.Duration // since the start of the request
 	took   time.Duration
 	phase  attemptPhase
@@ -219,7 +221,7 @@
 	case query.OutcomeWrongShard:
 		q.service.onAddressReused(r.target)
 	case query.OutcomeCrashed, query.OutcomeRefused:
-		if p, ok := q.service.probe(r.target); ok && !slices.Contains(q.probes, p) {
+		if p := q.service.probe(q.sentTo(r.attempt)); !slices.Contains(q.probes, p) {
 			q.probes = append(q.probes, p)
 		}
 	}
@@ -235,6 +237,12 @@
 	return q.machine.OnReply(time.Now(), r.attempt, r.reply)
 }
 
+// sentTo returns the entry of the target of an attempt.
+func (q *run) sentTo(id query.AttemptID) roster.Entry {
+	i := slices.IndexFunc(q.attempts, func(r attemptRecord) bool { return r.id == id })
+	return q.attempts[i].entry
+}
+
 // perform carries out the actions and reports whether the machine has finished.
 func (q *run) perform(ctx context.Context, actions []scatter.Action) bool {
 	finished := false
@@ -255,9 +263,9 @@
 func (q *run) send(ctx context.Context, a scatter.Action) {
 	ctx, cancel := context.WithCancel(ctx)
 	q.cancels[a.Attempt] = cancel
-	q.attempts = append(q.attempts, attemptRecord{id: a.Attempt, shard: a.Shard, target: a.Target, sent: time.Since(q.start)})
-	shard, version := a.Shard, q.resolved.version
 	entry, ok := q.service.target(a.Target)
+	q.attempts = append(q.attempts, attemptRecord{id: a.Attempt, shard: a.Shard, target: a.Target, entry: entry, sent: time.Since(q.start)})
+	shard, version := a.Shard, q.resolved.version
 	go func() {
 		defer cancel()
 		reply := query.Reply{Outcome: query.OutcomeNotRun}
