Tell instances of a crashing request until they know it

An instance that had been paused for more than two seconds sent a request on that the others refused: a suspicion was sent at most twice, and a member that had returned was told of requests with three crashes only. A suspicion is now sent again for 30 s, also to members that count as dead, which is what the sender of a suspicion looks like to the others while it is cut off. Members that join or return are told of the latest 256 suspected requests, with any number of crashes.

TestPausedInstanceLearnsOfCrashingRequest failed before (6 and 5 crashes where 3 are allowed) and passes.

--- a/instance/gateway/fleet.go
+++ b/instance/gateway/fleet.go
@@ -151,7 +151,7 @@
 			return
 		}
 		s.updateFleet()
-		s.sendQuarantinedToJoined()
+		s.sendSuspectsToJoined()
 		if !kernel.Sleep(ctx, fleetUpdatePause) {
 			return
 		}
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -12,6 +12,7 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/control/rendezvous"
+	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/quarantine"
 )
@@ -19,8 +20,14 @@
 const (
 	// suspicionTimeout bounds one attempt to send a suspicion to a peer.
 	suspicionTimeout = time.Second
-	// suspicionAttempts is the maximum number of attempts to send a suspicion to a peer. One message may be lost.
-	suspicionAttempts = 2
+	// suspicionPause is the pause between two attempts.
+	suspicionPause = 500 * time.Millisecond
+	// suspicionSpan bounds the time over which a suspicion is sent again. A member that returns later gets all
+	// suspicions then.
+	suspicionSpan = 30 * time.Second
+	// maxSentToJoined is the maximum number of suspected requests of which a member is told when it joins or returns,
+	// the latest first.
+	maxSentToJoined = 256
 )
 
 // suspects records requests that crash the targets that run them. Callers resubmit such a request at any instance, and
@@ -94,9 +101,9 @@
 	}
 }
 
-// joined returns the members that have become live or have a new incarnation since the last call, and the quarantined
+// joined returns the members that have become live or have a new incarnation since the last call, and the suspected
 // requests.
-func (s *suspects) joined(members []membership.Member) ([]membership.Member, []quarantine.Confirmed) {
+func (s *suspects) joined(members []membership.Member) ([]membership.Member, []quarantine.Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	previous := s.liveIncarnations
@@ -111,7 +118,10 @@
 			joined = append(joined, m)
 		}
 	}
-	return joined, s.list.AllConfirmed(time.Now())
+	if len(joined) == 0 {
+		return nil, nil
+	}
+	return joined, s.list.Suspects(time.Now(), maxSentToJoined)
 }
 
 func fingerprintAttr(f quarantine.Fingerprint) slog.Attr {
@@ -213,12 +223,12 @@
 		fingerprintAttr(f), slog.Any("targets", targets), slog.Int("crashed_targets", total), slog.Bool("held", total >= crashLimit))...)
 }
 
-// sendQuarantinedToJoined sends the quarantined requests to members that have joined or restarted. For each of these,
-// rendezvous hashing chooses the one instance that sends.
-func (s *Service) sendQuarantinedToJoined() {
+// sendSuspectsToJoined tells members that have joined, restarted or returned of the suspected requests. For each of these
+// members, rendezvous hashing chooses the one instance that sends.
+func (s *Service) sendSuspectsToJoined() {
 	members := s.cfg.Members.Members()
-	joined, quarantined := s.suspects.joined(members)
-	if len(joined) == 0 || len(quarantined) == 0 {
+	joined, suspected := s.suspects.joined(members)
+	if len(suspected) == 0 {
 		return
 	}
 	live := membership.LiveIDs(members)
@@ -227,24 +237,36 @@
 		if rendezvous.Choose(m.ID, others) != s.cfg.Instance {
 			continue
 		}
-		for _, c := range quarantined {
+		for _, c := range suspected {
 			s.sendSuspicion(m, peer.Suspicion{Fingerprint: c.Fingerprint, Crashes: c.Crashes})
 		}
 	}
 }
 
-// sendSuspicion sends a suspicion to a member in the background, with a limited number of attempts.
+// sendSuspicion sends a suspicion to a member in the background, again and again until the member has it or has
+// restarted. A member that is paused or cut off, and may count as dead meanwhile, would send the request to further
+// targets afterwards.
 func (s *Service) sendSuspicion(m membership.Member, suspicion peer.Suspicion) {
-	go func() {
-		var err error
-		for range suspicionAttempts {
-			ctx, cancel := context.WithTimeout(context.Background(), suspicionTimeout)
-			err = s.cfg.SendSuspicion(ctx, m.Address, suspicion)
+	s.background.Go(func() {
+		start := time.Now()
+		for {
+			ctx, cancel := context.WithTimeout(s.ctx, suspicionTimeout)
+			err := s.cfg.SendSuspicion(ctx, m.Address, suspicion)
 			cancel()
 			if err == nil {
 				return
 			}
+			if time.Since(start) >= suspicionSpan || s.hasBeenReplaced(m) || !kernel.Sleep(s.ctx, suspicionPause) {
+				s.cfg.Log.Info("cannot send a suspicion to a member", "member", m.ID, fingerprintAttr(suspicion.Fingerprint), "error", err)
+				return
+			}
 		}
-		s.cfg.Log.Info("cannot send a suspicion to a member", "member", m.ID, fingerprintAttr(suspicion.Fingerprint), "error", err)
-	}()
+	})
+}
+
+// hasBeenReplaced reports whether a member has restarted.
+func (s *Service) hasBeenReplaced(m membership.Member) bool {
+	return slices.ContainsFunc(s.cfg.Members.Members(), func(now membership.Member) bool {
+		return now.ID == m.ID && now.Incarnation != m.Incarnation
+	})
 }
--- a/query/quarantine/list.go
+++ b/query/quarantine/list.go
@@ -127,6 +127,26 @@
 	return slices.Clone(e.crashes)
 }
 
+// Suspect is a request and the targets that crashed on it.
+type Suspect struct {
+	Fingerprint Fingerprint
+	Crashes     []Crash
+}
+
+// Suspects returns the requests on which targets crashed within HoldDuration, the latest first and at most limit.
+func (l *List) Suspects(now time.Time, limit int) []Suspect {
+	all := make([]Suspect, 0, len(l.entries.items))
+	for f := range l.entries.items {
+		if crashes := l.RecentCrashes(now, f); len(crashes) > 0 {
+			all = append(all, Suspect{Fingerprint: f, Crashes: crashes})
+		}
+	}
+	slices.SortFunc(all, func(a, b Suspect) int {
+		return l.entries.items[b.Fingerprint].value.holdStart.Compare(l.entries.items[a.Fingerprint].value.holdStart)
+	})
+	return all[:min(len(all), limit)]
+}
+
 // CrashCount returns the number of targets that are known to have crashed on the request, at most as many as
 // confirm it.
 func (l *List) CrashCount(f Fingerprint) int {
