Stop submissions in flight once their request is quarantined

A submission that waited at a slow target sent its second attempt to one more target after three had crashed on other submissions: the list of quarantined requests was read when a request arrived only.

--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"hyssopcroft.example/control/roster"
@@ -13,6 +14,7 @@
 	"hyssopcroft.example/query/admission"
 	"hyssopcroft.example/query/balance"
 	"hyssopcroft.example/query/merge"
+	"hyssopcroft.example/query/quarantine"
 	"hyssopcroft.example/query/scatter"
 )
 
@@ -48,7 +50,8 @@
 	cancels      map[query.AttemptID]context.CancelFunc
 	attempts     []attemptRecord // in the order of sending
 	probes       []*crashProbe   // of the targets that closed connections
-	priorCrashes int             // targets that crashed on earlier submissions of the request
+	fingerprint  func() quarantine.Fingerprint
+	priorCrashes int // targets that crashed on earlier submissions of the request
 	denied       denials
 }
 
@@ -122,8 +125,8 @@
 	if s.inFlight.Add(1) > maxInFlight {
 		return Response{Kind: Refused, Reason: reasonBusy, RetryAfter: busyRetryAfter}, nil
 	}
-	crashes, refused := s.suspects.check(r)
-	if refused != nil {
+	fingerprint := sync.OnceValue(func() quarantine.Fingerprint { return fingerprint(r) })
+	if refused := s.suspects.refusal(fingerprint); refused != nil {
 		return *refused, nil
 	}
 	rr, refused := s.resolve(r, forwarded)
@@ -135,19 +138,23 @@
 	}
 	result := admission.InTime
 	defer func() { s.releaseGate(rr.gate, time.Since(start), result) }()
-	q := s.newRun(r, rr, start, crashes)
+	q := s.newRun(r, rr, start, fingerprint)
 	if !start.Before(q.deadline) {
 		return Response{Kind: Refused, Reason: "the caller waits no longer", RetryAfter: busyRetryAfter}, nil
 	}
 	q.loop(ctx)
 	q.updateSuspicion()
 	result = q.admissionResult(ctx)
+	if refused := s.suspects.refusal(q.fingerprint); refused != nil && !q.machine.MayHaveRun() {
+		return *refused, q
+	}
 	return q.response(), q
 }
 
-func (s *Service) newRun(r *Request, rr resolvedRoute, start time.Time, crashes int) *run {
+func (s *Service) newRun(r *Request, rr resolvedRoute, start time.Time, fingerprint func() quarantine.Fingerprint) *run {
+	crashes := s.suspects.crashCount(fingerprint)
 	q := &run{
-		service: s, request: r, resolved: rr, id: query.RequestID(rand.Uint64()), start: start, priorCrashes: crashes,
+		service: s, request: r, fingerprint: fingerprint, resolved: rr, id: query.RequestID(rand.Uint64()), start: start, priorCrashes: crashes,
 		deadline: start.Add(rr.timeout(r)),
 		answerBy: start.Add(rr.route.Objective - answerReserve(r)),
 		replies:  make(chan attemptReply, 2*len(rr.shards)),
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -58,25 +58,31 @@
 	return quarantine.Hash(caller, r.Method, r.Host, r.Target, string(r.Body))
 }
 
-// check returns the number of targets that crashed on a request, and the refusal if the request is quarantined.
-func (s *suspects) check(r *Request) (crashes int, refused *Response) {
+// refusal returns the refusal of a request that is quarantined, nil for any other request.
+func (s *suspects) refusal(fingerprint func() quarantine.Fingerprint) *Response {
 	s.mu.Lock()
-	empty := s.list.Empty()
-	s.mu.Unlock()
-	if empty {
-		return 0, nil
+	defer s.mu.Unlock()
+	if s.list.Empty() {
+		return nil // Hashing each request would be in vain.
+	}
+	now, f := time.Now(), fingerprint()
+	if !s.list.Refuses(now, f) {
+		return nil
+	}
+	return &Response{
+		Kind: Refused, Reason: reasonCrashes, RetryAfter: s.list.RetryAfter(now, f),
+		inputs: []slog.Attr{fingerprintAttr(f), slog.Int("crashed_targets", s.list.CrashCount(f))},
 	}
-	now, f := time.Now(), fingerprint(r)
+}
+
+// crashCount returns the number of targets that are known to have crashed on a request.
+func (s *suspects) crashCount(fingerprint func() quarantine.Fingerprint) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	crashes = s.list.CrashCount(f)
-	if s.list.Refuses(now, f) {
-		return crashes, &Response{
-			Kind: Refused, Reason: reasonCrashes, RetryAfter: s.list.RetryAfter(now, f),
-			inputs: []slog.Attr{fingerprintAttr(f), slog.Int("crashed_targets", crashes)},
-		}
+	if s.list.Empty() {
+		return 0
 	}
-	return crashes, nil
+	return s.list.CrashCount(fingerprint())
 }
 
 // record adds crashes of targets that ran a request. It returns those that were new, and the total.
@@ -158,7 +164,7 @@
 			continue
 		}
 		if q.priorCrashes > 0 {
-			f := fingerprint(q.request)
+			f := q.fingerprint()
 			q.service.cfg.Log.Info("a target answered a suspected request; its suspicion ends", "request", q.request.ID,
 				fingerprintAttr(f), "target", r.target, "crashed_targets", q.priorCrashes)
 			q.service.suspects.recordAnswer(f)
@@ -166,21 +172,21 @@
 		return
 	}
 	if len(q.probes) > 0 {
-		q.service.background.Go(func() { q.service.reportProbed(q.request, q.probes) })
+		q.service.background.Go(func() { q.service.reportProbed(q.request.ID, q.fingerprint(), q.probes) })
 	}
 }
 
 // reportProbed reports the targets that have crashed during a request, each as soon as its probe has found out.
-func (s *Service) reportProbed(r *Request, probes []*crashProbe) {
-	f, crashed := fingerprint(r), 0
+func (s *Service) reportProbed(request string, f quarantine.Fingerprint, probes []*crashProbe) {
+	crashed := 0
 	for _, p := range probes {
 		<-p.done
 		if p.crashed {
 			crashed++
-			s.reportCrashes(f, []quarantine.Crash{{Target: p.target}}, slog.String("request", r.ID))
+			s.reportCrashes(f, []quarantine.Crash{{Target: p.target}}, slog.String("request", request))
 		}
 	}
-	s.cfg.Log.Info("targets probed that closed connections of an unanswered request", "request", r.ID, fingerprintAttr(f),
+	s.cfg.Log.Info("targets probed that closed connections of an unanswered request", "request", request, fingerprintAttr(f),
 		"targets", len(probes), "crashed", crashed)
 }
 
