Keep quarantined requests in the platform's store

After the loss of all instances a request that had crashed three targets crashed three more: what instances knew was in memory only. An instance that reached the store and the targets but no other instance never got to know it either. An instance that finds one of its requests missing there writes it again, and a write is repeated for as long as the request is held.

The kind is read in the background: an instance starts without it, and watchers wait 10 s a call for it, because calls have a price.

TestCrashingRequestStaysQuarantinedAfterLossOfAllInstances fails without the read of the stored list (6 crashes where 3 are allowed) and passes; so do TestQuarantinedRequestIsSavedAgainIfStoreLacksIt and TestQuarantinedRequestsOutliveInstances.

--- a/instance/configsync/quarantine.go
+++ b/instance/configsync/quarantine.go
@@ -15,11 +15,9 @@
 
 const (
 	// quarantineWriteInterval is the minimum time between two writes of an instance. Requests that are
-	// confirmed in the meantime form one batch, which limits the number of writes.
+	// confirmed in the meantime form one batch, which limits the number of writes. A batch is tried for as long as its
+	// requests are held: suspicions that instances send each other do not survive the loss of all instances.
 	quarantineWriteInterval = time.Second
-	// quarantineWriteAttempts is the maximum number of attempts to write a batch. A batch that fails is
-	// dropped; the suspicions that instances exchange remain as the only protection.
-	quarantineWriteAttempts = 10
 	// quarantineWriteTimeout bounds one attempt.
 	quarantineWriteTimeout = 2 * time.Second
 )
@@ -65,41 +63,67 @@
 		if !writing {
 			return
 		}
-		for n := 0; n < quarantineWriteAttempts && s.ctx.Err() == nil; n++ {
+		for start := time.Now(); time.Since(start) < quarantine.HoldDuration && s.ctx.Err() == nil; {
 			err := s.addConfirmed(batch)
 			kernel.Sleep(s.ctx, quarantineWriteInterval)
 			if err == nil {
 				break
 			}
+			s.log.Info("quarantined requests not written to the store yet", "requests", len(batch), "error", err)
 			s.counters.Counter("quarantine_writes_failed").Add(1)
 		}
 	}
 }
 
-// addConfirmed adds a batch to the quarantine object in the store. If a write succeeded but its response
-// was lost, the next attempt finds the requests in the object and writes nothing.
+// QuarantineStore holds the list of quarantined requests.
+type QuarantineStore interface {
+	// ReadQuarantined returns the list and its version, 0 if there is none yet.
+	ReadQuarantined(ctx context.Context) ([]quarantine.Confirmed, platform.Version, error)
+	// WriteQuarantined replaces the list if its version is still the expected one. The write may have taken effect if
+	// it fails.
+	WriteQuarantined(ctx context.Context, list []quarantine.Confirmed, expected platform.Version) error
+}
+
+// addConfirmed adds a batch to the list in the store. If a write succeeded but its response was lost, the next attempt
+// finds the requests in the list and writes nothing.
 func (s *Service) addConfirmed(batch []quarantine.Confirmed) error {
 	ctx, cancel := context.WithTimeout(s.ctx, quarantineWriteTimeout)
 	defer cancel()
-	obj, err := s.client.Get(ctx, "quarantine_read", KindQuarantine, NameCurrent)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	stored, version, err := s.quarantineStore.ReadQuarantined(ctx)
+	if err != nil {
 		return err
 	}
-	var stored []quarantine.Confirmed
-	if err == nil {
-		if err := json.Unmarshal(obj.Data, &stored); err != nil {
-			return errors.Wrap(err, "decode quarantined requests")
-		}
-	}
 	stored, added := quarantine.MergeConfirmed(time.Now(), stored, batch)
 	if !added {
 		return nil
 	}
-	data, err := json.Marshal(stored)
+	return s.quarantineStore.WriteQuarantined(ctx, stored, version)
+}
+
+// clientQuarantineStore keeps the list in an object of the object API.
+type clientQuarantineStore struct{ client *platform.Client }
+
+// ReadQuarantined implements QuarantineStore.
+func (c clientQuarantineStore) ReadQuarantined(ctx context.Context) ([]quarantine.Confirmed, platform.Version, error) {
+	obj, err := c.client.Get(ctx, "quarantine_read", KindQuarantine, NameCurrent)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	var list []quarantine.Confirmed
+	err = json.Unmarshal(obj.Data, &list)
+	return list, obj.Version, errors.Wrap(err, "decode quarantined requests")
+}
+
+// WriteQuarantined implements QuarantineStore.
+func (c clientQuarantineStore) WriteQuarantined(ctx context.Context, list []quarantine.Confirmed, expected platform.Version) error {
+	data, err := json.Marshal(list)
 	if err != nil {
 		return errors.Wrap(err, "encode quarantined requests")
 	}
 	next := platform.Object{Kind: KindQuarantine, Name: NameCurrent, Data: data}
-	_, err = s.client.Put(ctx, "quarantine_write", next, obj.Version, 0)
+	_, err = c.client.Put(ctx, "quarantine_write", next, expected, 0)
 	return err
 }
--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -50,7 +50,10 @@
 
 // Schema describes the objects that are replicated to every instance.
 type Schema struct {
+	// Kinds are the kinds that each instance reads at its start.
 	Kinds []string
+	// Background are kinds that an instance can start without. Only watchers read them.
+	Background []string
 	// Required is the kind without which an instance is not ready.
 	Required string
 	// Decode returns the event that announces an object, and the subject of its timeline entry.
@@ -106,10 +109,11 @@
 
 // Service replicates the objects of a schema. It is safe for concurrent use.
 type Service struct {
-	client *platform.Client // writes quarantined requests; nil if the service only reads
 	source Source
-	schema Schema
-	fleet  Fleet
+	// quarantineStore is nil if the service only reads.
+	quarantineStore QuarantineStore
+	schema          Schema
+	fleet           Fleet
 	// firstStart is set if the whole fleet starts for the first time.
 	firstStart bool
 	bus        *kernel.Bus
@@ -147,12 +151,12 @@
 // New returns a service that replicates the objects of the default schema through client.
 func New(client *platform.Client, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
 	s := NewWithSchema(defaultSchema, client, bus, ring, log, c)
-	s.client = client
+	s.quarantineStore = clientQuarantineStore{client}
 	return s
 }
 
-// NewWithSchema returns a service that replicates the objects of a schema and does not write to the
-// store.
+// NewWithSchema returns a service that replicates the objects of a schema. It does not write to the store unless
+// UseQuarantineStore is called.
 func NewWithSchema(schema Schema, source Source, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Service{source: source, schema: schema, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel, startRevisions: map[string]platform.Version{}, wireObjects: map[config.Key]*memberpb.Object{}}
@@ -166,6 +170,9 @@
 // called before Start.
 func (s *Service) OnFirstStart() { s.firstStart = true }
 
+// UseQuarantineStore sets the store to which quarantined requests are written. It must be called before Start.
+func (s *Service) UseQuarantineStore(store QuarantineStore) { s.quarantineStore = store }
+
 // UseFleet sets the fleet. It must be called before Start.
 func (s *Service) UseFleet(f Fleet) { s.fleet = f }
 
--- a/instance/configsync/watch.go
+++ b/instance/configsync/watch.go
@@ -20,6 +20,10 @@
 	watchWait = 10 * time.Second
 	// retryDelay is the mean delay after a failed watch call.
 	retryDelay = 500 * time.Millisecond
+	// backgroundWatchWait and backgroundRetryDelay replace Schema.WatchWait and retryDelay for background kinds, which
+	// change seldom and may be late: each call of the store has a price.
+	backgroundWatchWait  = 10 * time.Second
+	backgroundRetryDelay = 4 * time.Second
 	// roleInterval is the interval at which the instance checks whether it is selected as a watcher.
 	roleInterval = time.Second
 )
@@ -56,7 +60,10 @@
 	s.stopWatches = cancel
 	s.mu.Unlock()
 	for _, kind := range s.schema.Kinds {
-		watches.Go(func() { s.watch(ctx, kind) })
+		watches.Go(func() { s.watch(ctx, kind, s.schema.WatchWait, retryDelay) })
+	}
+	for _, kind := range s.schema.Background {
+		watches.Go(func() { s.watch(ctx, kind, backgroundWatchWait, backgroundRetryDelay) })
 	}
 }
 
@@ -67,15 +74,16 @@
 	return s.stopWatches != nil
 }
 
-// watch offers all changes of one kind until ctx is done.
-func (s *Service) watch(ctx context.Context, kind string) {
+// watch offers all changes of one kind until ctx is done. watchWait is the time that one call waits for a change, and
+// retryDelay the mean delay after a failed one.
+func (s *Service) watch(ctx context.Context, kind string, watchWait, retryDelay time.Duration) {
 	s.mu.Lock()
 	revision := s.startRevisions[kind]
 	delete(s.startRevisions, kind) // A later watch starts long after this read and reads all objects again.
 	s.mu.Unlock()
 	available := true
 	for ctx.Err() == nil {
-		wait := s.schema.WatchWait
+		wait := watchWait
 		if !available {
 			wait = 0 // A waiting call would not return as soon as the store has recovered.
 		}
--- a/instance/directory/directory.go
+++ b/instance/directory/directory.go
@@ -1,5 +1,5 @@
-// Package directory converts the routes and the target entries in the platform's store into the two objects that
-// are distributed to all instances. A few instances read the store; the others receive the objects from them
+// Package directory converts the routes, the target entries and the quarantined requests in the platform's store into
+// the objects that are distributed to all instances. A few instances read the store; the others receive the objects from them
 // (package configsync).
 package directory
 
@@ -11,10 +11,12 @@
 
 	"github.com/pkg/errors"
 
+	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/control/config"
 	"hyssopcroft.example/control/roster"
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/kernel"
+	"hyssopcroft.example/query/quarantine"
 	"hyssopcroft.example/query/routing"
 )
 
@@ -22,7 +24,9 @@
 const (
 	KindRoutes  = "routes"
 	KindTargets = "targets"
-	NameCurrent = "current"
+	// KindQuarantine is the list of quarantined requests. Instances can serve without it.
+	KindQuarantine = configsync.KindQuarantine
+	NameCurrent    = "current"
 )
 
 // watchWait is how long one watch waits for a change. A watch whose connection is lost reports nothing, so
@@ -57,6 +61,11 @@
 	Targets(ctx context.Context) ([]roster.Entry, Revision, error)
 	// WatchTargets waits for changes to the list after the revision.
 	WatchTargets(ctx context.Context, after Revision, wait time.Duration) ([]roster.Change, Revision, error)
+	// Quarantined returns the list of quarantined requests and its version, 0 if there is none yet.
+	Quarantined(ctx context.Context) ([]quarantine.Confirmed, platform.Version, Revision, error)
+	// WatchQuarantined waits for a change of that list. It returns version 0 if there is none within the wait time.
+	WatchQuarantined(ctx context.Context, after Revision, wait time.Duration) ([]quarantine.Confirmed, platform.Version, Revision, error)
+	configsync.QuarantineStore
 	// SaveTargets stores the targets in use, for instances that start after an outage of the store.
 	SaveTargets(ctx context.Context, list []roster.Entry) error
 	// SavedTargets returns the targets that were saved last, nil if none were.
@@ -85,10 +94,11 @@
 // Topic implements kernel.Event.
 func (TargetsChanged) Topic() string { return "entries_changed" }
 
-// Schema returns the configsync schema of the two objects.
+// Schema returns the configsync schema of the objects.
 func Schema() configsync.Schema {
 	return configsync.Schema{
-		Kinds: []string{KindRoutes, KindTargets}, Required: KindRoutes, Decode: decode, WatchWait: watchWait,
+		Kinds: []string{KindRoutes, KindTargets}, Background: []string{KindQuarantine}, Required: KindRoutes, Decode: decode,
+		WatchWait: watchWait,
 	}
 }
 
@@ -102,6 +112,10 @@
 		var ev TargetsChanged
 		err := json.Unmarshal(o.Data, &ev)
 		return ev, strconv.Itoa(len(ev.Entries)), err
+	case KindQuarantine:
+		var ev configsync.QuarantineChanged
+		err := json.Unmarshal(o.Data, &ev.Confirmed)
+		return ev, strconv.Itoa(len(ev.Confirmed)), err
 	}
 	return nil, "", errors.Errorf("unknown object kind %q", o.Kind)
 }
--- a/instance/directory/source.go
+++ b/instance/directory/source.go
@@ -53,8 +53,11 @@
 // Watch implements configsync.Source. It reads the whole list if the store no longer has the history.
 func (s *Source) Watch(ctx context.Context, _ platform.Purpose, kind string, after platform.Version, wait time.Duration) (platform.Changes, error) {
 	watch, list := s.watchRoutes, s.listRoutes
-	if kind == KindTargets {
+	switch kind {
+	case KindTargets:
 		watch, list = s.watchTargets, s.listTargets
+	case KindQuarantine:
+		watch, list = s.watchQuarantined, s.listQuarantined
 	}
 	if after == 0 {
 		return list(ctx)
@@ -84,6 +87,22 @@
 	return encodeChanges(KindRoutes, at, platform.Version(t.Version), t)
 }
 
+func (s *Source) listQuarantined(ctx context.Context) (platform.Changes, error) {
+	list, version, at, err := s.store.Quarantined(ctx)
+	if err != nil {
+		return platform.Changes{}, err
+	}
+	return encodeChanges(KindQuarantine, at, version, list)
+}
+
+func (s *Source) watchQuarantined(ctx context.Context, after Revision, wait time.Duration) (platform.Changes, error) {
+	list, version, at, err := s.store.WatchQuarantined(ctx, after, wait)
+	if err != nil || version == 0 {
+		return platform.Changes{Revision: platform.Version(at)}, err
+	}
+	return encodeChanges(KindQuarantine, at, version, list)
+}
+
 func encodeChanges(kind string, at Revision, v platform.Version, value any) (platform.Changes, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
--- a/instance/directory/source_test.go
+++ b/instance/directory/source_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
+	"hyssopcroft.example/adapter/platform"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/control/roster"
 	"hyssopcroft.example/instance/configsync"
@@ -22,6 +23,7 @@
 	"hyssopcroft.example/kernel/hlc"
 	"hyssopcroft.example/kernel/timeline"
 	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/quarantine"
 	"hyssopcroft.example/query/routing"
 )
 
@@ -40,6 +42,9 @@
 	vanished int           // number of entries a to e that watches report as removed
 	saved    []roster.Entry
 	saves    int // number of writes of saved
+	// quarantined is the list of quarantined requests, and quarantinedAt its revision, 0 if there is none.
+	quarantined   []quarantine.Confirmed
+	quarantinedAt directory.Revision
 }
 
 func (f *fakeStore) SaveTargets(_ context.Context, list []roster.Entry) error {
@@ -66,6 +71,47 @@
 	return f.saved, f.call()
 }
 
+func (f *fakeStore) Quarantined(context.Context) ([]quarantine.Confirmed, platform.Version, directory.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.quarantinedAt == 0 {
+		return nil, 0, f.revision, f.call()
+	}
+	return f.quarantined, platform.Version(f.quarantinedAt), f.revision, f.call()
+}
+
+func (f *fakeStore) WatchQuarantined(
+	ctx context.Context, after directory.Revision, wait time.Duration,
+) ([]quarantine.Confirmed, platform.Version, directory.Revision, error) {
+	if err := f.wait(ctx, after, wait); err != nil {
+		return nil, 0, 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.quarantinedAt <= after {
+		return nil, 0, f.revision, nil
+	}
+	return f.quarantined, platform.Version(f.quarantinedAt), f.revision, nil
+}
+
+func (f *fakeStore) ReadQuarantined(ctx context.Context) ([]quarantine.Confirmed, platform.Version, error) {
+	list, version, _, err := f.Quarantined(ctx)
+	return list, version, err
+}
+
+func (f *fakeStore) WriteQuarantined(_ context.Context, list []quarantine.Confirmed, expected platform.Version) error {
+	f.mu.Lock()
+	err := f.call()
+	if err == nil && expected != platform.Version(f.quarantinedAt) {
+		err = errors.New("conflict")
+	}
+	f.mu.Unlock()
+	if err == nil {
+		f.change(func() { f.quarantined, f.quarantinedAt = list, f.revision+1 })
+	}
+	return err
+}
+
 func newFakeStore() *fakeStore { return &fakeStore{revision: 1, changed: make(chan struct{})} }
 
 var errDown = errors.New("down")
@@ -191,6 +237,8 @@
 	targets      int
 	incomplete   bool
 	savedTargets int
+	quarantined  []quarantine.Confirmed
+	service      *configsync.Service
 }
 
 func (c *consumer) list() (entries int, incomplete bool) {
@@ -220,6 +268,12 @@
 	return c.versions
 }
 
+func (c *consumer) quarantinedRequests() []quarantine.Confirmed {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.quarantined
+}
+
 func (c *consumer) targetCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -235,7 +289,13 @@
 	ring := timeline.NewRing("a", 16, hlc.New(time.Now))
 	s := configsync.NewWithSchema(directory.Schema(), directory.NewSource(store, log), bus, ring, log, counters.NewSet())
 	s.UseFleet(singleInstance{})
-	c := &consumer{}
+	s.UseQuarantineStore(store)
+	c := &consumer{service: s}
+	require.NoError(t, kernel.Subscribe(t.Context(), bus, func(ev configsync.QuarantineChanged) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.quarantined = ev.Confirmed
+	}))
 	require.NoError(t, kernel.Subscribe(t.Context(), bus, func(ev directory.RoutesChanged) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -474,3 +534,24 @@
 		})
 	}
 }
+
+// Guards against quarantined requests that are lost with the instances that know them, also if they are confirmed while
+// the store is away.
+func TestQuarantinedRequestsOutliveInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, first := startWithTargets(t, "a")
+		store.set(func() { store.down = true })
+		confirmed := quarantine.Confirmed{
+			Fingerprint: 7, Crashes: []quarantine.Crash{{Target: "a"}, {Target: "b"}, {Target: "c"}},
+			UntilMillis: time.Now().Add(quarantine.HoldDuration).UnixMilli(),
+		}
+		first.service.AddQuarantined(confirmed)
+		time.Sleep(30 * time.Second)
+		store.set(func() { store.down = false })
+		time.Sleep(5 * time.Second)
+		require.Equal(t, []quarantine.Confirmed{confirmed}, first.quarantinedRequests())
+		second := start(t, store)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []quarantine.Confirmed{confirmed}, second.quarantinedRequests())
+	})
+}
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -90,6 +90,7 @@
 		Incarnation: uint64(time.Now().UnixNano()), State: membership.Starting,
 	}
 	objects := configsync.NewWithSchema(directory.Schema(), directory.NewSource(a.Store, log), e.kernel.Bus(), ring, log, c)
+	objects.UseQuarantineStore(a.Store)
 	fleet := members.New(self, a.Instances, objects, e.kernel.Bus(), ring, log, c)
 	fleet.UseSeeds(s.Seeds)
 	if s.FirstStart {
@@ -104,7 +105,7 @@
 			Share: s.ExtraShare, Slack: s.ExtraSlack, Span: time.Duration(s.ExtraSeconds * float64(time.Second)),
 		},
 		Metrics: gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
-		SendSuspicion: relays.ReportSuspicion, Forward: relays.Forward, ConnectRelay: relays.Connect,
+		SendSuspicion: relays.ReportSuspicion, SaveQuarantined: objects.AddQuarantined, Forward: relays.Forward, ConnectRelay: relays.Connect,
 	})
 	saver := directory.NewTargetSaver(a.Store, e.kernel.Bus(), fleet, log)
 	for _, service := range []kernel.Service{e.gateway, saver, objects, fleet} {
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/hedge"
+	"hyssopcroft.example/query/quarantine"
 	"hyssopcroft.example/query/routing"
 )
 
@@ -101,7 +102,8 @@
 		Instance: "i", FailureDomain: "near", Region: "north", Regions: map[string]string{"near": "north", "far": "south"},
 		ExtraAttempts: hedge.BudgetLimits{Share: 0.2, Slack: 600, Span: 10 * time.Second}, Sender: sender,
 		Log: slog.New(slog.DiscardHandler), Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Bus: bus, Members: singleInstance{},
-		ConnectRelay: func(context.Context, string) error { return nil },
+		ConnectRelay:    func(context.Context, string) error { return nil },
+		SaveQuarantined: func(quarantine.Confirmed) {},
 	}
 }
 
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -11,6 +11,7 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/directory"
 	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/kernel"
@@ -19,6 +20,7 @@
 	"hyssopcroft.example/query/balance"
 	"hyssopcroft.example/query/forward"
 	"hyssopcroft.example/query/hedge"
+	"hyssopcroft.example/query/quarantine"
 	"hyssopcroft.example/query/routing"
 )
 
@@ -63,6 +65,9 @@
 	ConnectRelay func(ctx context.Context, address string) error
 	// SendSuspicion sends a suspicion to the peer at an address.
 	SendSuspicion func(ctx context.Context, address string, m peer.Suspicion) error
+	// SaveQuarantined adds a request to the list in the platform's store, from which all instances receive it, also
+	// those that start later. It does not block.
+	SaveQuarantined func(quarantine.Confirmed)
 }
 
 // Members lists the instances of the fleet. The members service implements it.
@@ -140,6 +145,10 @@
 	if err != nil {
 		return err
 	}
+	err = kernel.Subscribe(ctx, s.cfg.Bus, func(ev configsync.QuarantineChanged) { s.onQuarantineStored(ev.Confirmed) })
+	if err != nil {
+		return err
+	}
 	membersChanged := make(chan struct{}, 1)
 	s.background.Go(func() { s.fleetLoop(ctx, membersChanged) })
 	s.background.Go(func() { s.connectRelaysLoop(ctx) })
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -204,6 +204,7 @@
 		return
 	}
 	s.logCrashes("targets crashed while they ran a request", f, added, total, source)
+	s.saveIfQuarantined(f)
 	self := s.cfg.Instance
 	for _, m := range s.cfg.Members.Members() {
 		if m.ID != self && m.State != membership.Dead {
@@ -216,6 +217,46 @@
 func (s *Service) OnSuspicion(m peer.Suspicion) {
 	if added, total := s.suspects.record(m.Fingerprint, m.Crashes); len(added) > 0 {
 		s.logCrashes("another instance reports a request that crashes targets", m.Fingerprint, added, total)
+		// Neither instance may have counted the last crash by itself.
+		if s.isSaver(m.Fingerprint) {
+			s.saveIfQuarantined(m.Fingerprint)
+		}
+	}
+}
+
+// isSaver reports whether this instance is the one live member that saves what several instances know of a request.
+func (s *Service) isSaver(f quarantine.Fingerprint) bool {
+	key := strconv.FormatUint(uint64(f), 16)
+	return rendezvous.Choose(key, membership.LiveIDs(s.cfg.Members.Members())) == s.cfg.Instance
+}
+
+// saveIfQuarantined saves a request in the platform's store if it is quarantined. What instances keep in memory is lost
+// with them, and does not reach an instance that is cut off from the others.
+func (s *Service) saveIfQuarantined(f quarantine.Fingerprint) {
+	s.suspects.mu.Lock()
+	c, quarantined := s.suspects.list.Confirmed(time.Now(), f, 0)
+	s.suspects.mu.Unlock()
+	if quarantined {
+		s.cfg.SaveQuarantined(c)
+	}
+}
+
+// onQuarantineStored takes over the list of quarantined requests in the platform's store, and saves those that it lacks.
+func (s *Service) onQuarantineStored(stored []quarantine.Confirmed) {
+	now := time.Now()
+	known := make(map[quarantine.Fingerprint]bool, len(stored))
+	s.suspects.mu.Lock()
+	for _, c := range stored {
+		known[c.Fingerprint] = true
+		s.suspects.list.Import(now, c)
+	}
+	missing := slices.DeleteFunc(s.suspects.list.AllConfirmed(now), func(c quarantine.Confirmed) bool { return known[c.Fingerprint] })
+	s.suspects.mu.Unlock()
+	s.cfg.Log.Info("quarantined requests read from the store", "requests", len(stored), "missing", len(missing))
+	for _, c := range missing {
+		if s.isSaver(c.Fingerprint) {
+			s.cfg.SaveQuarantined(c)
+		}
 	}
 }
 
--- a/instance/gateway/suspects_test.go
+++ b/instance/gateway/suspects_test.go
@@ -17,11 +17,13 @@
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/control/membership"
 	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/directory"
 	"hyssopcroft.example/instance/gateway"
 	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/quarantine"
 )
 
 const (
@@ -45,6 +47,7 @@
 	silent    map[string]bool // targets that answer no request
 	paused    map[string]bool // instances that answer no other instance
 	restartIn time.Duration   // time from a crash of a target to its restart
+	stored    []quarantine.Confirmed
 }
 
 func newCluster(t *testing.T, instances int) *cluster {
@@ -70,7 +73,7 @@
 // start starts an instance without quarantined requests.
 func (c *cluster) start(t *testing.T, id string) {
 	cfg := testConfig(t, c)
-	cfg.Instance, cfg.Members, cfg.SendSuspicion = id, c, c.sendSuspicion
+	cfg.Instance, cfg.Members, cfg.SendSuspicion, cfg.SaveQuarantined = id, c, c.sendSuspicion, c.save
 	s := newServiceFrom(t, cfg)
 	require.NoError(t, s.Start(t.Context()))
 	c.mu.Lock()
@@ -79,9 +82,20 @@
 	c.publishTargets()
 	synctest.Wait()
 	require.NoError(t, cfg.Bus.Publish(members.Changed{ID: id, State: "live"}))
+	c.mu.Lock()
+	stored := c.stored
+	c.mu.Unlock()
+	require.NoError(t, cfg.Bus.Publish(configsync.QuarantineChanged{Confirmed: stored}))
 	synctest.Wait()
 }
 
+// save stores a quarantined request, which instances read when they start.
+func (c *cluster) save(q quarantine.Confirmed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stored, _ = quarantine.MergeConfirmed(time.Now(), c.stored, []quarantine.Confirmed{q})
+}
+
 func (c *cluster) stopAll(t *testing.T) {
 	for _, s := range c.gateways {
 		require.NoError(t, s.Stop(t.Context()))
@@ -407,6 +421,52 @@
 	}
 }
 
+// Guards against a request that crashes three targets again after all instances have restarted at once.
+func TestCrashingRequestStaysQuarantinedAfterLossOfAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll(t)
+		for n := range 8 {
+			c.submitBad(t, n%3)
+			time.Sleep(restartTime + time.Second)
+		}
+		require.Equal(t, 3, c.crashes)
+		c.stopAll(t)
+		for i := range c.members {
+			c.members[i].Incarnation++
+			c.start(t, c.members[i].ID)
+		}
+		for n := range 8 {
+			c.submitBad(t, n%3)
+			time.Sleep(restartTime + time.Second)
+		}
+		require.Equal(t, 3, c.crashes)
+	})
+}
+
+// Guards against quarantined requests that the store has lost, and that nobody writes again.
+func TestQuarantinedRequestIsSavedAgainIfStoreLacksIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll(t)
+		for n := range 8 {
+			c.submitBad(t, n%3)
+			time.Sleep(restartTime + time.Second)
+		}
+		c.mu.Lock()
+		require.Len(t, c.stored, 1)
+		c.stored = nil
+		c.mu.Unlock()
+		for _, bus := range c.buses {
+			require.NoError(t, bus.Publish(configsync.QuarantineChanged{}))
+		}
+		synctest.Wait()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		require.Len(t, c.stored, 1)
+	})
+}
+
 // Guards against further attempts of a submission in flight once other submissions have crashed enough targets.
 func TestQuarantineStopsSubmissionsInFlight(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/query/quarantine/confirmed.go
+++ b/query/quarantine/confirmed.go
@@ -31,6 +31,17 @@
 	}, true
 }
 
+// AllConfirmed returns the requests that are refused at the given time, without their shapes.
+func (l *List) AllConfirmed(now time.Time) []Confirmed {
+	var all []Confirmed
+	for f := range l.entries.items {
+		if c, confirmed := l.Confirmed(now, f, 0); confirmed {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
 // Import adds a request that another instance has confirmed. It ignores one whose hold has ended. A hold
 // never exceeds HoldDuration by the local clock, even if the clock of the other instance is ahead.
 func (l *List) Import(now time.Time, c Confirmed) {
