--- a/instance/directory/source_test.go
+++ b/instance/directory/source_test.go
@@ -114,6 +114,9 @@
 
 func newFakeStore() *fakeStore { return &fakeStore{revision: 1, changed: make(chan struct{})} }
 
+// answerTime is the time to an answer of the store.
+const answerTime = 4 * time.Millisecond
+
 var errDown = errors.New("down")
 
 func (f *fakeStore) change(apply func()) {
@@ -127,6 +130,16 @@
 	}
 }
 
+// restore brings the store back from a copy that was made at the revision.
+func (f *fakeStore) restore(revision directory.Revision, apply func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	apply()
+	f.revision = revision
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 func (f *fakeStore) set(apply func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -151,12 +164,15 @@
 func (f *fakeStore) wait(ctx context.Context, after directory.Revision, wait time.Duration) error {
 	f.mu.Lock()
 	err := f.call()
-	if err == nil && after < f.oldest {
+	if err == nil && (after < f.oldest || after > f.revision) {
 		err = directory.ErrHistoryGone
 	}
 	changed := f.changed
 	ahead := f.revision > after
 	f.mu.Unlock()
+	if errors.Is(err, directory.ErrHistoryGone) {
+		time.Sleep(answerTime) // Time would not pass in a loop of calls.
+	}
 	if err != nil || ahead {
 		return err
 	}
@@ -555,3 +571,44 @@
 		require.Equal(t, []quarantine.Confirmed{confirmed}, second.quarantinedRequests())
 	})
 }
+
+// Guards against a watch that goes on from a revision that the store has lost, and reads the list again and again until
+// the store's revisions have passed it.
+func TestRestoredStoreIsNotReadInALoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, _ := startWithTargets(t, "a", "b")
+		for range 50 {
+			store.change(func() { store.version++ })
+			time.Sleep(100 * time.Millisecond)
+		}
+		before := store.callCount()
+		store.restore(10, func() {})
+		time.Sleep(10 * time.Second)
+		require.Less(t, store.callCount()-before, 30, "a few lists, and watches that wait")
+	})
+}
+
+// Guards against a change that is missed after a restore, because its revision was given out before or because the watch
+// goes on beyond it.
+func TestChangesAfterARestoreTakeEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, c := startWithTargets(t, "a", "b")
+		for range 50 {
+			store.change(func() { store.version++ })
+			time.Sleep(100 * time.Millisecond)
+		}
+		store.restore(10, func() {})
+		time.Sleep(5 * time.Second)
+		for n := range 80 {
+			store.change(func() {
+				store.targets = []roster.Entry{{ID: "a"}, {ID: "b"}}
+				for i := range n % 3 {
+					store.targets = append(store.targets, roster.Entry{ID: string(rune('c' + i))})
+				}
+				store.vanished = 5
+			})
+			time.Sleep(time.Second)
+			require.Equal(t, 2+n%3, c.targetCount(), "change %d", n)
+		}
+	})
+}
