Order revisions of the store by its era

After the store came back from a copy, callers could be routed to targets as they were before: watchers went on from a revision that the store had lost.

A revision now contains the era of the answer in its upper bits, above the count.

--- a/instance/directory/directory.go
+++ b/instance/directory/directory.go
@@ -42,11 +42,24 @@
 // lapseGrace is the time that live targets need to register again once the store is available after an outage.
 const lapseGrace = 2 * time.Second
 
-// Revision is a revision of the platform's store, which counts its changes.
+// Revision is a revision of the platform's store, which counts its changes. A store that comes back from a copy counts on
+// from the revision of the copy, in the next era. A revision of a later era is higher than all of earlier ones.
 type Revision uint64
 
-// ErrHistoryGone is returned when the store no longer has the changes after a revision. The whole list has to be
-// read again.
+// eraShift is the number of bits of the count within an era.
+const eraShift = 40
+
+// NewRevision returns the revision with the given count of changes in an era.
+func NewRevision(era, count uint64) Revision { return Revision(era<<eraShift | count) }
+
+// Era returns the era of a revision.
+func (r Revision) Era() uint64 { return uint64(r) >> eraShift }
+
+// Count returns the count of changes of a revision in its era, as the store states it.
+func (r Revision) Count() uint64 { return uint64(r) & (1<<eraShift - 1) }
+
+// ErrHistoryGone is returned when the store no longer has the changes after a revision, or has begun another era. The
+// whole list has to be read again.
 var ErrHistoryGone = errors.New("the history after this revision is gone")
 
 // Store is the platform's store. An error other than ErrHistoryGone means that the store is unavailable or that
--- a/instance/directory/source_test.go
+++ b/instance/directory/source_test.go
@@ -33,6 +33,7 @@
 	version  query.Version
 	targets  []roster.Entry
 	revision directory.Revision
+	era      uint64
 	oldest   directory.Revision // older history is gone
 	down     bool
 	silent   bool // waiting watches are not woken by changes, even after silent is reset
@@ -135,7 +136,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	apply()
-	f.revision = revision
+	f.era++
+	f.revision = directory.NewRevision(f.era, revision.Count())
 	close(f.changed)
 	f.changed = make(chan struct{})
 }
@@ -164,7 +166,7 @@
 func (f *fakeStore) wait(ctx context.Context, after directory.Revision, wait time.Duration) error {
 	f.mu.Lock()
 	err := f.call()
-	if err == nil && (after < f.oldest || after > f.revision) {
+	if err == nil && (after < f.oldest || after > f.revision || after.Era() != f.era) {
 		err = directory.ErrHistoryGone
 	}
 	changed := f.changed
