Ignore what the copy of a restored store says of targets that have left

Requests reached targets more than drain-ms after their leaving was acknowledged: in the copy from which the store came back they were ready again, and instances believed it. The start of an era now counts as the end of an outage, so that entries which the copy lacks stay in use for two seconds. What was known when the era began is kept for a minute: an entry of a target that had left or was draining counts only if the target has written since, by its sequence number, and one of an earlier start of a target never does.

TestEntriesOfACopyAreIgnored and TestCopyBringsNoTargetBack fail without the check and pass.

--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -19,6 +19,8 @@
 	Incarnation int64 `json:"incarnation"`
 	Draining    bool  `json:"draining,omitempty"`
 	Slots       int   `json:"slots"`
+	// Sequence counts what the target has written since its start, 0 if it is not stated.
+	Sequence int64 `json:"sequence,omitempty"`
 	// ColdFor is the remaining time for which the target is slow after its start, counted from the read
 	// of the entry.
 	ColdFor time.Duration `json:"cold,omitempty"`
@@ -37,11 +39,71 @@
 	warmAt  map[string]time.Time // time at which a cold target becomes warm
 	// addressReused contains entries whose address belongs to another target.
 	addressReused map[string]Entry
+	left          map[string]removal // the entries that were removed within restoreMemory
+	// era is the era of the list, and known what was known of each entry when it began, until knownUntil.
+	era        uint64
+	known      map[string]knownEntry
+	knownUntil time.Time
+}
+
+// restoreMemory is the time for which entries that have left are remembered, in case that the store comes back from a
+// copy in which they stand. It exceeds the age of a copy, and the time after which the store removes the entry of a
+// target that no longer writes.
+const restoreMemory = time.Minute
+
+// removal is an entry that has been removed.
+type removal struct {
+	entry Entry
+	at    time.Time
+}
+
+// knownEntry is what was known of an entry before a restore.
+type knownEntry struct {
+	entry Entry
+	gone  bool
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: map[string]Entry{}, addressReused: map[string]Entry{}, warmAt: map[string]time.Time{}}
+	return &Roster{entries: map[string]Entry{}, addressReused: map[string]Entry{}, warmAt: map[string]time.Time{}, left: map[string]removal{}}
+}
+
+// BeginEra must be called before changes of a later era of the list are applied: the list has been restored from a copy,
+// in which targets stand that have left or are draining. An entry of the copy is then ignored until its target has
+// written again. BeginEra reports whether any entry was known before.
+func (r *Roster) BeginEra(now time.Time, era uint64) bool {
+	if era <= r.era {
+		return false
+	}
+	r.era = era
+	r.known, r.knownUntil = map[string]knownEntry{}, now.Add(restoreMemory)
+	for id, left := range r.left {
+		if now.Sub(left.at) < restoreMemory {
+			r.known[id] = knownEntry{entry: left.entry, gone: true}
+		}
+	}
+	for id, e := range r.entries {
+		r.known[id] = knownEntry{entry: e}
+	}
+	return len(r.known) > 0
+}
+
+// isFromCopy reports whether an entry is older than what was known before the list was restored.
+func (r *Roster) isFromCopy(now time.Time, e Entry) bool {
+	if !now.Before(r.knownUntil) {
+		r.known = nil
+	}
+	k, ok := r.known[e.ID]
+	switch {
+	case !ok:
+		return false
+	case e.Incarnation < k.entry.Incarnation:
+		return true
+	case e.Incarnation == k.entry.Incarnation && e.Sequence > 0 && e.Sequence <= k.entry.Sequence:
+		return k.gone || k.entry.Draining
+	}
+	delete(r.known, e.ID)
+	return false
 }
 
 // Replace sets the entries to those of a full list. incomplete is set if the list was read soon after its
@@ -56,7 +118,7 @@
 	}
 	for id, e := range r.entries {
 		if !seen[id] && (!incomplete || e.Draining) {
-			r.remove(id)
+			r.remove(now, id)
 		}
 	}
 	maps.DeleteFunc(r.addressReused, func(id string, _ Entry) bool { return !seen[id] })
@@ -66,7 +128,7 @@
 func (r *Roster) Apply(now time.Time, changes []Change) {
 	for _, c := range changes {
 		if c.Entry == nil {
-			r.remove(c.ID)
+			r.remove(now, c.ID)
 			continue
 		}
 		r.put(now, *c.Entry)
@@ -74,6 +136,9 @@
 }
 
 func (r *Roster) put(now time.Time, e Entry) {
+	if r.isFromCopy(now, e) {
+		return
+	}
 	if reused, ok := r.addressReused[e.ID]; ok && reused.Address == e.Address && reused.Incarnation == e.Incarnation {
 		return
 	}
@@ -90,11 +155,16 @@
 func (r *Roster) OnAddressReused(e Entry) {
 	if known, ok := r.entries[e.ID]; ok && known.Address == e.Address && known.Incarnation == e.Incarnation {
 		r.addressReused[e.ID] = e
-		r.remove(e.ID)
+		delete(r.entries, e.ID)
+		delete(r.warmAt, e.ID)
 	}
 }
 
-func (r *Roster) remove(id string) {
+func (r *Roster) remove(now time.Time, id string) {
+	maps.DeleteFunc(r.left, func(_ string, l removal) bool { return now.Sub(l.at) >= restoreMemory })
+	if e, ok := r.entries[id]; ok {
+		r.left[id] = removal{entry: e, at: now}
+	}
 	delete(r.entries, id)
 	delete(r.warmAt, id)
 }
--- a/control/roster/roster_test.go
+++ b/control/roster/roster_test.go
@@ -84,3 +84,42 @@
 	r.Replace(start.Add(2*time.Second), []roster.Entry{moved, entry("b")}, false)
 	require.ElementsMatch(t, []string{"a", "b"}, ids(r))
 }
+
+// Guards against targets that have left or are draining, and get requests again because a restored list still has them.
+func TestEntriesOfACopyAreIgnored(t *testing.T) {
+	written := func(sequence int64) roster.Entry { return roster.Entry{ID: "a", Incarnation: 5, Sequence: sequence} }
+	draining := written(8)
+	draining.Draining = true
+	restarted := roster.Entry{ID: "a", Incarnation: 6, Sequence: 1}
+	for name, c := range map[string]struct {
+		before func(r *roster.Roster)
+		after  roster.Entry
+		ready  int
+	}{
+		"left":                       {func(r *roster.Roster) { r.Apply(start, removal("a")) }, written(3), 0},
+		"left, registered again":     {func(r *roster.Roster) { r.Apply(start, removal("a")) }, written(9), 1},
+		"left, restarted":            {func(r *roster.Roster) { r.Apply(start, removal("a")) }, restarted, 1},
+		"left, states no sequence":   {func(r *roster.Roster) { r.Apply(start, removal("a")) }, written(0), 1},
+		"draining":                   {func(r *roster.Roster) { r.Apply(start, []roster.Change{{ID: "a", Entry: &draining}}) }, written(3), 0},
+		"ready":                      {func(*roster.Roster) {}, written(2), 1},
+		"restarted before the store": {func(r *roster.Roster) { r.Apply(start, []roster.Change{{ID: "a", Entry: &restarted}}) }, written(3), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New()
+			require.False(t, r.BeginEra(start, 1))
+			r.Replace(start, []roster.Entry{written(3)}, false)
+			c.before(r)
+			require.True(t, r.BeginEra(start.Add(2*time.Second), 2))
+			r.Replace(start.Add(2*time.Second), []roster.Entry{c.after}, true)
+			require.Equal(t, c.ready, r.ReadyCount())
+			require.False(t, r.BeginEra(start.Add(3*time.Second), 2))
+			r.Replace(start.Add(4*time.Second), []roster.Entry{c.after}, false)
+			require.Equal(t, c.ready, r.ReadyCount())
+			for _, e := range r.Entries(start) {
+				if name == "restarted before the store" {
+					require.EqualValues(t, 6, e.Incarnation)
+				}
+			}
+		})
+	}
+}
--- a/instance/directory/directory.go
+++ b/instance/directory/directory.go
@@ -96,6 +96,8 @@
 // TargetsChanged is published when the list of targets changed.
 type TargetsChanged struct {
 	Entries []roster.Entry `json:"entries"`
+	// Era is the era of the store in which the list was read.
+	Era uint64 `json:"era,omitempty"`
 	// Incomplete is set if the list was read within lapseGrace after an outage of the store: entries may have
 	// lapsed during the outage. Another list follows.
 	Incomplete bool `json:"lapsed,omitempty"`
--- a/instance/directory/source.go
+++ b/instance/directory/source.go
@@ -220,13 +220,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if s.storeDown {
+	restored := s.roster.BeginEra(now, at.Era())
+	if s.storeDown || restored {
 		s.storeDown, s.recheckAt = false, now.Add(lapseGrace)
 	}
 	if !change(now) {
 		return platform.Changes{Revision: platform.Version(at)}, nil
 	}
-	ev, v := TargetsChanged{Entries: s.roster.Entries(now)}, 2*platform.Version(at)+1
+	ev, v := TargetsChanged{Entries: s.roster.Entries(now), Era: at.Era()}, 2*platform.Version(at)+1
 	if !s.recheckAt.IsZero() && now.Before(s.recheckAt) {
 		ev.Incomplete, ev.BeforeOutage = true, s.beforeOutage
 		v--
--- a/instance/directory/source_test.go
+++ b/instance/directory/source_test.go
@@ -255,6 +255,7 @@
 	targets      int
 	incomplete   bool
 	savedTargets int
+	roster       *roster.Roster // what a gateway makes of the lists
 	quarantined  []quarantine.Confirmed
 	service      *configsync.Service
 }
@@ -292,6 +293,19 @@
 	return c.quarantined
 }
 
+// targetIDs returns the ids of the targets that a gateway uses.
+func (c *consumer) targetIDs() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ids []string
+	for _, e := range c.roster.Entries(time.Now()) {
+		if !e.Draining {
+			ids = append(ids, e.ID)
+		}
+	}
+	return ids
+}
+
 func (c *consumer) targetCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -308,7 +322,7 @@
 	s := configsync.NewWithSchema(directory.Schema(), directory.NewSource(store, log), bus, ring, log, counters.NewSet())
 	s.UseFleet(singleInstance{})
 	s.UseQuarantineStore(store)
-	c := &consumer{service: s}
+	c := &consumer{service: s, roster: roster.New()}
 	require.NoError(t, kernel.Subscribe(t.Context(), bus, func(ev configsync.QuarantineChanged) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -322,6 +336,8 @@
 	require.NoError(t, kernel.Subscribe(t.Context(), bus, func(ev directory.TargetsChanged) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		c.roster.BeginEra(time.Now(), ev.Era)
+		c.roster.Replace(time.Now(), ev.Entries, ev.Incomplete)
 		c.targets, c.incomplete, c.savedTargets = len(ev.Entries), ev.Incomplete, len(ev.BeforeOutage)
 	}))
 	require.NoError(t, s.Start(t.Context()))
@@ -614,3 +630,28 @@
 		}
 	})
 }
+
+// Guards against a target that is draining or has left, and is in use again after a restore although it has not written
+// since; and against live targets that are given up because the copy lacks them.
+func TestCopyBringsNoTargetBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, c := startWithTargets(t)
+		entry := func(id string, sequence int64) roster.Entry {
+			return roster.Entry{ID: id, Incarnation: 1, Sequence: sequence}
+		}
+		store.change(func() { store.targets = []roster.Entry{entry("a", 1), entry("b", 1)} })
+		time.Sleep(time.Second)
+		store.change(func() { store.targets, store.vanished = []roster.Entry{entry("a", 1), entry("c", 1)}, 2 })
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"a", "c"}, c.targetIDs())
+		store.set(func() { store.vanished = 0 })
+		store.restore(2, func() { store.targets = []roster.Entry{entry("a", 1), entry("b", 1)} })
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"a", "c"}, c.targetIDs())
+		store.change(func() { store.targets = []roster.Entry{entry("a", 1), entry("b", 1), entry("c", 5)} })
+		for range 10 {
+			time.Sleep(time.Second)
+			require.Equal(t, []string{"a", "c"}, c.targetIDs())
+		}
+	})
+}
--- a/instance/directory/target_saver.go
+++ b/instance/directory/target_saver.go
@@ -83,7 +83,7 @@
 	var inUse []roster.Entry
 	for _, e := range ev.Entries {
 		if !e.Draining {
-			e.ColdFor = 0
+			e.ColdFor, e.Sequence = 0, 0
 			inUse = append(inUse, e)
 		}
 	}
--- a/instance/gateway/targets.go
+++ b/instance/gateway/targets.go
@@ -18,6 +18,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	if s.roster.BeginEra(now, ev.Era) {
+		s.cfg.Log.Warn("the list of targets comes from a restored store; entries that its copy brings back are ignored", "era", ev.Era)
+	}
 	if s.roster.ReadyCount() == 0 {
 		s.roster.Replace(now, ev.BeforeOutage, false)
 	}
