Write again what the system has lost in a restored store

The list of saved targets, and the entries of instances in the list from which others learn of them, counted as written for good. After the store came back from an older copy they were missing until the process restarted. Both are written again when the era of the store rises. Instances that do not call the store learn of it from the list of targets.

TestTargetsAreSavedAgainAfterARestore and TestInstanceRegistersAgainAfterARestore fail without the era and pass.

--- a/instance/directory/directory.go
+++ b/instance/directory/directory.go
@@ -79,6 +79,8 @@
 	// WatchQuarantined waits for a change of that list. It returns version 0 if there is none within the wait time.
 	WatchQuarantined(ctx context.Context, after Revision, wait time.Duration) ([]quarantine.Confirmed, platform.Version, Revision, error)
 	configsync.QuarantineStore
+	// NoteEra states that another instance has received an answer of an era.
+	NoteEra(era uint64)
 	// SaveTargets stores the targets in use, for instances that start after an outage of the store.
 	SaveTargets(ctx context.Context, list []roster.Entry) error
 	// SavedTargets returns the targets that were saved last, nil if none were.
--- a/instance/directory/source_test.go
+++ b/instance/directory/source_test.go
@@ -113,6 +113,8 @@
 	return err
 }
 
+func (f *fakeStore) NoteEra(uint64) {}
+
 func newFakeStore() *fakeStore { return &fakeStore{revision: 1, changed: make(chan struct{})} }
 
 // answerTime is the time to an answer of the store.
@@ -655,3 +657,22 @@
 		}
 	})
 }
+
+// Guards against saved targets that a restored store has lost, and that are not saved again.
+func TestTargetsAreSavedAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, bus := newFakeStore(), kernel.NewBus()
+		saver := directory.NewTargetSaver(store, bus, &changingFleet{}, slog.New(slog.DiscardHandler))
+		require.NoError(t, saver.Start(t.Context()))
+		entries := []roster.Entry{{ID: "a"}}
+		for era := range uint64(3) {
+			store.set(func() { store.saved = nil })
+			require.NoError(t, bus.Publish(directory.TargetsChanged{Entries: entries, Era: era}))
+			time.Sleep(5 * time.Second)
+			saved, _ := store.lastSaved()
+			require.Equal(t, entries, saved)
+		}
+		require.NoError(t, saver.Stop(t.Context()))
+		require.NoError(t, bus.Close())
+	})
+}
--- a/instance/directory/target_saver.go
+++ b/instance/directory/target_saver.go
@@ -40,9 +40,13 @@
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 
-	mu    sync.Mutex     // guards inUse
+	mu    sync.Mutex     // guards inUse and era
 	inUse []roster.Entry // from the latest complete list
-	saved []roster.Entry // what this instance saved last; used by the loop only
+	era   uint64         // of the latest list
+
+	// saved is what this instance saved last, and savedEra the era in which it did; used by the loop only.
+	saved    []roster.Entry
+	savedEra uint64
 }
 
 // NewTargetSaver returns a service that saves targets once it is started.
@@ -77,6 +81,10 @@
 
 // onTargetsChanged sets the targets in use from a complete list, without those that are draining.
 func (s *TargetSaver) onTargetsChanged(ev TargetsChanged) {
+	s.store.NoteEra(ev.Era)
+	s.mu.Lock()
+	s.era = max(s.era, ev.Era)
+	s.mu.Unlock()
 	if ev.Incomplete {
 		return
 	}
@@ -95,8 +103,11 @@
 // saveIfChanged saves the targets in use if this instance is selected to do so and they have changed.
 func (s *TargetSaver) saveIfChanged(ctx context.Context) {
 	s.mu.Lock()
-	inUse := s.inUse
+	inUse, era := s.inUse, s.era
 	s.mu.Unlock()
+	if era != s.savedEra {
+		s.saved, s.savedEra = nil, era // The copy from which the store came back may be older than what was saved.
+	}
 	if rendezvous.Choose(saverKey, membership.LiveIDs(s.members.Members())) != s.members.Self().ID {
 		s.saved = nil // Another member may save a different list.
 		return
--- a/instance/members/registry.go
+++ b/instance/members/registry.go
@@ -26,13 +26,15 @@
 // Registry is a list that instances write themselves. A Lister implements it if the platform does not
 // maintain the list.
 type Registry interface {
-	// FreshInstances returns the current list. The list that Instances returns may be stale.
-	FreshInstances(ctx context.Context) ([]platform.Instance, error)
+	// FreshInstances returns the current list and its era. The list that Instances returns may be stale.
+	FreshInstances(ctx context.Context) (list []platform.Instance, era uint64, err error)
 	// WriteInstance adds an entry, or replaces the one of the same id if replace is set. It fails if an entry
 	// to add exists already, or one to replace does not exist.
 	WriteInstance(ctx context.Context, i platform.Instance, replace bool) error
 	// RemoveInstance removes an entry, unless it has been written since it was read.
 	RemoveInstance(ctx context.Context, id string) error
+	// Era returns the latest known era. It rises when the list is restored from a copy, which may lack what was written.
+	Era() uint64
 }
 
 // listLoop reads the platform's list on joining. It then reads the list periodically while the instance watches
@@ -44,12 +46,18 @@
 		listed = s.join(ctx)
 	}
 	for kernel.Sleep(ctx, listPeriod) {
-		if !listed || s.config.Watching() || len(s.Members()) == 1 {
+		if !listed || s.config.Watching() || len(s.Members()) == 1 || s.lostRegistration() {
 			listed = s.readList(ctx, listTimeout) || listed
 		}
 	}
 }
 
+// lostRegistration reports whether the list has been restored from a copy since this instance wrote its entry.
+func (s *Service) lostRegistration() bool {
+	registry, ok := s.lister.(Registry)
+	return ok && s.registered && registry.Era() != s.registeredEra
+}
+
 // join reads the list and requests the full state of each seed, in parallel and repeatedly, until one of them
 // answers or ctx is done. It reports whether the list was read.
 func (s *Service) join(ctx context.Context) (listed bool) {
@@ -102,7 +110,7 @@
 // and reads the list again: of two instances that write at the same time, at least one sees the other.
 func (s *Service) listInstances(ctx context.Context) ([]platform.Instance, error) {
 	registry, ok := s.lister.(Registry)
-	if !ok || s.registered {
+	if !ok || s.registered && !s.lostRegistration() {
 		// A stale list suffices: instances that joined since then are known from exchanges with peers.
 		return s.lister.Instances(ctx, "list_instances")
 	}
@@ -114,7 +122,7 @@
 			s.log.Info("no entry added to the list of instances at the first start", "error", err)
 		}
 	}
-	list, err := registry.FreshInstances(ctx)
+	list, era, err := registry.FreshInstances(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -123,11 +131,11 @@
 		if err := registry.WriteInstance(ctx, entry, ownIndex >= 0); err != nil {
 			return nil, err
 		}
-		if list, err = registry.FreshInstances(ctx); err != nil {
+		if list, era, err = registry.FreshInstances(ctx); err != nil {
 			return nil, err
 		}
 	}
-	s.registered = true
+	s.registered, s.registeredEra = true, era
 	return list, nil
 }
 
--- a/instance/members/registry_test.go
+++ b/instance/members/registry_test.go
@@ -32,14 +32,22 @@
 	entries []platform.Instance
 	removed []string
 	calls   []string
+	era     uint64
 }
 
 func (r *fakeRegistry) Instances(context.Context, platform.Purpose) ([]platform.Instance, error) {
 	return r.recordRead("read")
 }
 
-func (r *fakeRegistry) FreshInstances(context.Context) ([]platform.Instance, error) {
-	return r.recordRead("read fresh")
+func (r *fakeRegistry) FreshInstances(context.Context) ([]platform.Instance, uint64, error) {
+	list, err := r.recordRead("read fresh")
+	return list, r.Era(), err
+}
+
+func (r *fakeRegistry) Era() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era
 }
 
 func (r *fakeRegistry) recordRead(call string) ([]platform.Instance, error) {
@@ -132,6 +140,22 @@
 	}
 }
 
+// Guards against an instance that is missing from the list because the list was restored from a copy.
+func TestInstanceRegistersAgainAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := &fakeRegistry{}
+		defer startInstance(t, list)()
+		time.Sleep(15 * time.Second)
+		list.mu.Lock()
+		list.entries, list.era = nil, 1
+		list.mu.Unlock()
+		time.Sleep(15 * time.Second)
+		list.mu.Lock()
+		defer list.mu.Unlock()
+		require.Len(t, list.entries, 1)
+	})
+}
+
 // startInstance starts an instance whose peers refuse connections, and returns a function that stops it.
 func startInstance(t *testing.T, list members.Lister) (stop func()) {
 	return startInstanceWithDial(t, list, func(context.Context, string, string) (net.Conn, error) {
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -67,7 +67,10 @@
 	// firstStart is set until the instance has tried to add its entry at the first start of the whole fleet; used only
 	// by the goroutine that reads the list.
 	firstStart bool
-	registered bool // the list has the instance's own entry; used only by the goroutine that reads the list
+	// registered is set once the list has the instance's own entry, and registeredEra is the era of the list in which it
+	// was read; both are used only by the goroutine that reads the list.
+	registered    bool
+	registeredEra uint64
 
 	mu   sync.Mutex // guards node
 	node *membership.Node
