Answer requests in flight before a planned stop ends

Callers whose requests were in flight at the end of a planned stop got no answer: the requests ended by their own deadlines only, which may lie beyond the end of the process. All requests now end half a second before the process does, and their callers get an answer that says whether the request may have run; targets are handed no longer time than that.

TestRequestAtRelayMayHaveRunWhenInstanceStops guards the answer of an instance that waits for a relay.

--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -226,6 +226,7 @@
 	defer cancel()
 	e.log.Info("instance stops")
 	defer e.stopStallWatch()
+	e.gateway.EndRequestsBy(time.Now().Add(e.settings.shutdownTimeout() - stopReserve - answerReserve))
 	drained := e.gate.begin()
 	e.fleet.Leave()
 	select {
--- a/instance/edge/gate.go
+++ b/instance/edge/gate.go
@@ -16,6 +16,8 @@
 	inFlightReserve = 2 * time.Second
 	// stopReserve is the part of the shutdown time that remains to stop the process.
 	stopReserve = 300 * time.Millisecond
+	// answerReserve is the time before that in which the last answers are written.
+	answerReserve = 200 * time.Millisecond
 )
 
 // gate admits requests according to the shutdown phase.
--- a/instance/edge/stop_test.go
+++ b/instance/edge/stop_test.go
@@ -48,7 +48,7 @@
 	require.NoError(t, err)
 	require.NoError(t, e.Start(t.Context()))
 	e.gateway.SetTable(&routing.Table{
-		Version: 1, Services: []routing.Service{{Name: "s", Connections: 5}},
+		Version: 1, Services: []routing.Service{{Name: "s", Connections: 50}},
 		Routes: []routing.Route{{Name: "once", Host: "h", Prefix: "/", MaxAttempts: 1, Objective: time.Second, Timeout: 20 * time.Second,
 			Split: []routing.WeightedService{{Service: "s", Weight: 1}}}},
 	})
--- a/instance/gateway/forward.go
+++ b/instance/gateway/forward.go
@@ -86,7 +86,7 @@
 // forward runs a request at a relay. It returns false if no relay runs it.
 func (s *Service) forward(ctx context.Context, r *Request, rr resolvedRoute, start time.Time) (Response, *forwarding, bool) {
 	f := &forwarding{
-		service: s, request: r, resolved: rr, start: start, deadline: start.Add(rr.timeout(r)), events: make(chan forwardEvent, 8),
+		service: s, request: r, resolved: rr, start: start, deadline: s.deadline(start.Add(rr.timeout(r))), events: make(chan forwardEvent, 8),
 	}
 	f.machine = forward.New(forward.Config{
 		Chooser: s.relayChooser, Budget: forwardBudget{s}, Random: rand.Float64, Deadline: f.deadline,
@@ -130,6 +130,9 @@
 			actions = f.locked(f.machine.OnWake)
 		case <-caller.Done():
 			return f.failure(), true
+		case <-f.service.ending:
+			f.machine.Abandon()
+			return f.failure(), true
 		}
 	}
 }
--- a/instance/gateway/forward_test.go
+++ b/instance/gateway/forward_test.go
@@ -226,3 +226,18 @@
 		require.Equal(t, shards, f.relayed.attempts(), "of two attempts at each shard, another relay made one")
 	})
 }
+
+// Guards against a stopping instance that says of a request at a relay that it did not run.
+func TestRequestAtRelayMayHaveRunWhenInstanceStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwardingFleet(t)
+		for n := range 3 {
+			f.silent[fmt.Sprint("relay", n)] = true
+		}
+		f.entry.EndRequestsBy(time.Now().Add(300 * time.Millisecond))
+		start := time.Now()
+		got := do(t.Context(), f.entry, "/all/x")
+		require.Contains(t, []gateway.ResponseKind{gateway.Failed, gateway.TimedOut}, got.Kind, got.Reason)
+		require.LessOrEqual(t, time.Since(start), 300*time.Millisecond)
+	})
+}
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -155,7 +155,7 @@
 	crashes := s.suspects.crashCount(fingerprint)
 	q := &run{
 		service: s, request: r, fingerprint: fingerprint, resolved: rr, id: query.RequestID(rand.Uint64()), start: start, priorCrashes: crashes,
-		deadline: start.Add(rr.timeout(r)),
+		deadline: s.deadline(start.Add(rr.timeout(r))),
 		answerBy: start.Add(rr.route.Objective - answerReserve(r)),
 		replies:  make(chan attemptReply, 2*len(rr.shards)),
 		offers:   make(chan query.Shard, len(rr.shards)),
@@ -214,6 +214,8 @@
 			finished = q.perform(ctx, q.machine.OnWake(time.Now()))
 		case <-caller.Done():
 			finished = true
+		case <-q.service.ending:
+			finished = true
 		}
 		alarm.Set(time.Until(q.machine.NextWake()))
 	}
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -81,6 +81,8 @@
 	ready       chan struct{} // closed once routes and targets have been read
 	lastAttempt atomic.Uint64
 	inFlight    atomic.Int64
+	endBy       atomic.Pointer[time.Time] // set once the instance stops
+	ending      chan struct{}             // closed at endBy
 	ctx         context.Context // of the work in the background, done once the service stops
 	cancel      context.CancelFunc
 	background  sync.WaitGroup
@@ -111,7 +113,7 @@
 // New returns a service without routes and targets.
 func New(cfg Config) *Service {
 	s := &Service{
-		cfg: cfg, ready: make(chan struct{}), balancer: balance.NewBalancer(cfg.Instance, cfg.ExtraAttempts), shardIDs: map[string]query.Shard{},
+		cfg: cfg, ready: make(chan struct{}), ending: make(chan struct{}), balancer: balance.NewBalancer(cfg.Instance, cfg.ExtraAttempts), shardIDs: map[string]query.Shard{},
 		roster: roster.New(), targets: map[query.TargetID]roster.Entry{}, policies: map[string]*balance.Policy{},
 		gates: map[query.Shard]*admission.Gate{}, queues: map[query.Shard]*admission.Queue[*run]{},
 		relayChooser: forward.NewChooser(), forwardBudget: newForwardBudget(cfg.ExtraAttempts),
@@ -187,6 +189,21 @@
 	s.applyTargets()
 }
 
+// EndRequestsBy ends all requests by a time: their callers get an answer before the process stops, which would cut them
+// off. It must be called at most once.
+func (s *Service) EndRequestsBy(t time.Time) {
+	s.endBy.Store(&t)
+	kernel.AfterFunc(time.Until(t), func() { close(s.ending) })
+}
+
+// deadline returns the earlier of a request's deadline and the end of all requests.
+func (s *Service) deadline(t time.Time) time.Time {
+	if end := s.endBy.Load(); end != nil && end.Before(t) {
+		return *end
+	}
+	return t
+}
+
 // signalReady closes ready once routes and targets have been read. It must be called with mu held.
 func (s *Service) signalReady() {
 	select {
--- a/query/forward/machine.go
+++ b/query/forward/machine.go
@@ -237,5 +237,11 @@
 	return false
 }
 
-// MayHaveRun reports whether targets may have run the request. It must be called after Fail.
+// Abandon ends the request without an answer. An attempt in flight may have run it.
+func (m *Machine) Abandon() {
+	m.mayHaveRun = m.mayHaveRun || m.inFlight()
+	m.finished = true
+}
+
+// MayHaveRun reports whether targets may have run the request. It must be called after Fail or Abandon.
 func (m *Machine) MayHaveRun() bool { return m.mayHaveRun }
