--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -39,7 +39,8 @@
 	warmAt  map[string]time.Time // time at which a cold target becomes warm
 	// addressReused contains entries whose address belongs to another target.
 	addressReused map[string]Entry
-	left          map[string]removal // the entries that were removed within restoreMemory
+	leaving       map[string]leaveNotice // of the targets that have said that they are leaving
+	left          map[string]removal     // the entries that were removed within restoreMemory
 	// era is the era of the list, and known what was known of each entry when it began, until knownUntil.
 	era        uint64
 	known      map[string]knownEntry
@@ -51,6 +52,16 @@
 // target that no longer writes.
 const restoreMemory = time.Minute
 
+// leaveMemory is the time for which it is remembered that a target is leaving, whatever the list says of it. It exceeds the
+// time for which a leaving target still serves.
+const leaveMemory = 10 * time.Minute
+
+// leaveNotice is what one start of a target has said.
+type leaveNotice struct {
+	incarnation int64
+	at          time.Time
+}
+
 // removal is an entry that has been removed.
 type removal struct {
 	entry Entry
@@ -65,7 +76,7 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: map[string]Entry{}, addressReused: map[string]Entry{}, warmAt: map[string]time.Time{}, left: map[string]removal{}}
+	return &Roster{entries: map[string]Entry{}, addressReused: map[string]Entry{}, warmAt: map[string]time.Time{}, left: map[string]removal{}, leaving: map[string]leaveNotice{}}
 }
 
 // BeginEra must be called before changes of a later era of the list are applied: the list has been restored from a copy,
@@ -142,6 +153,9 @@
 	if reused, ok := r.addressReused[e.ID]; ok && reused.Address == e.Address && reused.Incarnation == e.Incarnation {
 		return
 	}
+	if n, ok := r.leaving[e.ID]; ok && n.incarnation == e.Incarnation {
+		e.Draining = true
+	}
 	delete(r.addressReused, e.ID)
 	delete(r.warmAt, e.ID)
 	if e.ColdFor > 0 {
@@ -150,6 +164,20 @@
 	r.entries[e.ID] = e
 }
 
+// OnLeaving marks a target as draining that has said so itself, before the list does. The mark holds for this start of the
+// target, also if the list has it as ready. It reports whether the target was not draining before.
+func (r *Roster) OnLeaving(now time.Time, e Entry) bool {
+	maps.DeleteFunc(r.leaving, func(_ string, n leaveNotice) bool { return now.Sub(n.at) >= leaveMemory })
+	known, ok := r.entries[e.ID]
+	if !ok || known.Incarnation != e.Incarnation || known.Draining {
+		return false
+	}
+	r.leaving[e.ID] = leaveNotice{incarnation: e.Incarnation, at: now}
+	known.Draining = true
+	r.entries[e.ID] = known
+	return true
+}
+
 // OnAddressReused removes an entry whose address belongs to another target. The same entry is ignored
 // until its address or incarnation changes or a list lacks it, since the other target keeps the address.
 func (r *Roster) OnAddressReused(e Entry) {
--- a/control/roster/roster_test.go
+++ b/control/roster/roster_test.go
@@ -123,3 +123,22 @@
 		})
 	}
 }
+
+// Guards against a target that has said that it is leaving and is used again because the list still has it as ready, and
+// against the mark of an earlier start of a target.
+func TestLeavingTargetStaysOut(t *testing.T) {
+	r := roster.New()
+	list := []roster.Entry{{ID: "a", Incarnation: 1}, {ID: "b", Incarnation: 1}}
+	r.Replace(start, list, false)
+	require.True(t, r.OnLeaving(start, list[0]))
+	require.False(t, r.OnLeaving(start, list[0]))
+	require.False(t, r.OnLeaving(start, roster.Entry{ID: "b"}), "another start of the target")
+	require.Equal(t, 1, r.ReadyCount())
+	r.Replace(start.Add(time.Second), list, false)
+	require.Equal(t, 1, r.ReadyCount())
+	r.Apply(start.Add(2*time.Second), []roster.Change{{ID: "a"}})
+	r.Apply(start.Add(3*time.Second), []roster.Change{{ID: "a", Entry: &list[0]}})
+	require.Equal(t, 1, r.ReadyCount())
+	r.Replace(start.Add(4*time.Second), []roster.Entry{{ID: "a", Incarnation: 2}, list[1]}, false)
+	require.Equal(t, 2, r.ReadyCount())
+}
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -83,7 +83,7 @@
 	inFlight    atomic.Int64
 	endBy       atomic.Pointer[time.Time] // set once the instance stops
 	ending      chan struct{}             // closed at endBy
-	ctx         context.Context // of the work in the background, done once the service stops
+	ctx         context.Context           // of the work in the background, done once the service stops
 	cancel      context.CancelFunc
 	background  sync.WaitGroup
 	suspects    *suspects
--- a/instance/gateway/targets.go
+++ b/instance/gateway/targets.go
@@ -125,6 +125,16 @@
 	s.cfg.Log.Info("target changed its rate limit", "target", id, "limited", r.RateLimit.Stated, "per_second", r.RateLimit.PerSecond)
 }
 
+// onLeaving ends new attempts at a target that has said that it is leaving. The list may say so only seconds later.
+func (s *Service) onLeaving(e roster.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.roster.OnLeaving(time.Now(), e) {
+		s.cfg.Log.Info("target says that it is leaving; it gets no new requests", "target", e.ID, "service", e.Service)
+		s.applyTargets()
+	}
+}
+
 // onAddressReused removes the entry of a target whose address now belongs to another target.
 func (s *Service) onAddressReused(id query.TargetID) {
 	s.mu.Lock()
--- a/query/query.go
+++ b/query/query.go
@@ -208,6 +208,8 @@
 	Cold bool
 	// Part is the answer of a target whose answers the instance does not interpret, nil for other targets.
 	Part *Part
+	// Leaving is set if the target said in this reply that it is leaving.
+	Leaving bool
 	// RateLimit is the limit that the target stated in this reply.
 	RateLimit RateLimit
 }
