Restore the store in the soak, and submit a request that crashes searchers

The stand-in for the store now comes back from a copy up to 5 s old, in the next era, and what the operator and the searchers wrote is written again a second later. One request crashes each of five searchers that gets it and is submitted four times a second; more than three crashes later than 5 s after the third are a violation, unless all instances are killed around a restore. Searchers that drain say so in their answers, and refusals state a time.

--- /dev/null
+++ b/emulator/soak/fragile.go
@@ -0,0 +1,116 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	fragileService = "fragile"
+	fragileCount   = 5
+	// crashDuration is the time from a crash of a fragile searcher to its restart.
+	crashDuration = 1500 * time.Millisecond
+	// submissionPause is the pause between two submissions of the crashing request.
+	submissionPause = 250 * time.Millisecond
+	// learnTime is the time after the third crash in which all instances must have learnt of it.
+	learnTime = recoveryTime
+	// maxLateCrashes is the number of crashes that are allowed later.
+	maxLateCrashes = 3
+	crashingBody   = "crash"
+)
+
+// startFragile starts a searcher that crashes when it gets the crashing request: it closes its listener and all its
+// connections, and starts again at the same address.
+func (s *soak) startFragile(n int) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	go s.runFragile(fmt.Sprintf("%s-%d", fragileService, n), l)
+	return nil
+}
+
+func (s *soak) runFragile(id string, l net.Listener) {
+	address := l.Addr().String()
+	for {
+		server := &http.Server{}
+		var once sync.Once
+		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Expect-Instance") != id {
+				w.WriteHeader(http.StatusMisdirectedRequest)
+				return
+			}
+			once.Do(func() {
+				s.mu.Lock()
+				s.crashes = append(s.crashes, time.Now())
+				s.mu.Unlock()
+				_ = server.Close() // It ends Serve below.
+			})
+		})
+		s.store.put("servers", id, map[string]any{
+			"backend": fragileService, "address": address, "zone": "d0", "state": "ready", "slots": 4, "born": time.Now().UnixMilli(),
+		})
+		_ = server.Serve(l) // It returns once the server is closed.
+		time.Sleep(crashDuration)
+		var err error
+		if l, err = net.Listen("tcp", address); err != nil {
+			s.recorder.addViolation("stand-in: %v", err)
+			return
+		}
+	}
+}
+
+// submitCrashingRequest submits the request again and again through random instances.
+func (s *soak) submitCrashingRequest(ctx context.Context, random *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(submissionPause)
+		i := s.readyInstance(random)
+		if i == nil {
+			continue
+		}
+		r, err := http.NewRequest(http.MethodPost, "http://"+i.callerAddress+"/fragile/x", strings.NewReader(crashingBody))
+		if err != nil {
+			panic(err) // unreachable: the URL is valid
+		}
+		r.Host = host
+		r.Header.Set("Request-Id", fmt.Sprintf("crash-%d", n))
+		r.Header.Set("Deadline-Ms", strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+		if resp, err := client.Do(r); err == nil {
+			_ = resp.Body.Close() // The body is not used.
+		}
+	}
+}
+
+// checkCrashes adds a violation if the request crashed searchers although three had crashed on it. That is forgotten only if
+// all instances are killed around a restore of the store.
+func (s *soak) checkCrashes() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := 0
+	for _, at := range s.crashes {
+		recently := func(t time.Time) bool { return at.After(t) && at.Sub(t) < learnTime+maxCopyAge }
+		forgotten := slices.ContainsFunc(s.restores, recently) && slices.ContainsFunc(s.killsOfAll, recently)
+		if at.Sub(s.crashes[min(2, len(s.crashes)-1)]) > learnTime && !forgotten {
+			late++
+		}
+	}
+	if late > maxLateCrashes {
+		s.recorder.addViolation("crash: a request crashed %d searchers later than %v after the third", late, learnTime)
+	}
+}
+
+// crashCount returns the number of crashes of fragile searchers.
+func (s *soak) crashCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.crashes)
+}
--- a/emulator/soak/searcher.go
+++ b/emulator/soak/searcher.go
@@ -104,12 +104,16 @@
 		w.Header().Set("Server-Limit", strconv.FormatFloat(s.rateLimit, 'f', -1, 64))
 	}
 	s.mu.Unlock()
+	if !drainingSince.IsZero() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	switch {
 	case r.Header.Get("Expect-Instance") != s.id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case mode == answerShed && rand.IntN(2) == 0:
 		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", "0.2")
 		w.Header().Set("Request-Id", requestID)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/emulator/soak/soak.go
+++ b/emulator/soak/soak.go
@@ -2,7 +2,8 @@
 // outside, and checks what callers and targets observe: a caller gets only the answer to its own request; the reported
 // coverage is correct; a request that was refused as not run has not run; non-idempotent requests run at most once; a
 // draining target gets no requests after a grace period; a graceful stop interrupts no requests; the version of the
-// routes never decreases; a target gets no more requests than it states; and the gateways recover after the last fault.
+// routes never decreases; a target gets no more requests than it states; a request that has crashed three targets crashes
+// no more; and the gateways recover after the last fault.
 package soak
 
 import (
@@ -32,6 +33,11 @@
 	maxFaultDuration = 2500 * time.Millisecond
 	// movedServiceCount is the number of services between which the moved route rotates.
 	movedServiceCount = 4
+	// storeOutage is the time for which the store is away before a restore, maxCopyAge the maximum age of the copy, and
+	// writeAgainDelay the time until the operator and the searchers have written again what it lacks.
+	storeOutage     = 300 * time.Millisecond
+	maxCopyAge      = 5 * time.Second
+	writeAgainDelay = time.Second
 	// applyTime is the time after which undisturbed instances have applied a version of the routes.
 	applyTime = 3 * time.Second
 	// limitedRate is the limit in requests a second that one searcher states. It gets several times as many without a
@@ -58,6 +64,7 @@
 	Requests   int64          `json:"Asked"` // sent by callers
 	Served     int64          // answered with status 200
 	Faults     map[string]int // number of faults by name
+	Crashes    int            // of targets, on the one request that crashes them
 	Violations []string
 }
 
@@ -73,9 +80,12 @@
 	mu               sync.Mutex             // guards the fields below
 	searchers        map[string][]*searcher // by service
 	searchersStarted int
-	latestVersion    int       // of the routes in the store
-	inForceVersion   int       // minimum version of the routes in force at the instances, 0 if unknown
-	storeDisturbedAt time.Time // when the last fault of the store started or ended
+	latestVersion    int         // of the routes in the store
+	inForceVersion   int         // minimum version of the routes in force at the instances, 0 if unknown
+	storeDisturbedAt time.Time   // when the last fault of the store started or ended
+	crashes          []time.Time // of the fragile searchers
+	restores         []time.Time // of the store
+	killsOfAll       []time.Time // of the instances
 }
 
 // Run runs a soak. Violations are part of the result; an error means that the soak itself failed.
@@ -98,6 +108,7 @@
 		c := &caller{soak: s, client: &http.Client{Transport: &http.Transport{}}, random: rand.New(rand.NewPCG(cfg.Seed, uint64(n)+2))}
 		callers.Go(func() { c.run(ctx) })
 	}
+	callers.Go(func() { s.submitCrashingRequest(ctx, rand.New(rand.NewPCG(cfg.Seed, callerCount+2))) })
 	done := make(chan struct{})
 	for _, i := range s.instances {
 		go i.pollReadiness(done)
@@ -121,10 +132,11 @@
 		i.stop()
 	}
 	limited.checkRate(undisturbedSince)
+	s.checkCrashes()
 	if float64(served) < minServedShare*float64(requests) || requests == 0 {
 		s.recorder.addViolation("recovery: %d of %d requests served after the last fault", served, requests)
 	}
-	r := Result{Requests: s.requests.Load(), Served: s.served.Load(), Faults: s.faultCounts, Violations: s.recorder.finalCheck()}
+	r := Result{Requests: s.requests.Load(), Served: s.served.Load(), Faults: s.faultCounts, Crashes: s.crashCount(), Violations: s.recorder.finalCheck()}
 	if len(r.Violations) > 0 && cfg.LogDir != "" {
 		return r, s.writeLogs(cfg.LogDir)
 	}
@@ -154,6 +166,11 @@
 			}
 		}
 	}
+	for n := range fragileCount {
+		if err := s.startFragile(n); err != nil {
+			return err
+		}
+	}
 	s.publishRoutes()
 	ip := processIP()
 	ports, err := freePorts(ip, 4*instanceCount)
@@ -246,11 +263,13 @@
 	for _, name := range services() {
 		list = append(list, map[string]any{"name": name, "max-connections": 50})
 	}
+	list = append(list, map[string]any{"name": fragileService, "max-connections": 50})
 	s.store.put("config", "main", map[string]any{
 		"version": v,
 		"routes": []any{
 			route("all", "/all/", "idempotent", map[string]any{"gather": shardNames(), "top-k": topK, "min-coverage": float64(minParts) / shardCount}),
 			route("once", "/once/", "non_idempotent", map[string]any{"backend": "single"}),
+			route("fragile", "/fragile/", "idempotent", map[string]any{"backend": fragileService}),
 			route("moved", "/moved/", "idempotent", map[string]any{"backend": movedService(v)}),
 		},
 		"services": list, "limits": map[string]any{"max-body-bytes": 10000, "header-timeout-ms": 3000},
@@ -326,6 +345,9 @@
 		return func() { i.signal(syscall.SIGCONT) }
 	}},
 	{"kill all", func(s *soak) func() {
+		s.mu.Lock()
+		s.killsOfAll = append(s.killsOfAll, time.Now())
+		s.mu.Unlock()
 		for _, i := range s.instances {
 			i.signal(syscall.SIGKILL)
 		}
@@ -360,6 +382,18 @@
 		return func() { sr.setMode(answerNormal) }
 	}},
 	{"searcher leaves", (*soak).replaceSearcher},
+	{"store restored", func(s *soak) func() {
+		s.markStoreDisturbed()
+		s.store.setDown(true)
+		time.Sleep(storeOutage)
+		s.mu.Lock()
+		s.restores = append(s.restores, time.Now())
+		s.mu.Unlock()
+		writeAgain := s.store.restore(time.Duration(s.random.Int64N(int64(maxCopyAge))))
+		s.store.setDown(false)
+		time.AfterFunc(writeAgainDelay, writeAgain)
+		return s.markStoreDisturbed
+	}},
 	{"routes", func(s *soak) func() { s.publishRoutes(); return noop }},
 }
 
--- a/emulator/soak/soak_test.go
+++ b/emulator/soak/soak_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -105,3 +106,60 @@
 		})
 	}
 }
+
+// Guards against a check that misses crashes after the third, or blames instances for what a restored store has lost.
+func TestCheckFindsLateCrashes(t *testing.T) {
+	seconds := func(n ...int) []time.Time {
+		var out []time.Time
+		for _, s := range n {
+			out = append(out, time.Unix(int64(s), 0))
+		}
+		return out
+	}
+	for name, c := range map[string]struct {
+		crashes, restores, kills []time.Time
+		found                    bool
+	}{
+		"none":                 {nil, nil, nil, false},
+		"two":                  {seconds(1, 2), nil, nil, false},
+		"soon":                 {seconds(1, 2, 3, 4, 5, 6, 7, 8), nil, nil, false},
+		"late, allowed":        {seconds(1, 2, 3, 20, 21, 22), nil, nil, false},
+		"late":                 {seconds(1, 2, 3, 20, 21, 22, 23), nil, nil, true},
+		"lost by the store":    {seconds(1, 2, 3, 20, 21, 22, 23), seconds(19), seconds(18), false},
+		"known to instances":   {seconds(1, 2, 3, 20, 21, 22, 23), seconds(19), nil, true},
+		"kept by the store":    {seconds(1, 2, 3, 20, 21, 22, 23), nil, seconds(19), true},
+		"long after a restore": {seconds(1, 2, 3, 40, 41, 42, 43), seconds(19), seconds(18), true},
+	} {
+		s := &soak{recorder: newRecorder(), crashes: c.crashes, restores: c.restores, killsOfAll: c.kills}
+		s.checkCrashes()
+		require.Equal(t, c.found, len(s.recorder.finalCheck()) > 0, name)
+	}
+}
+
+// Guards against a stand-in that keeps what a restore has to lose, or that answers a watch of an earlier era.
+func TestRestoreLosesLatestWrites(t *testing.T) {
+	synctest.Test(t, testRestore)
+}
+
+func testRestore(t *testing.T) {
+	s := newStore()
+	s.put("servers", "a", 1)
+	time.Sleep(20 * time.Millisecond)
+	s.put("servers", "a", 2)
+	s.put("servers", "b", 3)
+	s.put("quarantine", "current", 4)
+	require.EqualValues(t, 5, s.revision)
+	writeAgain := s.restore(10 * time.Millisecond)
+	require.EqualValues(t, 2, s.revision)
+	require.Equal(t, "1", string(s.objects["servers"]["a"].Spec))
+	require.NotContains(t, s.objects["servers"], "b")
+	require.Empty(t, s.objects["quarantine"])
+	_, _, _, gone := s.eventsSince("servers", 2, "0")
+	require.True(t, gone)
+	_, _, _, gone = s.eventsSince("servers", 2, "1")
+	require.False(t, gone)
+	writeAgain()
+	require.Equal(t, "2", string(s.objects["servers"]["a"].Spec))
+	require.Equal(t, "3", string(s.objects["servers"]["b"].Spec))
+	require.Empty(t, s.objects["quarantine"], "the system has to write that again itself")
+}
--- a/emulator/soak/store.go
+++ b/emulator/soak/store.go
@@ -37,6 +37,15 @@
 	history  []change      // the latest changes, one for each revision
 	changed  chan struct{} // closed and replaced by each change
 	down     bool          // answers every request with 503
+	era      uint64        // the number of restores
+	writes   []write       // the latest writes, which a restore loses
+}
+
+// write is a write that a restore can undo.
+type write struct {
+	at         time.Time
+	kind, name string
+	previous   *object // nil if there was none
 }
 
 // maxHistory is the number of changes that a watch may lag behind.
@@ -62,6 +71,11 @@
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]object{}
 	}
+	w := write{at: time.Now(), kind: kind, name: name}
+	if previous, ok := s.objects[kind][name]; ok {
+		w.previous = &previous
+	}
+	s.writes = append(s.writes, w)
 	o := object{Meta: meta{Name: name, Revision: s.revision}, Spec: raw}
 	if deleted {
 		delete(s.objects[kind], name)
@@ -74,6 +88,48 @@
 	s.changed = make(chan struct{})
 }
 
+// restore replaces the content by a copy of the given age. It returns a function that writes again what the operator and
+// the searchers have written since.
+func (s *store) restore(age time.Duration) (writeAgain func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	type key struct{ kind, name string }
+	lost := map[key]*object{}
+	for n := len(s.writes) - 1; n >= 0 && time.Since(s.writes[n].at) < age; n-- {
+		w := s.writes[n]
+		if _, seen := lost[key{w.kind, w.name}]; !seen {
+			lost[key{w.kind, w.name}] = nil
+			if latest, ok := s.objects[w.kind][w.name]; ok {
+				lost[key{w.kind, w.name}] = &latest
+			}
+		}
+		delete(s.objects[w.kind], w.name)
+		if w.previous != nil {
+			s.objects[w.kind][w.name] = *w.previous
+		}
+		s.writes = s.writes[:n]
+		s.revision--
+	}
+	s.era++
+	s.history = slices.DeleteFunc(s.history, func(c change) bool { return c.object.Meta.Revision > s.revision })
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return func() {
+		for k, o := range lost {
+			if k.kind != "config" && k.kind != "servers" {
+				continue
+			}
+			s.mu.Lock()
+			if o == nil {
+				s.putLocked(k.kind, k.name, nil, true)
+			} else {
+				s.putLocked(k.kind, k.name, o.Spec, false)
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,6 +141,7 @@
 	kind, name, hasName := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	s.mu.Lock()
 	down := s.down
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	switch {
 	case down:
@@ -151,8 +208,9 @@
 		return
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	era := w.Header().Get("Store-Era")
 	for {
-		events, at, changed, gone := s.eventsSince(kind, after)
+		events, at, changed, gone := s.eventsSince(kind, after, era)
 		if gone {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -173,8 +231,8 @@
 }
 
 // eventsSince returns the changes to a kind after a revision, the current revision, and a channel that is closed by the
-// next change. gone is true if the history no longer has all changes after the revision.
-func (s *store) eventsSince(kind string, after uint64) (events []map[string]any, at uint64, changed chan struct{}, gone bool) {
+// next change. gone is true if the history no longer has all changes after the revision, or the era has ended.
+func (s *store) eventsSince(kind string, after uint64, era string) (events []map[string]any, at uint64, changed chan struct{}, gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	oldest := s.revision - uint64(len(s.history))
@@ -184,7 +242,8 @@
 			events = append(events, map[string]any{"object": c.object, "deleted": c.deleted})
 		}
 	}
-	return events, s.revision, s.changed, after < oldest
+	gone = after < oldest || after > s.revision || era != strconv.FormatUint(s.era, 10)
+	return events, s.revision, s.changed, gone
 }
 
 func respond(w http.ResponseWriter, v any) {
