Heed what a target says in a reply to a request that has ended

A reply that arrived while its request was being cancelled was dropped together with what the target said of itself, so that the instance would have sent to a leaving target again, or before the time that the target had stated. Each reply of a target is looked at when it arrives now, whatever becomes of the request.

TestWishesInLateRepliesCount guards it.

--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -351,3 +351,49 @@
 		require.Equal(t, gateway.Refused, do(t.Context(), running, "/one/x").Kind)
 	})
 }
+
+// Guards against what a target says in a reply that arrives when its request has ended: the instance would send to it again.
+func TestWishesInLateRepliesCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s *gateway.Service
+		f := &lateSender{}
+		s = newServiceFrom(t, testConfig(t, f))
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			cancel()
+		}()
+		do(ctx, s, "/one/x")
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		first := f.sent
+		f.mu.Unlock()
+		require.Len(t, first, 1)
+		for range 20 {
+			do(t.Context(), s, "/one/x")
+		}
+		for _, target := range f.sent[1:] {
+			require.NotEqual(t, first[0], target)
+		}
+	})
+}
+
+// lateSender sends to targets of which the first one says, after its request has been cancelled, that it is leaving.
+type lateSender struct {
+	fakeSender
+	mu   sync.Mutex
+	sent []string
+}
+
+func (f *lateSender) Send(ctx context.Context, a gateway.Attempt) query.Reply {
+	f.mu.Lock()
+	f.sent = append(f.sent, string(a.Target))
+	first := len(f.sent) == 1
+	f.mu.Unlock()
+	r := answer(string(a.Target))
+	if first {
+		<-ctx.Done()
+		r.Leaving = true
+	}
+	return r
+}
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -226,12 +226,6 @@
 	q.service.cfg.Metrics.countAttempt(r.reply.Outcome)
 	q.endAttempt(r.attempt, replied, r.reply.Outcome)
 	q.service.observeRateLimit(r.target, r.reply)
-	if r.reply.TurnedAwayFor > 0 {
-		q.service.onTurnedAway(q.sentTo(r.attempt), r.reply.TurnedAwayFor)
-	}
-	if r.reply.Leaving {
-		q.service.onLeaving(q.sentTo(r.attempt))
-	}
 	switch r.reply.Outcome {
 	case query.OutcomeWrongShard:
 		q.service.onAddressReused(r.target)
@@ -289,6 +283,7 @@
 				ID: a.Attempt, Target: a.Target, Address: entry.Address, Request: q.request, TimeLeft: time.Until(q.deadline),
 			})
 		}
+		q.service.observeTarget(entry, reply)
 		reply.Attempt, reply.Request, reply.Shard, reply.Snapshot = a.Attempt, q.id, shard, version
 		select {
 		case q.replies <- attemptReply{attempt: a.Attempt, target: a.Target, reply: reply}:
--- a/instance/gateway/targets.go
+++ b/instance/gateway/targets.go
@@ -125,6 +125,17 @@
 	s.cfg.Log.Info("target changed its rate limit", "target", id, "limited", r.RateLimit.Stated, "per_second", r.RateLimit.PerSecond)
 }
 
+// observeTarget acts on what a target says of itself in a reply. It must be called for each reply, also if the request has
+// ended meanwhile.
+func (s *Service) observeTarget(e roster.Entry, r query.Reply) {
+	if r.TurnedAwayFor > 0 {
+		s.onTurnedAway(e, r.TurnedAwayFor)
+	}
+	if r.Leaving {
+		s.onLeaving(e)
+	}
+}
+
 // onLeaving ends new attempts at a target that has said that it is leaving. The list may say so only seconds later.
 func (s *Service) onLeaving(e roster.Entry) {
 	s.mu.Lock()
