Let a soak run with a given number of instances

The soak had four instances only; some runs are to go up to the limits of the machine. Callers follow the instances, three for each. The random sources of callers and of the crashing request no longer share a stream.

--- a/cmd/hyssopctl/soak.go
+++ b/cmd/hyssopctl/soak.go
@@ -13,15 +13,16 @@
 )
 
 type soakCmd struct {
-	Seed    uint64        `default:"1" help:"Seed of the faults."`
-	For     time.Duration `default:"20s" help:"Time during which faults are injected; calm times before and after come on top."`
-	Program string        `type:"path" help:"Path of hyssopcroft; beside this program if it is not given."`
-	Keep    string        `type:"existingdir" help:"Folder for the output of the instances after a failure."`
+	Seed      uint64        `default:"1" help:"Seed of the faults."`
+	For       time.Duration `default:"20s" help:"Time during which faults are injected; calm times before and after come on top."`
+	Instances int           `default:"4" help:"Number of instances."`
+	Program   string        `type:"path" help:"Path of hyssopcroft; beside this program if it is not given."`
+	Keep      string        `type:"existingdir" help:"Folder for the output of the instances after a failure."`
 }
 
 // Help implements kong.HelpProvider.
 func (soakCmd) Help() string {
-	return `Runs four gateways as processes of their own before stand-ins on the loopback, harms them at random and
+	return `Runs gateways as processes of their own before stand-ins on the loopback, harms them at random and
 checks what callers and targets see. Exits with 1 and prints the violations if there are any.
 
 Examples:
@@ -38,7 +39,7 @@
 		}
 		cmd.Program = filepath.Join(filepath.Dir(executable), "hyssopcroft")
 	}
-	report, err := soak.Run(soak.Config{Seed: cmd.Seed, Duration: cmd.For, Program: cmd.Program, LogDir: cmd.Keep})
+	report, err := soak.Run(soak.Config{Seed: cmd.Seed, Instances: cmd.Instances, Duration: cmd.For, Program: cmd.Program, LogDir: cmd.Keep})
 	if err != nil {
 		return err
 	}
--- a/emulator/soak/soak.go
+++ b/emulator/soak/soak.go
@@ -23,8 +23,9 @@
 )
 
 const (
-	instanceCount = 4
-	callerCount   = 12
+	defaultInstances = 4
+	// callersPerInstance is the number of callers for each instance.
+	callersPerInstance = 3
 	// settleTime is the time without new faults at the start and at the end. Recovery is then checked for half of it.
 	settleTime = 6 * time.Second
 	// maxFaultInterval is the maximum time between the starts of two faults.
@@ -50,6 +51,8 @@
 // Config configures a run.
 type Config struct {
 	Seed uint64
+	// Instances is the number of instances; 0 stands for 4.
+	Instances int
 	// Duration is the time during which faults are injected.
 	Duration time.Duration
 	// Program is the path of the hyssopcroft executable.
@@ -90,6 +93,10 @@
 
 // Run runs a soak. Violations are part of the result; an error means that the soak itself failed.
 func Run(cfg Config) (Result, error) {
+	if cfg.Instances == 0 {
+		cfg.Instances = defaultInstances
+	}
+	callerCount := callersPerInstance * cfg.Instances
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return Result{}, errors.Wrap(err, "create a temporary directory")
@@ -99,16 +106,16 @@
 		random: rand.New(rand.NewPCG(cfg.Seed, 1)), store: newStore(), recorder: newRecorder(), faultCounts: map[string]int{},
 		searchers: map[string][]*searcher{},
 	}
-	if err := s.start(dir, cfg.Program); err != nil {
+	if err := s.start(dir, cfg.Program, cfg.Instances); err != nil {
 		return Result{}, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	for n := range callerCount {
-		c := &caller{soak: s, client: &http.Client{Transport: &http.Transport{}}, random: rand.New(rand.NewPCG(cfg.Seed, uint64(n)+2))}
+		c := &caller{soak: s, client: &http.Client{Transport: &http.Transport{}}, random: rand.New(rand.NewPCG(cfg.Seed, uint64(n)+3))}
 		callers.Go(func() { c.run(ctx) })
 	}
-	callers.Go(func() { s.submitCrashingRequest(ctx, rand.New(rand.NewPCG(cfg.Seed, callerCount+2))) })
+	callers.Go(func() { s.submitCrashingRequest(ctx, rand.New(rand.NewPCG(cfg.Seed, 2))) })
 	done := make(chan struct{})
 	for _, i := range s.instances {
 		go i.pollReadiness(done)
@@ -153,7 +160,7 @@
 	return nil
 }
 
-func (s *soak) start(dir, program string) error {
+func (s *soak) start(dir, program string, instanceCount int) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return errors.Wrap(err, "start the listener of the store")
