--- a/emulator/soak/fragile.go
+++ b/emulator/soak/fragile.go
@@ -20,8 +20,8 @@
 	crashDuration = 1500 * time.Millisecond
 	// submissionPause is the pause between two submissions of the crashing request.
 	submissionPause = 250 * time.Millisecond
-	// learnTime is the time after the third crash in which all instances must have learnt of it.
-	learnTime = recoveryTime
+	// spreadTime is the time after the third crash in which all instances must have been told of it.
+	spreadTime = recoveryTime
 	// maxLateCrashes is the number of crashes that are allowed later.
 	maxLateCrashes = 3
 	crashingBody   = "crash"
@@ -97,14 +97,14 @@
 	defer s.mu.Unlock()
 	late := 0
 	for _, at := range s.crashes {
-		recently := func(t time.Time) bool { return at.After(t) && at.Sub(t) < learnTime+maxCopyAge }
+		recently := func(t time.Time) bool { return at.After(t) && at.Sub(t) < spreadTime+maxCopyAge }
 		forgotten := slices.ContainsFunc(s.restores, recently) && slices.ContainsFunc(s.killsOfAll, recently)
-		if at.Sub(s.crashes[min(2, len(s.crashes)-1)]) > learnTime && !forgotten {
+		if at.Sub(s.crashes[min(2, len(s.crashes)-1)]) > spreadTime && !forgotten {
 			late++
 		}
 	}
 	if late > maxLateCrashes {
-		s.recorder.addViolation("crash: a request crashed %d searchers later than %v after the third", late, learnTime)
+		s.recorder.addViolation("crash: a request crashed %d searchers later than %v after the third", late, spreadTime)
 	}
 }
 
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -240,7 +240,7 @@
 	}
 }
 
-// isSaver reports whether this instance is the one live member that saves what several instances know of a request.
+// isSaver reports whether this instance is the live member that saves a request which several instances have reported.
 func (s *Service) isSaver(f quarantine.Fingerprint) bool {
 	key := strconv.FormatUint(uint64(f), 16)
 	return rendezvous.Choose(key, membership.LiveIDs(s.cfg.Members.Members())) == s.cfg.Instance
