Guard the members of the gateway tests' stand-in

The stand-in hands out copies under its lock now, and counts crashes under it; the services read their own list under a lock.

--- a/instance/gateway/suspects_loss_test.go
+++ b/instance/gateway/suspects_loss_test.go
@@ -13,13 +13,9 @@
 
 // submitBad submits the bad request of one caller through an instance, and returns the number of targets that it crashed.
 func (c *cluster) submitBad(t *testing.T, instance int) int {
-	c.mu.Lock()
-	before := c.crashes
-	c.mu.Unlock()
+	before := c.crashCount()
 	c.do(t.Context(), instance, "/one/x", badBody, "10.0.0.1:1")
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.crashes - before
+	return c.crashCount() - before
 }
 
 // Guards against a request that is let go because one target answers it with an error without running it.
@@ -32,7 +28,7 @@
 			c.submitBad(t, 0)
 			time.Sleep(restartTime + time.Second)
 		}
-		require.LessOrEqual(t, c.crashes, 3)
+		require.LessOrEqual(t, c.crashCount(), 3)
 	})
 }
 
@@ -47,7 +43,7 @@
 			c.submitBad(t, 0)
 			time.Sleep(2 * time.Second)
 		}
-		require.LessOrEqual(t, c.crashes, 3)
+		require.LessOrEqual(t, c.crashCount(), 3)
 	})
 }
 
@@ -61,7 +57,7 @@
 			c.submitBad(t, 0)
 			time.Sleep(2 * time.Second)
 		}
-		require.LessOrEqual(t, c.crashes, 3)
+		require.LessOrEqual(t, c.crashCount(), 3)
 	})
 }
 
@@ -82,7 +78,7 @@
 			time.Sleep(restartTime + time.Second)
 			c.submitBad(t, 0)
 		}
-		require.LessOrEqual(t, c.crashes, 4, "the last submission may have two attempts")
+		require.LessOrEqual(t, c.crashCount(), 4, "the last submission may have two attempts")
 	})
 }
 
@@ -122,17 +118,16 @@
 			c.submitBad(t, n%3)
 			time.Sleep(restartTime + time.Second)
 		}
-		require.Equal(t, 3, c.crashes)
+		require.Equal(t, 3, c.crashCount())
 		c.stopAll(t)
-		for i := range c.members {
-			c.members[i].Incarnation++
-			c.start(t, c.members[i].ID)
+		for i := range 3 {
+			c.restart(t, i)
 		}
 		for n := range 8 {
 			c.submitBad(t, n%3)
 			time.Sleep(restartTime + time.Second)
 		}
-		require.Equal(t, 3, c.crashes)
+		require.Equal(t, 3, c.crashCount())
 	})
 }
 
@@ -173,10 +168,8 @@
 		clear(c.silent)
 		c.mu.Unlock()
 		c.do(t.Context(), 1, "/many/x", badBody, "10.0.0.1:1")
-		require.Equal(t, 3, c.crashes)
+		require.Equal(t, 3, c.crashCount())
 		time.Sleep(2 * time.Second)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		require.Equal(t, 3, c.crashes)
+		require.Equal(t, 3, c.crashCount())
 	})
 }
--- a/instance/gateway/suspects_test.go
+++ b/instance/gateway/suspects_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -122,7 +123,27 @@
 }
 
 // Members implements gateway.Members.
-func (c *cluster) Members() []membership.Member { return c.members }
+func (c *cluster) Members() []membership.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.members)
+}
+
+// restart starts a member again, with a new incarnation and without what it knew.
+func (c *cluster) restart(t *testing.T, n int) {
+	c.mu.Lock()
+	c.members[n].Incarnation++
+	id := c.members[n].ID
+	c.mu.Unlock()
+	c.start(t, id)
+}
+
+// crashCount returns the number of crashes of targets.
+func (c *cluster) crashCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashes
+}
 
 func (c *cluster) sendSuspicion(ctx context.Context, address string, m peer.Suspicion) error {
 	c.mu.Lock()
@@ -253,7 +274,7 @@
 						require.False(t, isQuarantined(c.do(t.Context(), n, path, other.body, other.caller)))
 					}
 				}
-				require.LessOrEqual(t, c.crashes, maxCrashes)
+				require.LessOrEqual(t, c.crashCount(), maxCrashes)
 			})
 		})
 	}
@@ -266,7 +287,7 @@
 		c := newCluster(t, 1)
 		defer c.stopAll(t)
 		c.do(t.Context(), 0, "/many/x", badBody, "10.0.0.1:1")
-		require.Equal(t, 3, c.crashes)
+		require.Equal(t, 3, c.crashCount())
 		f := &fakeSender{sent: map[string]int{}, behave: func(string, int) (time.Duration, query.Reply) {
 			return serviceTime, outcome(query.OutcomeShed)
 		}}
@@ -306,8 +327,8 @@
 		wait.Wait()
 		require.Zero(t, quarantined.Load())
 		require.Positive(t, answered.Load())
-		require.Positive(t, c.crashes)
-		t.Log(answered.Load(), c.crashes)
+		require.Positive(t, c.crashCount())
+		t.Log(answered.Load(), c.crashCount())
 	})
 }
 
@@ -334,16 +355,15 @@
 			time.Sleep(4 * time.Second)
 			c.do(t.Context(), n%2, "/one/x", badBody, "10.0.0.1:1")
 		}
-		crashesBefore := c.crashes
+		crashesBefore := c.crashCount()
 		require.Positive(t, crashesBefore)
 		require.NoError(t, c.gateways["i2"].Stop(t.Context()))
-		c.members[2].Incarnation++
-		c.start(t, "i2")
+		c.restart(t, 2)
 		for _, bus := range c.buses {
 			require.NoError(t, bus.Publish(members.Changed{ID: "i2", State: "live"}))
 		}
 		time.Sleep(time.Second)
 		require.True(t, isQuarantined(c.do(t.Context(), 2, "/one/x", badBody, "10.0.0.1:1")))
-		require.Equal(t, crashesBefore, c.crashes)
+		require.Equal(t, crashesBefore, c.crashCount())
 	})
 }
