--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -17,6 +17,7 @@
 	header     http.Header
 	body       string
 	retryAfter time.Duration
+	closes     bool // the answer says that its connection is closed
 	err        error
 }
 
@@ -39,7 +40,7 @@
 		c.conn, c.in = conn, bufio.NewReader(conn)
 	}
 	out := c.exchange(method, host, path, id, body, deadline)
-	if out.err != nil || out.header.Get("Connection") == "close" {
+	if out.err != nil || out.closes {
 		c.close()
 	}
 	return out
@@ -71,7 +72,7 @@
 	if err != nil {
 		return outcome{err: err}
 	}
-	out := outcome{status: resp.StatusCode, header: resp.Header, body: string(raw)}
+	out := outcome{status: resp.StatusCode, header: resp.Header, body: string(raw), closes: resp.Close}
 	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		out.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -12,9 +12,9 @@
 // The case "refused": two of three searchers crash, the one that is left is full at times, and it sends some of its refusals
 // twice, the second copy where the next answer is expected.
 const (
-	refusedRounds     = 9
+	refusedRounds     = 12
 	refusedOutage     = 3300 * time.Millisecond // of two of three searchers
-	refusedPause      = 6 * time.Second
+	refusedPause      = 4 * time.Second
 	refusedClients    = 30
 	refusedPerSecond  = 60.0 // requests of all clients
 	refusedExtraShare = 0.04 // of the answers of one of three searchers
