--- a/review/standin/recover.go
+++ b/review/standin/recover.go
@@ -157,6 +157,9 @@
 		counts, start, status := phase.Load(), time.Now(), 0
 		for try := range 2 {
 			left := 3*time.Second - time.Since(start)
+			if left <= 0 {
+				break
+			}
 			at := (n + try) % len(conns)
 			if try > 0 {
 				conns[at].close() // A client tries again on a new connection.
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -116,6 +116,9 @@
 		start := time.Now()
 		for try := range 2 {
 			left := 3*time.Second - time.Since(start)
+			if left <= 0 {
+				break
+			}
 			at := (n + try) % len(conns)
 			if try > 0 {
 				conns[at].close() // A client tries again on a new connection.
