Review case 3: a request that crashes searchers in the middle of an answer is never held

A searcher that crashes when it has sent the begin of its answer, on a connection that has carried no other answer, counts as an unknown outcome. Nothing probes it, and the request goes on to crash searchers at each submission.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,7 +31,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
 	}
-	cases := map[string]func(*deployment) error{"refused": runRefused, "recover": runRecover}
+	cases := map[string]func(*deployment) error{"refused": runRefused, "recover": runRecover, "poison": runPoison}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case")
--- a/review/standin/searcher.go
+++ b/review/standin/searcher.go
@@ -41,6 +41,10 @@
 	onRun func(sr *searcher, requestID string)
 	// sendsExtra reports whether the searcher sends a second copy of an answer. It may be nil.
 	sendsExtra func(refusal bool) bool
+	// crashesOn reports whether a request crashes the searcher when it begins to work on it. It may be nil. With headFirst,
+	// the searcher has sent the begin of its answer by then.
+	crashesOn func(r *http.Request) bool
+	headFirst bool
 
 	slot    chan struct{}
 	waiting atomic.Int64
@@ -142,6 +146,12 @@
 			sr.record.add("searcher %s gets request %s again on the same connection", sr.id, id)
 		}
 		answer := sr.answer(r)
+		if sr.crashesOn != nil && r.URL.Path == poisonPath {
+			_, _ = c.Write(answer) // The begin of the answer, or nothing.
+			time.Sleep(20 * time.Millisecond)
+			sr.crash()
+			return
+		}
 		refusal := strings.Contains(string(answer), "Not-Executed")
 		refusedID = ""
 		if refusal {
@@ -187,6 +197,14 @@
 	if sr.crashed.Load() {
 		return nil
 	}
+	if sr.crashesOn != nil && sr.crashesOn(r) {
+		begin := []byte(nil)
+		if sr.headFirst {
+			whole := encodeAnswer(http.StatusOK, strings.Repeat("x", 3000), "Request-Id: "+id, "Server-Stamp: "+sr.id+"."+id)
+			begin = whole[:len(whole)-1000]
+		}
+		return begin
+	}
 	sr.onRun(sr, id)
 	time.Sleep(sr.service.work)
 	body := "done " + id
