--- /dev/null
+++ b/instance/gateway/suspects_restart_test.go
@@ -0,0 +1,255 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/control/membership"
+	"hyssopcroft.example/control/roster"
+	"hyssopcroft.example/instance/directory"
+	"hyssopcroft.example/instance/gateway"
+	"hyssopcroft.example/query"
+)
+
+// restartPlan is how targets crash and start again. A target that crashes closes its connections.
+type restartPlan struct {
+	silent     bool          // the address of a crashed target answers no connects; otherwise it refuses them
+	after      time.Duration // from the crash to the next start
+	listLag    time.Duration // from the next start to its entry in the list
+	newID      bool          // the next start has another id
+	newAddress bool          // the next start has another address
+	lapseAfter time.Duration // from the crash to the removal of the entry; 0: it stays until the next start is listed
+}
+
+const (
+	restartTargets   = 6
+	restartInstances = 6
+	timeToCrash      = 85 * time.Millisecond // from the arrival of the bad request to the crash
+)
+
+// restartSite is a set of gateways before targets that the bad request crashes. Other requests are answered.
+type restartSite struct {
+	plan     restartPlan
+	gateways map[string]*gateway.Service // by id, which is the address as well; read only after the start
+	members  []membership.Member
+
+	mu      sync.Mutex              // guards the fields below
+	entries map[string]roster.Entry // the list, by slot of the target
+	serving map[string]roster.Entry // by address
+	starts  int
+	crashes []time.Time
+	reached map[string]time.Time // first arrival of a submission at a target, by its id
+}
+
+func newRestartSite(t *testing.T, plan restartPlan) *restartSite {
+	s := &restartSite{
+		plan: plan, gateways: map[string]*gateway.Service{}, entries: map[string]roster.Entry{}, serving: map[string]roster.Entry{},
+		reached: map[string]time.Time{},
+	}
+	for n := range restartTargets {
+		slot := fmt.Sprintf("t%d", n)
+		e := roster.Entry{ID: slot, Service: "single", Address: slot, FailureDomain: "near", Incarnation: 1}
+		s.entries[slot], s.serving[slot] = e, e
+	}
+	for n := range restartInstances {
+		id := fmt.Sprintf("i%d", n)
+		s.members = append(s.members, membership.Member{ID: id, Address: id, State: membership.Live, Incarnation: 1})
+	}
+	for _, m := range s.members {
+		cfg := testConfig(t, s)
+		cfg.Instance, cfg.Members, cfg.SendSuspicion = m.ID, s, s.sendSuspicion
+		s.gateways[m.ID] = newServiceFrom(t, cfg)
+	}
+	s.publish()
+	return s
+}
+
+func (s *restartSite) publish() {
+	s.mu.Lock()
+	list := slices.Collect(maps.Values(s.entries))
+	s.mu.Unlock()
+	for _, g := range s.gateways {
+		g.SetTargets(directory.TargetsChanged{Entries: list})
+	}
+}
+
+// Members implements gateway.Members.
+func (s *restartSite) Members() []membership.Member { return s.members }
+
+func (s *restartSite) sendSuspicion(_ context.Context, address string, m peer.Suspicion) error {
+	s.gateways[address].OnSuspicion(m)
+	return nil
+}
+
+// Send implements gateway.Sender.
+func (s *restartSite) Send(ctx context.Context, a gateway.Attempt) query.Reply {
+	e, up := s.at(a.Address)
+	switch {
+	case !up && s.plan.silent:
+		<-ctx.Done()
+		return outcome(query.OutcomeNotRun)
+	case !up:
+		return outcome(query.OutcomeNotRun)
+	case e.ID != string(a.Target):
+		return outcome(query.OutcomeWrongShard)
+	}
+	s.mu.Lock()
+	if _, again := s.reached[a.Request.ID]; !again {
+		s.reached[a.Request.ID] = time.Now()
+	}
+	s.mu.Unlock()
+	time.Sleep(timeToCrash)
+	if now, up := s.at(a.Address); !up || now.Incarnation != e.Incarnation {
+		return outcome(query.OutcomeCrashed)
+	}
+	if string(a.Request.Body) != badBody {
+		return answer(e.ID)
+	}
+	s.crash(e)
+	return outcome(query.OutcomeCrashed)
+}
+
+// at returns the target that serves an address, or false if none does.
+func (s *restartSite) at(address string) (roster.Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, up := s.serving[address]
+	return e, up
+}
+
+// crash ends a target and plans its next start.
+func (s *restartSite) crash(e roster.Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.serving[e.Address].Incarnation != e.Incarnation {
+		return
+	}
+	s.crashes = append(s.crashes, time.Now())
+	delete(s.serving, e.Address)
+	var slot string
+	for k, listed := range s.entries {
+		if listed.ID == e.ID {
+			slot = k
+		}
+	}
+	if s.plan.lapseAfter > 0 {
+		time.AfterFunc(s.plan.lapseAfter, func() { s.unlist(slot, e) })
+	}
+	s.starts++
+	next := e
+	next.Incarnation += int64(s.starts)
+	if s.plan.newID {
+		next.ID = fmt.Sprintf("%s-%d", slot, s.starts)
+	}
+	if s.plan.newAddress {
+		next.Address = fmt.Sprintf("%s:%d", slot, s.starts)
+	}
+	time.AfterFunc(s.plan.after, func() {
+		s.mu.Lock()
+		s.serving[next.Address] = next
+		s.mu.Unlock()
+	})
+	time.AfterFunc(s.plan.after+s.plan.listLag, func() {
+		s.mu.Lock()
+		s.entries[slot] = next
+		s.mu.Unlock()
+		s.publish()
+	})
+}
+
+// unlist removes the entry of a crashed target, unless the next start is listed already.
+func (s *restartSite) unlist(slot string, e roster.Entry) {
+	s.mu.Lock()
+	if s.entries[slot].Incarnation == e.Incarnation {
+		delete(s.entries, slot)
+	}
+	s.mu.Unlock()
+	s.publish()
+}
+
+// CheckReachable implements gateway.Sender.
+func (s *restartSite) CheckReachable(ctx context.Context, address string) error {
+	_, up := s.at(address)
+	switch {
+	case up:
+		return nil
+	case s.plan.silent:
+		<-ctx.Done()
+		return errors.Wrap(ctx.Err(), "connect")
+	}
+	return errors.New("connection refused")
+}
+
+func (s *restartSite) SetConnections(map[string]int)              {}
+func (s *restartSite) KeepSpares([]string)                        {}
+func (s *restartSite) CloseUnused(time.Duration, map[string]bool) {}
+func (s *restartSite) NeedsConnection(string) bool                { return false }
+func (s *restartSite) Connect(context.Context, string) error      { return nil }
+
+func (s *restartSite) submit(ctx context.Context, n int, body string) gateway.Response {
+	return s.gateways[s.members[n%len(s.members)].ID].Do(ctx, &gateway.Request{
+		ID: fmt.Sprint(body, n), Caller: "10.0.0.1:1", Method: "GET", Target: "/one/x", Path: "/one/x", Host: "h", Header: http.Header{},
+		Body: []byte(body), TimeLeft: time.Second,
+	})
+}
+
+// reachedLate returns the number of submissions that reached targets later than a time after the third crash.
+func (s *restartSite) reachedLate(after time.Duration) (late, crashes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.reached {
+		if len(s.crashes) >= 3 && at.Sub(s.crashes[2]) > after {
+			late++
+		}
+	}
+	return late, len(s.crashes)
+}
+
+// Guards against a crash that is not counted because the address of the target is silent afterwards, or because the next
+// start is listed late, under another id or at another address.
+func TestCrashCountsHoweverTargetRestarts(t *testing.T) {
+	const (
+		pause   = 600 * time.Millisecond
+		window  = 5 * time.Second
+		allowed = 3
+	)
+	back := 3100 * time.Millisecond
+	for name, plan := range map[string]restartPlan{
+		"refuses, back elsewhere":                        {after: back, newID: true, newAddress: true},
+		"back at once, listed late":                      {listLag: 3 * time.Second},
+		"back at once under another id, listed late":     {listLag: 3 * time.Second, newID: true},
+		"back at once, listed after 6 s":                 {listLag: 6 * time.Second},
+		"silent, back and listed":                        {silent: true, after: back, listLag: 300 * time.Millisecond},
+		"silent, listed late":                            {silent: true, after: back, listLag: 1500 * time.Millisecond},
+		"silent, back late":                              {silent: true, after: 5 * time.Second},
+		"silent, back after 12 s":                        {silent: true, after: 12 * time.Second},
+		"silent, back elsewhere":                         {silent: true, after: back, newID: true, newAddress: true},
+		"silent, entry lapses, back elsewhere":           {silent: true, after: back, newID: true, newAddress: true, lapseAfter: 2400 * time.Millisecond, listLag: time.Second},
+		"silent, entry lapses, back after a minute":      {silent: true, after: time.Minute, lapseAfter: 3600 * time.Millisecond},
+		"silent, back elsewhere, list changes after 9 s": {silent: true, after: back, newID: true, newAddress: true, listLag: 6 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newRestartSite(t, plan)
+				for n := range 100 {
+					s.submit(t.Context(), n, badBody)
+					time.Sleep(pause)
+				}
+				late, crashes := s.reachedLate(window)
+				t.Logf("%d crashes, %d submissions reached targets later than %v after the third", crashes, late, window)
+				require.LessOrEqual(t, late, allowed)
+			})
+		})
+	}
+}
