Log what each probe of a target has found

A request that was sent on after three crashes left a line with the number of probed and crashed targets only. Each probe now leaves one line with the result of each connect and the state of the list. Probes are shared by the requests of a target, and the log limits lines by message.

--- a/instance/gateway/crash_probe.go
+++ b/instance/gateway/crash_probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"hyssopcroft.example/control/roster"
@@ -46,15 +47,24 @@
 }
 
 func (s *Service) runProbe(p *crashProbe, e roster.Entry) {
+	start := time.Now()
+	var connects []string
+	restarted := false
 	for _, step := range probeSteps {
 		kernel.Sleep(s.ctx, step.pause)
 		if !step.connect {
 			s.suspects.endProbe(p) // A connection that closes from now on needs checks of its own.
 		}
-		if p.crashed = s.hasRestarted(e) || step.connect && s.refusesConnections(e.Address); p.crashed {
+		if restarted = s.hasRestarted(e); !restarted && step.connect {
+			connects = append(connects, s.tryConnect(e.Address))
+		}
+		if p.crashed = restarted || len(connects) > 0 && connects[len(connects)-1] == connectRefused; p.crashed {
 			break
 		}
 	}
+	s.cfg.Log.Info("target probed after it closed a connection or left a request unanswered", "target", p.target, "service", e.Service,
+		"address", e.Address, "connects", connects, "restarted", restarted, "listed", s.isListed(e), "crashed", p.crashed,
+		"took_ms", time.Since(start).Milliseconds())
 	s.suspects.endProbe(p)
 	close(p.done)
 }
@@ -67,11 +77,33 @@
 	}
 }
 
-func (s *Service) refusesConnections(address string) bool {
+// Results of a connect in the log line of a probe.
+const (
+	connectAccepted = "accepted" // or there is a usable connection
+	connectRefused  = "refused"
+	connectSilent   = "silent"
+)
+
+func (s *Service) tryConnect(address string) string {
 	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
 	defer cancel()
 	err := s.cfg.Sender.CheckReachable(ctx, address)
-	return err != nil && ctx.Err() == nil
+	switch {
+	case err == nil:
+		return connectAccepted
+	case ctx.Err() == nil:
+		return connectRefused
+	}
+	return connectSilent
+}
+
+// isListed reports whether the list has the incarnation of a target.
+func (s *Service) isListed(e roster.Entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.roster.Entries(time.Now()), func(now roster.Entry) bool {
+		return now.ID == e.ID && now.Incarnation == e.Incarnation
+	})
 }
 
 // hasRestarted reports whether the list shows a later start of a target, under its id or at its address.
