Count the crash of a target whose address is silent afterwards

Cause: a closed connection counted as a crash only once the target refused connects, or the list had its next start at its id or address within 3.0 to 3.9 s. A target whose machine is gone, or whose next start has another id and address or is listed late, was let off for good. Class: a fault is proven by one sign that it may not give, within a time that it may exceed.

Change: quarantine.CrashCheck decides, without I/O, from connects and the list: proven if the target refuses connects, has been replaced, or has left the list while it is silent; likely if it closed a connection and three connects were not answered. A likely crash counts at once, since the list may need seconds. The list is watched for 8 s, or 15 s while the target is silent. A target that accepts connects and leaves the list is not suspected: it serves on while it leaves.

--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -197,6 +197,39 @@
 	delete(r.warmAt, id)
 }
 
+// State is what the list says of one start of a target.
+type State uint8
+
+const (
+	// Listed means that the list has the entry, or may lack it only because it is incomplete.
+	Listed State = iota
+	// Replaced means that the list has a later start of the target, or that another target has its address.
+	Replaced
+	// Removed means that the list has neither.
+	Removed
+)
+
+var stateNames = [...]string{"listed", "replaced", "removed"}
+
+// String returns the name used in logs.
+func (s State) String() string { return stateNames[s] }
+
+// StateOf returns the state of a target that had the given entry.
+func (r *Roster) StateOf(e Entry) State {
+	if reused, ok := r.addressReused[e.ID]; ok && reused.Incarnation == e.Incarnation {
+		return Replaced
+	}
+	for _, now := range r.entries {
+		if (now.ID == e.ID || now.Address == e.Address) && now.Incarnation > e.Incarnation {
+			return Replaced
+		}
+	}
+	if now, ok := r.entries[e.ID]; ok && now.Incarnation == e.Incarnation {
+		return Listed
+	}
+	return Removed
+}
+
 // ReadyCount returns the number of targets that are not draining.
 func (r *Roster) ReadyCount() int {
 	n := 0
--- a/control/roster/roster_test.go
+++ b/control/roster/roster_test.go
@@ -142,3 +142,40 @@
 	r.Replace(start.Add(4*time.Second), []roster.Entry{{ID: "a", Incarnation: 2}, list[1]}, false)
 	require.Equal(t, 2, r.ReadyCount())
 }
+
+// Guards against a target that counts as listed although the list has its successor, under its id or at its address, and
+// against one that counts as removed because the list is incomplete.
+func TestStateOfTarget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e := roster.Entry{ID: "a", Service: "s", Address: "1", Incarnation: 5}
+	changed := func(change func(*roster.Entry)) []roster.Entry {
+		c := e
+		change(&c)
+		return []roster.Entry{c}
+	}
+	for name, tc := range map[string]struct {
+		list       []roster.Entry
+		incomplete bool
+		want       roster.State
+	}{
+		"unchanged":                     {[]roster.Entry{e}, false, roster.Listed},
+		"draining":                      {changed(func(c *roster.Entry) { c.Draining = true }), false, roster.Listed},
+		"started again":                 {changed(func(c *roster.Entry) { c.Incarnation++ }), false, roster.Replaced},
+		"started again elsewhere":       {changed(func(c *roster.Entry) { c.Incarnation, c.Address = 6, "2" }), false, roster.Replaced},
+		"another target at its address": {changed(func(c *roster.Entry) { c.ID, c.Incarnation = "b", 6 }), false, roster.Replaced},
+		"another target elsewhere":      {changed(func(c *roster.Entry) { c.ID, c.Incarnation, c.Address = "b", 6, "2" }), false, roster.Removed},
+		"removed":                       {nil, false, roster.Removed},
+		"incomplete list":               {nil, true, roster.Listed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := roster.New()
+			r.Replace(now, []roster.Entry{e}, false)
+			r.Replace(now, tc.list, tc.incomplete)
+			require.Equal(t, tc.want, r.StateOf(e))
+		})
+	}
+	r := roster.New()
+	r.Replace(now, []roster.Entry{e}, false)
+	r.OnAddressReused(e)
+	require.Equal(t, roster.Replaced, r.StateOf(e))
+}
--- a/instance/gateway/crash_probe.go
+++ b/instance/gateway/crash_probe.go
@@ -2,43 +2,46 @@
 
 import (
 	"context"
-	"slices"
+	"fmt"
+	"log/slog"
 	"time"
 
 	"hyssopcroft.example/control/roster"
 	"hyssopcroft.example/kernel"
 	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/quarantine"
 )
 
 // probeTimeout bounds one check whether a target accepts connections. It allows several round trips between regions.
 const probeTimeout = 300 * time.Millisecond
 
-// probeSteps are the steps of a probe, with the pause before each.
-//
-// The first connection check may find an idle connection that the crash has closed too, but whose end has not arrived
-// yet. A target that is back before the last one still shows in the list, where it registers again within seconds.
-var probeSteps = []struct {
-	pause   time.Duration
-	connect bool
-}{{0, true}, {100 * time.Millisecond, true}, {400 * time.Millisecond, true}, {500 * time.Millisecond, false}, {time.Second, false}, {time.Second, false}}
-
 // crashProbe finds out whether a target has crashed. It starts when a connection closes in the middle of a request, and
 // is shared by all requests that the target had in flight.
 type crashProbe struct {
 	target query.TargetID // incarnation id
-	done   chan struct{}  // closed once crashed is set
-	// crashed is set if the target refuses connections or has restarted. A target that does not respond has not been
-	// shown to have crashed: it may only be unreachable from this instance.
-	crashed bool
+	closed bool           // the target closed a connection
+	start  time.Time
+
+	// The fields below are guarded by suspects.mu.
+
+	evidence quarantine.Evidence
+	// unanswered are the submissions that the target had in flight and that ended without an answer.
+	unanswered []submission
 }
 
-// probe returns the probe of a target that has closed a connection in the middle of a request. e is its entry at the time
-// at which the request was sent.
-func (s *Service) probe(e roster.Entry) *crashProbe {
-	p := &crashProbe{target: incarnationID(query.TargetID(e.ID), e.Incarnation), done: make(chan struct{})}
+// submission is one submission of a request that ended without an answer.
+type submission struct {
+	request     string
+	fingerprint quarantine.Fingerprint
+}
+
+// probe returns the probe of a target that has closed a connection in the middle of a request or, if closed is not set, left
+// a request unanswered. e is its entry at the time at which the request was sent.
+func (s *Service) probe(e roster.Entry, closed bool) *crashProbe {
+	p := &crashProbe{target: incarnationID(query.TargetID(e.ID), e.Incarnation), closed: closed, start: time.Now()}
 	s.suspects.mu.Lock()
 	defer s.suspects.mu.Unlock()
-	if running, ok := s.suspects.probes[p.target]; ok {
+	if running, ok := s.suspects.probes[p.target]; ok && (running.closed || !closed) {
 		return running
 	}
 	s.suspects.probes[p.target] = p
@@ -47,29 +50,34 @@
 }
 
 func (s *Service) runProbe(p *crashProbe, e roster.Entry) {
-	start := time.Now()
-	var connects []string
-	restarted := false
-	for _, step := range probeSteps {
-		kernel.Sleep(s.ctx, step.pause)
-		if !step.connect {
-			s.suspects.endProbe(p) // A connection that closes from now on needs checks of its own.
+	check := quarantine.NewCrashCheck(p.closed)
+	state := roster.Listed
+	for step, ok := check.Next(); ok; step, ok = check.Next() {
+		if !kernel.Sleep(s.ctx, step.Pause) {
+			break
 		}
-		if restarted = s.hasRestarted(e); !restarted && step.connect {
-			connects = append(connects, s.tryConnect(e.Address))
+		if !step.Connect {
+			s.suspects.endSharing(p) // A connection that closes from now on needs checks of its own.
 		}
-		if p.crashed = restarted || len(connects) > 0 && connects[len(connects)-1] == connectRefused; p.crashed {
-			break
+		if step.Connect {
+			check.OnConnect(s.tryConnect(e.Address))
 		}
+		switch state = s.stateOf(e); state {
+		case roster.Replaced:
+			check.OnRestarted()
+		case roster.Removed:
+			check.OnRemoved()
+		}
+		s.updateEvidence(p, check.Evidence())
 	}
+	s.suspects.endSharing(p)
 	s.cfg.Log.Info("target probed after it closed a connection or left a request unanswered", "target", p.target, "service", e.Service,
-		"address", e.Address, "connects", connects, "restarted", restarted, "listed", s.isListed(e), "crashed", p.crashed,
-		"took_ms", time.Since(start).Milliseconds())
-	s.suspects.endProbe(p)
-	close(p.done)
+		"address", e.Address, "closed", p.closed, "connects", fmt.Sprint(check.Connects()), "list", state.String(),
+		"crash", check.Evidence().String(), "took_ms", time.Since(p.start).Milliseconds())
 }
 
-func (s *suspects) endProbe(p *crashProbe) {
+// endSharing makes later requests use a new probe.
+func (s *suspects) endSharing(p *crashProbe) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.probes[p.target] == p {
@@ -77,43 +85,53 @@
 	}
 }
 
-// Results of a connect in the log line of a probe.
-const (
-	connectAccepted = "accepted" // or there is a usable connection
-	connectRefused  = "refused"
-	connectSilent   = "silent"
-)
+// updateEvidence reports the crash for the submissions that the target had in flight, if there is more evidence than before.
+func (s *Service) updateEvidence(p *crashProbe, evidence quarantine.Evidence) {
+	s.suspects.mu.Lock()
+	more := evidence > p.evidence
+	p.evidence = evidence
+	unanswered := p.unanswered
+	s.suspects.mu.Unlock()
+	if !more {
+		return
+	}
+	for _, u := range unanswered {
+		s.reportCrash(u, p, evidence)
+	}
+}
 
-func (s *Service) tryConnect(address string) string {
+// addUnanswered adds a submission that ended without an answer to the probe of a target that had it in flight.
+func (s *Service) addUnanswered(p *crashProbe, u submission) {
+	s.suspects.mu.Lock()
+	p.unanswered = append(p.unanswered, u)
+	evidence := p.evidence
+	s.suspects.mu.Unlock()
+	if evidence != quarantine.NoEvidence {
+		s.reportCrash(u, p, evidence)
+	}
+}
+
+// reportCrash reports a crash of a target that had a submission in flight.
+func (s *Service) reportCrash(u submission, p *crashProbe, evidence quarantine.Evidence) {
+	s.reportCrashes(u.fingerprint, []quarantine.Crash{{Target: p.target}}, slog.String("request", u.request), slog.String("evidence", evidence.String()))
+}
+
+func (s *Service) tryConnect(address string) quarantine.ConnectResult {
 	ctx, cancel := context.WithTimeout(s.ctx, probeTimeout)
 	defer cancel()
 	err := s.cfg.Sender.CheckReachable(ctx, address)
 	switch {
 	case err == nil:
-		return connectAccepted
+		return quarantine.ConnectAccepted
 	case ctx.Err() == nil:
-		return connectRefused
+		return quarantine.ConnectRefused
 	}
-	return connectSilent
+	return quarantine.ConnectSilent
 }
 
-// isListed reports whether the list has the incarnation of a target.
-func (s *Service) isListed(e roster.Entry) bool {
+// stateOf returns what the list says of a target.
+func (s *Service) stateOf(e roster.Entry) roster.State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.roster.Entries(time.Now()), func(now roster.Entry) bool {
-		return now.ID == e.ID && now.Incarnation == e.Incarnation
-	})
-}
-
-// hasRestarted reports whether the list shows a later start of a target, under its id or at its address.
-func (s *Service) hasRestarted(e roster.Entry) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, now := range s.roster.Entries(time.Now()) {
-		if (now.ID == e.ID || now.Address == e.Address) && now.Incarnation > e.Incarnation {
-			return true
-		}
-	}
-	return false
+	return s.roster.StateOf(e)
 }
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -230,9 +230,7 @@
 	case query.OutcomeWrongShard:
 		q.service.onAddressReused(r.target)
 	case query.OutcomeCrashed, query.OutcomeRefused:
-		if p := q.service.probe(q.sentTo(r.attempt)); !slices.Contains(q.probes, p) {
-			q.probes = append(q.probes, p)
-		}
+		q.addProbe(q.service.probe(q.sentTo(r.attempt), true))
 	}
 	if q.single != nil {
 		if r.reply.Outcome == query.OutcomeFailed {
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -174,8 +174,8 @@
 	if q.priorCrashes > 0 {
 		q.probeUnanswered()
 	}
-	if len(q.probes) > 0 {
-		q.service.background.Go(func() { q.service.reportProbed(q.request.ID, q.fingerprint(), q.probes) })
+	for _, p := range q.probes {
+		q.service.addUnanswered(p, submission{request: q.request.ID, fingerprint: q.fingerprint()})
 	}
 }
 
@@ -186,24 +186,15 @@
 		if r.entry.Address == "" || r.phase == replied && r.outcome != query.OutcomeUnknown {
 			continue
 		}
-		if p := q.service.probe(r.entry); !slices.Contains(q.probes, p) {
-			q.probes = append(q.probes, p)
-		}
+		q.addProbe(q.service.probe(r.entry, false))
 	}
 }
 
-// reportProbed reports the targets that have crashed during a request, each as soon as its probe has found out.
-func (s *Service) reportProbed(request string, f quarantine.Fingerprint, probes []*crashProbe) {
-	crashed := 0
-	for _, p := range probes {
-		<-p.done
-		if p.crashed {
-			crashed++
-			s.reportCrashes(f, []quarantine.Crash{{Target: p.target}}, slog.String("request", request))
-		}
+// addProbe adds the probe of a target of the request, unless it is there already.
+func (q *run) addProbe(p *crashProbe) {
+	if !slices.Contains(q.probes, p) {
+		q.probes = append(q.probes, p)
 	}
-	s.cfg.Log.Info("targets probed after an unanswered request", "request", request, fingerprintAttr(f),
-		"targets", len(probes), "crashed", crashed)
 }
 
 // incarnationID returns an id for one incarnation of a target. A target may crash again after it has restarted under
@@ -214,12 +205,12 @@
 
 // reportCrashes records crashes on a request and sends new ones to the other instances, because the request may be
 // resubmitted at any of them.
-func (s *Service) reportCrashes(f quarantine.Fingerprint, crashes []quarantine.Crash, source slog.Attr) {
+func (s *Service) reportCrashes(f quarantine.Fingerprint, crashes []quarantine.Crash, source ...any) {
 	added, total := s.suspects.record(f, crashes)
 	if len(added) == 0 {
 		return
 	}
-	s.logCrashes("targets crashed while they ran a request", f, added, total, source)
+	s.logCrashes("targets crashed while they ran a request", f, added, total, source...)
 	s.saveIfQuarantined(f)
 	self := s.cfg.Instance
 	for _, m := range s.cfg.Members.Members() {
