Probe targets that crash in the middle of an answer

Cause: the end of a connection in the middle of an answer, on a connection without an earlier one, had an unknown outcome, and only the outcomes crashed and refused started a probe. Class: evidence of a crash was derived from the outcome, which says what the request may have done, and not from what the target did to the connection.

TestCrashInTheMiddleOfAnswerCounts failed with 54 submissions too late where 0 are expected.

Change: http1 reports whether the target closed the connection before its response was complete, in its head or its body, as a flag of its own; the outcome is as before. The gateway probes such targets.

--- a/adapter/http1/client_test.go
+++ b/adapter/http1/client_test.go
@@ -154,6 +154,31 @@
 	}
 }
 
+// Guards against a target that closes a connection in the middle of its response, unnoticed, on a connection without an
+// earlier response; and against a target that is said to have closed a connection on which it sent no response at all, or
+// that this end closed.
+func TestCloseInTheMiddleOfResponseIsReported(t *testing.T) {
+	for name, response := range map[string]string{
+		"body": strings.Replace(okResponse, ": 2", ": 9", 1), "header": "HTTP/1.1 200 OK\r\nContent-", "status line": "HTTP/1.1 2",
+		"chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", "nothing sent": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serveAndClose(t, response)
+			_, err := newClient(s, 1).Do(t.Context(), s.Addr().String(), newRequest("a"))
+			var failure *http1.Error
+			require.True(t, errors.As(err, &failure), "%v", err)
+			require.True(t, failure.PeerClosed)
+		})
+	}
+	s := listen(t, func(_ *testTarget, c net.Conn) { _, _ = io.Copy(io.Discard, c) }) // It ends when the client closes c.
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err := newClient(s, 1).Do(ctx, s.Addr().String(), newRequest("a"))
+	var failure *http1.Error
+	require.True(t, errors.As(err, &failure), "%v", err)
+	require.False(t, failure.PeerClosed)
+}
+
 // serveAndClose starts a target that sends text in response to the first request of each connection and then
 // closes the connection.
 func serveAndClose(t *testing.T, text string) *testTarget {
--- a/adapter/http1/conn.go
+++ b/adapter/http1/conn.go
@@ -66,6 +66,7 @@
 type boundedInput struct {
 	reader io.Reader
 	left   int
+	closed bool // the peer has closed the connection
 }
 
 // Read implements io.Reader.
@@ -75,6 +76,7 @@
 	}
 	n, err := b.reader.Read(p[:min(len(p), b.left)])
 	b.left -= n
+	b.closed = b.closed || closedByPeer(err)
 	return n, err
 }
 
@@ -146,7 +148,9 @@
 		}
 	}
 	if err != nil {
-		return nil, false, newError(c.failureStage(written, err), err, "exchange")
+		failure := newError(c.failureStage(written, err), err, "exchange")
+		failure.PeerClosed = written && c.input.closed
+		return nil, false, failure
 	}
 	c.usedAt, c.answered = time.Now(), true
 	return resp, reusable, nil
--- a/adapter/http1/request.go
+++ b/adapter/http1/request.go
@@ -56,7 +56,9 @@
 // Error is the error that Client.Do returns.
 type Error struct {
 	Stage Stage
-	cause error
+	// PeerClosed is set if the target closed the connection after the request was sent and before its response was complete.
+	PeerClosed bool
+	cause      error
 }
 
 // Error returns the stage and the text of the cause.
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -226,10 +226,10 @@
 	q.service.cfg.Metrics.countAttempt(r.reply.Outcome)
 	q.endAttempt(r.attempt, replied, r.reply.Outcome)
 	q.service.observeRateLimit(r.target, r.reply)
-	switch r.reply.Outcome {
-	case query.OutcomeWrongShard:
+	if r.reply.Outcome == query.OutcomeWrongShard {
 		q.service.onAddressReused(r.target)
-	case query.OutcomeCrashed, query.OutcomeRefused:
+	}
+	if r.reply.ConnectionClosed || r.reply.Outcome == query.OutcomeCrashed || r.reply.Outcome == query.OutcomeRefused {
 		q.addProbe(q.service.probe(q.sentTo(r.attempt), true))
 	}
 	if q.single != nil {
--- a/instance/gateway/suspects_restart_test.go
+++ b/instance/gateway/suspects_restart_test.go
@@ -30,6 +30,7 @@
 	newID      bool          // the next start has another id
 	newAddress bool          // the next start has another address
 	lapseAfter time.Duration // from the crash to the removal of the entry; 0: it stays until the next start is listed
+	inAnswer   bool          // targets crash in the middle of their answers, on connections without an earlier one
 }
 
 const (
@@ -117,6 +118,9 @@
 		return answer(e.ID)
 	}
 	s.crash(e)
+	if s.plan.inAnswer {
+		return query.Reply{Outcome: query.OutcomeUnknown, ConnectionClosed: true}
+	}
 	return outcome(query.OutcomeCrashed)
 }
 
@@ -253,3 +257,17 @@
 		})
 	}
 }
+
+// Guards against a target that crashes in the middle of its first answer on a connection, and is not probed.
+func TestCrashInTheMiddleOfAnswerCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRestartSite(t, restartPlan{after: 3 * time.Second, newID: true, inAnswer: true})
+		for n := range 60 {
+			s.submit(t.Context(), n, badBody)
+			time.Sleep(time.Second)
+		}
+		late, crashes := s.reachedLate(5 * time.Second)
+		require.Zero(t, late)
+		require.Equal(t, 3, crashes)
+	})
+}
--- a/query/query.go
+++ b/query/query.go
@@ -214,6 +214,8 @@
 	TurnedAwayFor time.Duration
 	// RateLimit is the limit that the target stated in this reply.
 	RateLimit RateLimit
+	// ConnectionClosed is set if the target closed the connection after it got the request and before its answer was complete.
+	ConnectionClosed bool
 }
 
 // RateLimit is the rate of requests that a target accepts from all instances together.
