Keep the suspicion of a request that only some shards answer

Targets of one shard saw a request again and again that crashed them, because the other shards answered it.

Cause: the answer of any target ended the suspicion of a request, also for a query over shards, where one shard's answer says nothing about the targets of another. Class: evidence for one target counted for all.

Change: the suspicion ends once all shards of a submission have answered.

--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -98,7 +98,7 @@
 	return added, s.list.CrashCount(f)
 }
 
-// recordAnswer ends the suspicion of a request that a target has answered.
+// recordAnswer ends the suspicion of a request that targets have answered.
 func (s *suspects) recordAnswer(f quarantine.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -155,18 +155,15 @@
 	return q.priorCrashes + len(targets)
 }
 
-// updateSuspicion evaluates a request that has ended. If a target ran the request and succeeded, the suspicion ends.
-// Otherwise, the targets that crashed meanwhile are reported. An error response does not show that the request is
-// harmless: a failing target also sends one instead of running the request.
+// updateSuspicion evaluates a request that has ended. If the targets of all its shards succeeded, the suspicion ends.
+// Otherwise, the targets that crashed meanwhile are reported. An error response does not show that the request is harmless: a
+// failing target also sends one instead of running the request. Nor does the answer of one shard say anything about another.
 func (q *run) updateSuspicion() {
-	for _, r := range q.attempts {
-		if !r.hasOutcome(query.OutcomeAnswered) {
-			continue
-		}
+	if q.machine.Covered() == len(q.resolved.shards) {
 		if q.priorCrashes > 0 {
 			f := q.fingerprint()
-			q.service.cfg.Log.Info("a target answered a suspected request; its suspicion ends", "request", q.request.ID,
-				fingerprintAttr(f), "target", r.target, "crashed_targets", q.priorCrashes)
+			q.service.cfg.Log.Info("targets answered a suspected request; its suspicion ends", "request", q.request.ID,
+				fingerprintAttr(f), "crashed_targets", q.priorCrashes)
 			q.service.suspects.recordAnswer(f)
 		}
 		return
--- a/instance/gateway/suspects_restart_test.go
+++ b/instance/gateway/suspects_restart_test.go
@@ -35,11 +35,13 @@
 
 const (
 	restartTargets   = 6
+	restartReplicas  = 3 // of each shard
 	restartInstances = 6
 	timeToCrash      = 85 * time.Millisecond // from the arrival of the bad request to the crash
 )
 
-// restartSite is a set of gateways before targets that the bad request crashes. Other requests are answered.
+// restartSite is a set of gateways before targets that the bad request crashes, those of one service and of the shard s0.
+// Other targets answer it, and all targets answer other requests.
 type restartSite struct {
 	plan     restartPlan
 	gateways map[string]*gateway.Service // by id, which is the address as well; read only after the start
@@ -59,9 +61,12 @@
 		reached: map[string]time.Time{},
 	}
 	for n := range restartTargets {
-		slot := fmt.Sprintf("t%d", n)
-		e := roster.Entry{ID: slot, Service: "single", Address: slot, FailureDomain: "near", Incarnation: 1}
-		s.entries[slot], s.serving[slot] = e, e
+		s.addTarget("single", n)
+	}
+	for shard := range shards {
+		for n := range restartReplicas {
+			s.addTarget(fmt.Sprintf("s%d", shard), n)
+		}
 	}
 	for n := range restartInstances {
 		id := fmt.Sprintf("i%d", n)
@@ -76,6 +81,12 @@
 	return s
 }
 
+func (s *restartSite) addTarget(service string, n int) {
+	slot := fmt.Sprintf("%s-%d", service, n)
+	e := roster.Entry{ID: slot, Service: service, Address: slot, FailureDomain: "near", Incarnation: 1}
+	s.entries[slot], s.serving[slot] = e, e
+}
+
 func (s *restartSite) publish() {
 	s.mu.Lock()
 	list := slices.Collect(maps.Values(s.entries))
@@ -114,7 +125,7 @@
 	if now, up := s.at(a.Address); !up || now.Incarnation != e.Incarnation {
 		return outcome(query.OutcomeCrashed)
 	}
-	if string(a.Request.Body) != badBody {
+	if string(a.Request.Body) != badBody || e.Service != "single" && e.Service != "s0" {
 		return answer(e.ID)
 	}
 	s.crash(e)
@@ -201,9 +212,9 @@
 func (s *restartSite) NeedsConnection(string) bool                { return false }
 func (s *restartSite) Connect(context.Context, string) error      { return nil }
 
-func (s *restartSite) submit(ctx context.Context, n int, body string) gateway.Response {
+func (s *restartSite) submit(ctx context.Context, n int, path, body string) gateway.Response {
 	return s.gateways[s.members[n%len(s.members)].ID].Do(ctx, &gateway.Request{
-		ID: fmt.Sprint(body, n), Caller: "10.0.0.1:1", Method: "GET", Target: "/one/x", Path: "/one/x", Host: "h", Header: http.Header{},
+		ID: fmt.Sprint(body, n), Caller: "10.0.0.1:1", Method: "GET", Target: path, Path: path, Host: "h", Header: http.Header{},
 		Body: []byte(body), TimeLeft: time.Second,
 	})
 }
@@ -247,7 +258,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := newRestartSite(t, plan)
 				for n := range 100 {
-					s.submit(t.Context(), n, badBody)
+					s.submit(t.Context(), n, "/one/x", badBody)
 					time.Sleep(pause)
 				}
 				late, crashes := s.reachedLate(window)
@@ -263,7 +274,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newRestartSite(t, restartPlan{after: 3 * time.Second, newID: true, inAnswer: true})
 		for n := range 60 {
-			s.submit(t.Context(), n, badBody)
+			s.submit(t.Context(), n, "/one/x", badBody)
 			time.Sleep(time.Second)
 		}
 		late, crashes := s.reachedLate(5 * time.Second)
@@ -271,3 +282,16 @@
 		require.Equal(t, 3, crashes)
 	})
 }
+
+// Guards against a request that is let off because some shards answer it while it crashes all targets of another.
+func TestAnswersOfOtherShardsDoNotReleaseCrashingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRestartSite(t, restartPlan{after: 3 * time.Second})
+		for n := range 60 {
+			s.submit(t.Context(), n, "/all/x", badBody)
+			time.Sleep(time.Second)
+		}
+		late, _ := s.reachedLate(5 * time.Second)
+		require.LessOrEqual(t, late, 3)
+	})
+}
