Count crashes of one moment as one against a request

Cause: each crash counted in full against each request that was in flight at the target, whatever ended the target, however many targets ended together and however often the page had been answered. Class: coincidence taken for cause.

TestPageInFlightAtCrashedTargetsIsServedAfterwards failed in its three cases: one service, answered before or not, and one replica of each of ten shards.

Change: crashes that were seen within 100 ms count as one. Only the proven crashes of a single submission count separately, so that a new request over many shards that crashes them is still held after its first submission; and not if targets have answered the request completely within ten minutes, for which each instance keeps the fingerprints of 4,096 answered requests. Reports between instances carry the age and the submission of a crash, so that all count alike.

--- a/adapter/peer/suspect.go
+++ b/adapter/peer/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"hyssopcroft.example/adapter/wire/relaypb"
 	"hyssopcroft.example/query"
@@ -21,7 +22,9 @@
 func (c *RelayClient) ReportSuspicion(ctx context.Context, address string, s Suspicion) error {
 	req := &relaypb.SuspectRequest{Fingerprint: uint64(s.Fingerprint), Shape: uint64(s.Shape), Hops: uint32(max(0, s.Hops))}
 	for _, crash := range s.Crashes {
-		req.Crashes = append(req.Crashes, &relaypb.Crash{Shard: uint32(crash.Shard), Target: string(crash.Target)})
+		req.Crashes = append(req.Crashes, &relaypb.Crash{
+			Shard: uint32(crash.Shard), Target: string(crash.Target), AgeUsPlusOne: ageToWire(crash.At), Submission: uint64(crash.Submission),
+		})
 	}
 	_, err := relaypb.NewRelayProtobufClient("http://"+address, c.http).Suspect(ctx, req)
 	return err
@@ -33,7 +36,26 @@
 		Fingerprint: quarantine.Fingerprint(r.GetFingerprint()), Shape: quarantine.Shape(r.GetShape()), Hops: int(r.GetHops()),
 	}
 	for _, c := range r.GetCrashes() {
-		s.Crashes = append(s.Crashes, quarantine.Crash{Shard: query.Shard(c.GetShard()), Target: query.TargetID(c.GetTarget())})
+		s.Crashes = append(s.Crashes, quarantine.Crash{
+			Shard: query.Shard(c.GetShard()), Target: query.TargetID(c.GetTarget()), At: timeFromWire(c.GetAgeUsPlusOne()),
+			Submission: query.RequestID(c.GetSubmission()),
+		})
 	}
 	return s
 }
+
+// ageToWire encodes a time as an age, because the clocks of two instances may differ.
+func ageToWire(at time.Time) uint64 {
+	if at.IsZero() {
+		return 0
+	}
+	return uint64(max(0, time.Since(at).Microseconds())) + 1
+}
+
+// timeFromWire decodes a time. It is late by the transit time of the message.
+func timeFromWire(age uint64) time.Time {
+	if age == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(-time.Duration(min(age-1, uint64(quarantine.HoldDuration.Microseconds()))) * time.Microsecond)
+}
--- a/instance/gateway/crash_probe.go
+++ b/instance/gateway/crash_probe.go
@@ -31,6 +31,7 @@
 
 // submission is one submission of a request that ended without an answer.
 type submission struct {
+	id          query.RequestID
 	request     string
 	fingerprint quarantine.Fingerprint
 }
@@ -113,7 +114,11 @@
 
 // reportCrash reports a crash of a target that had a submission in flight.
 func (s *Service) reportCrash(u submission, p *crashProbe, evidence quarantine.Evidence) {
-	s.reportCrashes(u.fingerprint, []quarantine.Crash{{Target: p.target}}, slog.String("request", u.request), slog.String("evidence", evidence.String()))
+	c := quarantine.Crash{Target: p.target, At: p.start}
+	if evidence == quarantine.Proven && !s.suspects.answeredRecently(u.fingerprint) {
+		c.Submission = u.id
+	}
+	s.reportCrashes(u.fingerprint, []quarantine.Crash{c}, slog.String("request", u.request), slog.String("evidence", evidence.String()))
 }
 
 func (s *Service) tryConnect(address string) quarantine.ConnectResult {
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -98,15 +98,23 @@
 	return added, s.list.CrashCount(f)
 }
 
-// recordAnswer ends the suspicion of a request that targets have answered.
-func (s *suspects) recordAnswer(f quarantine.Fingerprint) {
+// recordCompleteAnswer ends the suspicion of a request that targets have answered.
+func (s *suspects) recordCompleteAnswer(f quarantine.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.list.RecordCompleteAnswer(time.Now(), f)
 	if s.list.Restricted(f) {
 		s.list.RecordAnswer(f, 0)
 	}
 }
 
+// answeredRecently reports whether targets have answered an earlier submission of a request.
+func (s *suspects) answeredRecently(f quarantine.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list.AnsweredRecently(time.Now(), f)
+}
+
 // joined returns the members that have become live or have a new incarnation since the last call, and the suspected
 // requests.
 func (s *suspects) joined(members []membership.Member) ([]membership.Member, []quarantine.Suspect) {
@@ -160,20 +168,24 @@
 // failing target also sends one instead of running the request. Nor does the answer of one shard say anything about another.
 func (q *run) updateSuspicion() {
 	if q.machine.Covered() == len(q.resolved.shards) {
-		if q.priorCrashes > 0 {
-			f := q.fingerprint()
-			q.service.cfg.Log.Info("targets answered a suspected request; its suspicion ends", "request", q.request.ID,
-				fingerprintAttr(f), "crashed_targets", q.priorCrashes)
-			q.service.suspects.recordAnswer(f)
-		}
+		q.recordCompleteAnswer()
 		return
 	}
 	if q.priorCrashes > 0 {
 		q.probeUnanswered()
 	}
 	for _, p := range q.probes {
-		q.service.addUnanswered(p, submission{request: q.request.ID, fingerprint: q.fingerprint()})
+		q.service.addUnanswered(p, submission{id: q.id, request: q.request.ID, fingerprint: q.fingerprint()})
+	}
+}
+
+func (q *run) recordCompleteAnswer() {
+	f := q.fingerprint()
+	if q.priorCrashes > 0 {
+		q.service.cfg.Log.Info("targets answered a suspected request; its suspicion ends", "request", q.request.ID,
+			fingerprintAttr(f), "crashed_targets", q.priorCrashes)
 	}
+	q.service.suspects.recordCompleteAnswer(f)
 }
 
 // probeUnanswered probes the targets of attempts that ended without a sign. The end of the connection of a crashed target
--- a/instance/gateway/suspects_restart_test.go
+++ b/instance/gateway/suspects_restart_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -47,6 +48,8 @@
 	gateways map[string]*gateway.Service // by id, which is the address as well; read only after the start
 	members  []membership.Member
 
+	publishing sync.Mutex // orders the lists that gateways receive; locked before mu
+
 	mu      sync.Mutex              // guards the fields below
 	entries map[string]roster.Entry // the list, by slot of the target
 	serving map[string]roster.Entry // by address
@@ -88,6 +91,8 @@
 }
 
 func (s *restartSite) publish() {
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
 	s.mu.Lock()
 	list := slices.Collect(maps.Values(s.entries))
 	s.mu.Unlock()
@@ -257,6 +262,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newRestartSite(t, plan)
+				defer time.Sleep(timeToCrash) // Attempts that were cancelled are still at their targets.
 				for n := range 100 {
 					s.submit(t.Context(), n, "/one/x", badBody)
 					time.Sleep(pause)
@@ -273,6 +279,7 @@
 func TestCrashInTheMiddleOfAnswerCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newRestartSite(t, restartPlan{after: 3 * time.Second, newID: true, inAnswer: true})
+		defer time.Sleep(timeToCrash) // Attempts that were cancelled are still at their targets.
 		for n := range 60 {
 			s.submit(t.Context(), n, "/one/x", badBody)
 			time.Sleep(time.Second)
@@ -287,6 +294,7 @@
 func TestAnswersOfOtherShardsDoNotReleaseCrashingRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newRestartSite(t, restartPlan{after: 3 * time.Second})
+		defer time.Sleep(timeToCrash) // Attempts that were cancelled are still at their targets.
 		for n := range 60 {
 			s.submit(t.Context(), n, "/all/x", badBody)
 			time.Sleep(time.Second)
@@ -295,3 +303,58 @@
 		require.LessOrEqual(t, late, 3)
 	})
 }
+
+// Guards against a page that is refused because it was in flight at targets that crashed at the same moment for another
+// reason. Load: 60 submissions of one page in flight at six instances when all targets, or those of one replica of each
+// shard, crash.
+func TestPageInFlightAtCrashedTargetsIsServedAfterwards(t *testing.T) {
+	const page, submissions = "page", 60
+	for _, tc := range []struct {
+		name, path string
+		answered   bool // before the crash
+		crashes    func(e roster.Entry) bool
+	}{
+		{"one service, answered before", "/one/x", true, func(e roster.Entry) bool { return e.Service == "single" }},
+		{"one service, new", "/one/x", false, func(e roster.Entry) bool { return e.Service == "single" }},
+		{"shards, answered before", "/all/x", true, func(e roster.Entry) bool { return strings.HasSuffix(e.ID, "-0") }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newRestartSite(t, restartPlan{after: 3100 * time.Millisecond, newID: true})
+				defer time.Sleep(timeToCrash) // Attempts that were cancelled are still at their targets.
+				burst := func() {
+					var wait sync.WaitGroup
+					for n := range submissions {
+						wait.Go(func() { s.submit(t.Context(), n, tc.path, page) })
+					}
+					wait.Wait()
+				}
+				if tc.answered {
+					burst()
+				}
+				go func() {
+					time.Sleep(timeToCrash / 2)
+					s.crashAll(tc.crashes)
+				}()
+				burst()
+				time.Sleep(20 * time.Second)
+				for n := range submissions {
+					time.Sleep(200 * time.Millisecond)
+					require.LessOrEqual(t, s.submit(t.Context(), n, tc.path, page).Kind, gateway.Merged)
+				}
+			})
+		})
+	}
+}
+
+// crashAll crashes the chosen targets at one moment.
+func (s *restartSite) crashAll(chosen func(roster.Entry) bool) {
+	s.mu.Lock()
+	serving := slices.Collect(maps.Values(s.serving))
+	s.mu.Unlock()
+	for _, e := range serving {
+		if chosen(e) {
+			s.crash(e)
+		}
+	}
+}
--- a/query/quarantine/confirmed.go
+++ b/query/quarantine/confirmed.go
@@ -50,11 +50,11 @@
 		return
 	}
 	l.shapes.remove(c.Shape)
-	if e, ok := l.entries.get(c.Fingerprint); ok && l.confirmed(e) && !e.holdStart.Before(holdStart) {
+	if e, ok := l.entries.get(c.Fingerprint); ok && e.confirmed && !e.holdStart.Before(holdStart) {
 		return
 	}
 	l.entries.put(c.Fingerprint, &entry{
-		crashes: c.Crashes[:l.crashThreshold:l.crashThreshold], holdStart: earlier(holdStart, now),
+		crashes: c.Crashes[:l.crashThreshold:l.crashThreshold], confirmed: true, holdStart: earlier(holdStart, now),
 	})
 }
 
--- a/query/quarantine/list.go
+++ b/query/quarantine/list.go
@@ -18,6 +18,14 @@
 	// bytes each they take at most 2 MB of the 64 MB for control data.
 	maxEntries = 4096
 	maxShapes  = 4096
+	// maxAnswered bounds the fingerprints of answered requests that an instance stores. At about 100 bytes each they take
+	// at most 0.4 MB.
+	maxAnswered = 4096
+	// maxCrashes bounds the crashes that an instance stores of one request.
+	maxCrashes = 16
+	// sameMoment is the maximum time between the first and the last of crashes that may have a common cause. It covers the
+	// transit time of a report between regions.
+	sameMoment = 100 * time.Millisecond
 	// defaultCrashThreshold is the number of crashed targets that confirms a suspected request. A single
 	// crash may have another cause.
 	defaultCrashThreshold = 2
@@ -41,6 +49,12 @@
 type Crash struct {
 	Shard  query.Shard    `json:"shard"`
 	Target query.TargetID `json:"target,omitempty"`
+	// At is the time at which the crash was seen, by the local clock. If it is set, the crash counts together with others
+	// of the same moment, which may have a common cause: a host, a rack or a release.
+	At time.Time `json:"-"`
+	// Submission identifies the submission that ran on the target. Crashes of one moment count separately if they have the
+	// same submission. It is 0 if that would prove too much: the crash is not proven, or targets have answered the request.
+	Submission query.RequestID `json:"-"`
 }
 
 // sameAs reports whether two reports describe the same crash. In a fan-out over two levels the entry
@@ -51,7 +65,8 @@
 
 // entry is the state of one fingerprint that is suspected, confirmed or has a canary in flight.
 type entry struct {
-	crashes   []Crash // of distinct targets, at most crashThreshold
+	crashes   []Crash // of distinct targets, at most maxCrashes
+	confirmed bool
 	holdStart time.Time
 	inFlight  bool // whether a canary of this instance is in flight
 }
@@ -62,6 +77,7 @@
 	crashThreshold int // number of crashed targets that confirms a request
 	entries        lru[Fingerprint, *entry]
 	shapes         lru[Shape, struct{}]
+	answered       lru[Fingerprint, time.Time] // time of the last complete answer
 }
 
 // NewList returns an empty list with the default threshold, for requests that run as canaries first.
@@ -73,18 +89,17 @@
 		crashThreshold: crashThreshold,
 		entries:        newLRU[Fingerprint, *entry](maxEntries),
 		shapes:         newLRU[Shape, struct{}](maxShapes),
+		answered:       newLRU[Fingerprint, time.Time](maxAnswered),
 	}
 }
 
-func (l *List) confirmed(e *entry) bool { return len(e.crashes) >= l.crashThreshold }
-
 // Empty reports whether the list has no suspected or confirmed request and no canary in flight.
 func (l *List) Empty() bool { return len(l.entries.items) == 0 }
 
 // Refuses reports whether a request is confirmed and its hold has not ended.
 func (l *List) Refuses(now time.Time, f Fingerprint) bool {
 	e, known := l.entries.get(f)
-	return known && l.confirmed(e) && now.Before(e.holdStart.Add(HoldDuration))
+	return known && e.confirmed && now.Before(e.holdStart.Add(HoldDuration))
 }
 
 // Admit decides how a request may run. After a result of Canary, EndCanary must be called.
@@ -147,13 +162,44 @@
 	return all[:min(len(all), limit)]
 }
 
-// CrashCount returns the number of targets that are known to have crashed on the request, at most as many as
-// confirm it.
+// CrashCount returns the number of crashes that count against the request, at most as many as confirm it.
 func (l *List) CrashCount(f Fingerprint) int {
-	if e, ok := l.entries.get(f); ok {
-		return len(e.crashes)
+	e, ok := l.entries.get(f)
+	switch {
+	case !ok:
+		return 0
+	case e.confirmed:
+		return l.crashThreshold
 	}
-	return 0
+	return countCrashes(e.crashes)
+}
+
+// countCrashes returns the number of crashes that count against a request. Those of one moment count as one, except for
+// those of one submission.
+func countCrashes(crashes []Crash) int {
+	sorted := slices.SortedStableFunc(slices.Values(crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
+	total := 0
+	for len(sorted) > 0 {
+		n := 1
+		for n < len(sorted) && !sorted[0].At.IsZero() && sorted[n].At.Sub(sorted[0].At) <= sameMoment {
+			n++
+		}
+		total += max(1, largestSubmission(sorted[:n]))
+		sorted = sorted[n:]
+	}
+	return total
+}
+
+// largestSubmission returns the maximum number of crashes that have the same submission.
+func largestSubmission(crashes []Crash) int {
+	largest, bySubmission := 0, map[query.RequestID]int{}
+	for _, c := range crashes {
+		if c.Submission != 0 {
+			bySubmission[c.Submission]++
+			largest = max(largest, bySubmission[c.Submission])
+		}
+	}
+	return largest
 }
 
 // Restricted reports whether the request may run only as a canary, or not at all.
@@ -192,8 +238,17 @@
 	l.shapes.put(s, struct{}{})
 }
 
+// RecordCompleteAnswer records that all targets that ran a request have answered it, which AnsweredRecently reports.
+func (l *List) RecordCompleteAnswer(now time.Time, f Fingerprint) { l.answered.put(f, now) }
+
+// AnsweredRecently reports whether a request had a complete answer within HoldDuration.
+func (l *List) AnsweredRecently(now time.Time, f Fingerprint) bool {
+	at, ok := l.answered.get(f)
+	return ok && now.Sub(at) < HoldDuration
+}
+
 // RecordCrash records that a target crashed while it ran a request that no target has answered. It reports
-// whether the crash is new, so that the peers must be notified.
+// whether that is new, so that the peers must be notified.
 func (l *List) RecordCrash(now time.Time, f Fingerprint, s Shape, c Crash) bool {
 	l.shapes.remove(s)
 	e, ok := l.entries.get(f)
@@ -201,16 +256,30 @@
 		e = &entry{}
 		l.entries.put(f, e)
 	}
-	if !now.Before(e.holdStart.Add(HoldDuration)) && l.confirmed(e) {
+	if !now.Before(e.holdStart.Add(HoldDuration)) && e.confirmed {
 		// The canary after the hold crashed its target: the request stays confirmed for another period.
 		e.holdStart, e.crashes[0] = now, c
 		return true
 	}
-	if l.confirmed(e) || slices.ContainsFunc(e.crashes, c.sameAs) {
+	if e.confirmed || !e.add(c) {
 		return false
 	}
-	e.crashes = append(e.crashes, c)
 	e.holdStart = now
+	e.confirmed = countCrashes(e.crashes) >= l.crashThreshold
+	return true
+}
+
+// add adds a crash, or what is new about a known one. It reports whether anything is new.
+func (e *entry) add(c Crash) bool {
+	i := slices.IndexFunc(e.crashes, c.sameAs)
+	switch {
+	case i >= 0 && e.crashes[i].Submission == 0 && c.Submission != 0:
+		e.crashes[i].Submission = c.Submission
+	case i >= 0 || len(e.crashes) == maxCrashes:
+		return false
+	default:
+		e.crashes = append(e.crashes, c)
+	}
 	return true
 }
 
