Send a repeated request over a later connection

Cause: all attempts of a request have the caller's id. A target that refused the first attempt, and sent a second copy of that refusal where the response to the next attempt on the connection was due, refused that attempt too, which it then ran. Class: the id echo distinguishes requests, not attempts.

TestSecondCopyOfRefusalDoesNotRefuseNextAttempt got 503 with one payment that ran.

Change: an attempt at an address that an earlier attempt of the request went to uses a connection that was opened after that attempt had ended; at the limit, an idle older one is closed for it. This holds for all routes, so that no refusal claims what is not certain.

--- a/adapter/http1/client.go
+++ b/adapter/http1/client.go
@@ -98,7 +98,7 @@
 // Do sends the request over an idle or a new connection and returns the complete response. It fails with
 // an *Error.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	cn, err := c.acquire(ctx, address)
+	cn, err := c.acquire(ctx, address, r.OpenedAfter)
 	if err != nil {
 		return nil, newError(NotSent, err, "connect to "+address)
 	}
@@ -173,7 +173,7 @@
 // CheckReachable checks that an address has a usable connection or accepts a new one. It fails only if a dial fails. If
 // ctx ends a wait at the connection limit, nothing is known about the address and CheckReachable returns nil.
 func (c *Client) CheckReachable(ctx context.Context, address string) error {
-	cn, err := c.acquire(ctx, address)
+	cn, err := c.acquire(ctx, address, time.Time{})
 	var op *net.OpError
 	switch {
 	case err == nil:
@@ -237,11 +237,11 @@
 	return h, true
 }
 
-// acquire returns an idle connection or opens one. At the limit it waits for a connection, because a cancelled
-// attempt occupies its connection until it has noticed the cancellation.
-func (c *Client) acquire(ctx context.Context, address string) (*conn, error) {
+// acquire returns an idle connection that was opened after the given time, or opens one. At the limit it waits for a
+// connection, because a cancelled attempt occupies its connection until it has noticed the cancellation.
+func (c *Client) acquire(ctx context.Context, address string, openedAfter time.Time) (*conn, error) {
 	for {
-		cn, h, wait := c.tryAcquire(address)
+		cn, h, wait := c.tryAcquire(address, openedAfter)
 		switch {
 		case cn != nil:
 			return cn, nil
@@ -259,21 +259,23 @@
 	}
 }
 
-// tryAcquire returns an idle connection, or a channel that is closed when a connection may be free. If it
-// returns neither, the caller may open a connection, which is counted already.
-func (c *Client) tryAcquire(address string) (*conn, *host, chan struct{}) {
+// tryAcquire returns an idle connection that was opened after the given time, or a channel that is closed when a
+// connection may be free. If it returns neither, the caller may open a connection, which is counted already.
+func (c *Client) tryAcquire(address string, openedAfter time.Time) (*conn, *host, chan struct{}) {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.hostLocked(address)
-	for len(h.idle) > 0 {
-		cn := h.popIdle()
+	for cn := h.popIdleOpenedAfter(openedAfter); cn != nil; cn = h.popIdleOpenedAfter(openedAfter) {
 		if cn.usable(now) {
 			c.refillLocked(address, h)
 			return cn, h, nil
 		}
 		c.closeLocked(h, cn)
 	}
+	if h.open >= h.limit && len(h.idle) > 0 {
+		c.closeLocked(h, h.popIdle()) // It was opened too early, and occupies the place of a new one.
+	}
 	if h.open >= h.limit {
 		wait := make(chan struct{})
 		h.waiters = append(h.waiters, wait)
@@ -384,6 +386,18 @@
 	}
 }
 
+// popIdleOpenedAfter removes and returns the idle connection that was used last of those opened after the given time, nil if
+// there is none.
+func (h *host) popIdleOpenedAfter(t time.Time) *conn {
+	for i, cn := range slices.Backward(h.idle) {
+		if cn.openedAt.After(t) {
+			h.idle = slices.Delete(h.idle, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
 func (h *host) popIdle() *conn {
 	last := len(h.idle) - 1
 	cn := h.idle[last]
--- a/adapter/http1/conn.go
+++ b/adapter/http1/conn.go
@@ -41,8 +41,9 @@
 // conn is a connection that carries one request at a time. It is not safe for concurrent use.
 type conn struct {
 	net.Conn
-	input  *boundedInput
-	reader *bufio.Reader // reads from input
+	input    *boundedInput
+	reader   *bufio.Reader // reads from input
+	openedAt time.Time
 	// usedAt is the time at which the last response was complete or, before the first, the connection was opened.
 	usedAt time.Time
 	// idleTimeout is the time for which the target keeps an idle connection open, 0 if it announced none.
@@ -55,7 +56,8 @@
 
 func newConn(c net.Conn) *conn {
 	input := &boundedInput{reader: c, left: maxHeadBytes}
-	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, connBufferBytes), usedAt: time.Now()}
+	now := time.Now()
+	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, connBufferBytes), openedAt: now, usedAt: now}
 }
 
 // ErrTooLarge means that a target sent more bytes than a response may have. What it sent is no answer; bytes that do not
--- a/adapter/http1/request.go
+++ b/adapter/http1/request.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -23,6 +24,9 @@
 	// Matches reports whether a response belongs to the request. A connection on which another response
 	// arrives is not reused. A nil Matches accepts every response.
 	Matches func(*Response) bool
+	// OpenedAfter restricts the request to connections that were opened later, if it is set. A request that repeats another
+	// one with the same id must not use its connection: a second copy of the first response may arrive there, late.
+	OpenedAfter time.Time
 }
 
 // Response is a complete HTTP response.
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -103,6 +103,10 @@
 	Request *Request
 	// TimeLeft is the time until the deadline of the request.
 	TimeLeft time.Duration
+	// PreviousEnded is the end of the latest earlier attempt of the request at the address, the zero time if there was
+	// none. All attempts have the same id, so that a late second copy of the earlier reply would match this attempt: it
+	// must use a connection that was opened later.
+	PreviousEnded time.Time
 }
 
 // Sender sends attempts to targets. Send reports failures as outcomes; its caller fills in the attempt, request, shard
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -271,6 +271,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	q.cancels[a.Attempt] = cancel
 	entry, ok := q.service.target(a.Target)
+	previousEnded := q.previousEnded(entry.Address)
 	q.attempts = append(q.attempts, attemptRecord{id: a.Attempt, shard: a.Shard, target: a.Target, entry: entry, sent: time.Since(q.start)})
 	shard, version := a.Shard, q.resolved.version
 	go func() {
@@ -279,6 +280,7 @@
 		if ok {
 			reply = q.service.cfg.Sender.Send(ctx, Attempt{
 				ID: a.Attempt, Target: a.Target, Address: entry.Address, Request: q.request, TimeLeft: time.Until(q.deadline),
+				PreviousEnded: previousEnded,
 			})
 		}
 		q.service.observeTarget(entry, reply)
@@ -290,6 +292,17 @@
 	}()
 }
 
+// previousEnded returns the end of the latest attempt at an address, the zero time if there was none.
+func (q *run) previousEnded(address string) time.Time {
+	var end time.Time
+	for _, r := range q.attempts {
+		if ended := q.start.Add(r.sent + r.took); r.entry.Address == address && ended.After(end) {
+			end = ended
+		}
+	}
+	return end
+}
+
 // admissionResult returns the result that the admission gate counts as a sign of load. A request whose caller
 // disconnected counts as in time, because its duration does not depend on load.
 func (q *run) admissionResult(ctx context.Context) admission.Result {
