Count as extra only the attempts beyond the first arrival

Cause: each attempt that reached no target gave one back to the budget, also a first one, which had taken none. A request that ended unserved left one more repeat than the bound allows. What was given back went to the present part of the window, where it was missing once the part in which it had been taken had passed. Class: a refund without its charge.

With the old refunds, TestRequestsThatReachNoTargetDoNotRaiseBudget has 3 extra arrivals where none is allowed, and TestOnlyAttemptsBeyondFirstArrivalAreExtra 2 arrivals of one request.

Change: the machine of a request marks an attempt as extra if a target may have received another one, and asks for a refund only if the request has an extra attempt. A first attempt that reached no target may be replaced by one that is free. A refund goes to the part of the window in which the attempt was taken or later, and never below zero.

--- a/query/balance/balancer.go
+++ b/query/balance/balancer.go
@@ -74,9 +74,11 @@
 	byShard       map[query.Shard][]*targetState
 	firstAttempts map[query.Shard]int // number of first attempts sent
 	budgets       map[query.Shard]*hedge.WindowBudget
-	senders       map[query.Shard]Senders // of the shards that not all instances send to
-	routes        map[string]*routeLatencies
-	holds         map[query.TargetID]hold
+	// unsent counts the attempts that reached no target and were no extra ones. Each may be replaced by one that is none.
+	unsent  map[query.Shard]int
+	senders map[query.Shard]Senders // of the shards that not all instances send to
+	routes  map[string]*routeLatencies
+	holds   map[query.TargetID]hold
 }
 
 // hold is the time until which a target wants no attempts from this instance. It outlasts the target's entry in the list.
@@ -96,7 +98,7 @@
 	return &Balancer{
 		self: self, limits: limits, instances: 1, ratePart: 1, targets: map[query.TargetID]*targetState{}, byShard: map[query.Shard][]*targetState{},
 		firstAttempts: map[query.Shard]int{}, budgets: map[query.Shard]*hedge.WindowBudget{}, senders: map[query.Shard]Senders{},
-		routes: map[string]*routeLatencies{}, holds: map[query.TargetID]hold{},
+		unsent: map[query.Shard]int{}, routes: map[string]*routeLatencies{}, holds: map[query.TargetID]hold{},
 	}
 }
 
@@ -259,15 +261,19 @@
 	return budget
 }
 
-// charge counts the attempt against the budget and reports whether it is within it. First attempts always are.
+// charge counts the attempt against the budget and reports whether it is within it. First attempts always are, and those
+// that replace attempts which reached no target.
 func (lb *Balancer) charge(now time.Time, spec scatter.AttemptSpec) bool {
 	budget := lb.budgetFor(spec.Shard)
-	switch spec.Kind {
-	case replica.First:
+	switch {
+	case spec.Kind == replica.First:
 		lb.firstAttempts[spec.Shard]++
 		budget.RecordFirst(now)
 		return true
-	case replica.Hedge:
+	case !spec.Extra && lb.unsent[spec.Shard] > 0:
+		lb.unsent[spec.Shard]--
+		return true
+	case spec.Kind == replica.Hedge:
 		if budget.RemainingShare(now, lb.sendersOf(spec.Shard)) <= retryReserve {
 			return false
 		}
@@ -360,8 +366,11 @@
 		return
 	}
 	s.end(now.Add(-r.Elapsed))
-	if !r.Cancelled && r.Outcome == query.OutcomeNotRun {
-		p.balancer.budgetFor(s.shard).Refund(now)
+	switch {
+	case r.RefundExtra:
+		p.balancer.budgetFor(s.shard).Refund(now, now.Add(-r.Elapsed))
+	case !r.Cancelled && r.Outcome == query.OutcomeNotRun:
+		p.balancer.unsent[s.shard]++
 	}
 	switch {
 	case r.Cancelled:
--- a/query/hedge/window_budget.go
+++ b/query/hedge/window_budget.go
@@ -71,11 +71,18 @@
 	return true
 }
 
-// Refund compensates for a counted attempt that reached no target, so that the attempt that replaces it does
-// not count as an extra one.
-func (b *WindowBudget) Refund(now time.Time) {
-	b.extras[b.advance(now)]--
-	b.extraSum--
+// Refund gives back an extra attempt that was taken at the given time or later, because an attempt of its request has
+// reached no target. An attempt that has left the window counts no more, and is not given back.
+func (b *WindowBudget) Refund(now, taken time.Time) {
+	b.advance(now)
+	first := max(b.slotOf(taken), b.slot-slotCount+1, 0)
+	for slot := first; slot <= b.slot; slot++ {
+		if i := slot % slotCount; b.extras[i] > 0 {
+			b.extras[i]--
+			b.extraSum--
+			return
+		}
+	}
 }
 
 // Bound returns the number of extra attempts that the current window allows.
@@ -93,12 +100,17 @@
 	return max(0, 1-float64(b.extraSum)/bound)
 }
 
+// slotOf returns the number of the slot of a time.
+func (b *WindowBudget) slotOf(t time.Time) int64 {
+	return int64(t.Sub(b.start)) / (int64(b.limits.Span) / slotCount)
+}
+
 // advance clears the slots that have left the window and returns the index of the current one.
 func (b *WindowBudget) advance(now time.Time) int {
 	if b.start.IsZero() {
 		b.start = now
 	}
-	slot := int64(now.Sub(b.start)) / (int64(b.limits.Span) / slotCount)
+	slot := b.slotOf(now)
 	for n := min(slot-b.slot, slotCount); n > 0; n-- {
 		i := int((slot - n + 1) % slotCount)
 		b.firstSum -= b.firsts[i]
--- a/query/hedge/window_budget_test.go
+++ b/query/hedge/window_budget_test.go
@@ -72,3 +72,23 @@
 	require.InDelta(t, 1, b.RemainingShare(now.Add(11*time.Second), 1), 1e-9)
 	require.True(t, b.TryTake(now.Add(11*time.Second), 1))
 }
+
+// Guards against an attempt that is given back to a later part of the window than it was taken in, where it would be missing
+// once the earlier part has passed; and against one that is given back after it has left the window.
+func TestRefundLeavesWindowWithItsAttempt(t *testing.T) {
+	start, limits := time.Unix(1000, 0), hedge.BudgetLimits{Slack: 60, Span: 10 * time.Second}
+	for _, refundAfter := range []time.Duration{9 * time.Second, 11 * time.Second} {
+		b := hedge.NewWindowBudget(limits)
+		for range 20 {
+			require.True(t, b.TryTake(start, 1))
+		}
+		for range 20 {
+			b.Refund(start.Add(refundAfter), start)
+		}
+		taken := 0
+		for b.TryTake(start.Add(limits.Span+2*time.Second), 1) {
+			taken++
+		}
+		require.LessOrEqual(t, float64(taken), limits.Slack)
+	}
+}
--- a/query/replica/chooser.go
+++ b/query/replica/chooser.go
@@ -86,6 +86,8 @@
 	Outcome query.Outcome
 	// Cancelled is set if this instance cancelled the attempt. Outcome is not valid then.
 	Cancelled bool
+	// RefundExtra is set if the attempt reached no target, so that the shard has one extra attempt less.
+	RefundExtra bool
 	// Overdue is set if Chooser.Overdue was called for the attempt.
 	Overdue bool
 	Cold    bool
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -327,6 +327,11 @@
 	m.guard.inFlight--
 	r.Target, r.Elapsed, r.Overdue = a.target, now.Sub(a.sent), a.overdue
 	m.mayHaveRun = m.mayHaveRun || r.Cancelled || !r.Outcome.CertainlyNotRun()
+	if !r.Cancelled && r.Outcome == query.OutcomeNotRun && sh.extras > 0 {
+		// One of the other attempts takes the place of this one, and is no extra attempt any more.
+		sh.extras--
+		r.RefundExtra = true
+	}
 	r.HighPriority = m.cfg.Request.Priority == query.PriorityHigh
 	m.policy.End(now, r)
 }
--- a/query/scatter/policy.go
+++ b/query/scatter/policy.go
@@ -18,6 +18,8 @@
 	// BudgetExempt is set if the attempt needs no token: the one that it replaces certainly did not run, so
 	// that it adds no load.
 	BudgetExempt bool
+	// Extra is set if a target may have received another attempt of the shard, so that this one adds load.
+	Extra bool
 	// OriginClass is the class of the shard's first attempt. A hedge or a retry takes its token from the
 	// budget of that class or, if there is none, from the budget of the class of the chosen target.
 	OriginClass replica.Class
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -36,6 +36,7 @@
 	mayServe      bool  // an attempt of this round ended otherwise than with snapshot_gone or wrong_shard
 	hedges        int32 // attempts sent while another one was in flight
 	sends         int32 // attempts that a target may have received
+	extras        int32 // of these, the ones that were sent as extra ones
 	budgetExempt  bool  // the next retry replaces an attempt that certainly did not run
 	roundBackoff  time.Duration
 	limitBackoff  time.Duration // latest delay while all replicas were at their limits, 0 after an attempt was sent
@@ -75,7 +76,7 @@
 	}
 	return m.policy.Choose(now, AttemptSpec{
 		Plan: m.cfg.Request.Plan, Priority: m.cfg.Request.Priority, Overloaded: m.cfg.Request.Overloaded,
-		Shard: m.cfg.Map.Shards[i], Kind: use, BudgetExempt: budgetExempt,
+		Shard: m.cfg.Map.Shards[i], Kind: use, BudgetExempt: budgetExempt, Extra: m.shards[i].sends > 0,
 		OriginClass: m.shards[i].originClass,
 		Tried:       m.triedTargets(&m.shards[i]), TimeLeft: m.cfg.Request.Deadline.Sub(now),
 	})
@@ -97,6 +98,9 @@
 		sh.hedges++
 	}
 	sh.limitBackoff = 0
+	if sh.sends > 0 {
+		sh.extras++
+	}
 	sh.sends++
 	sh.inFlight++
 	m.guard.inFlight++
