Restrict the budget of extra attempts after a restart

Cause: an instance counts its extra attempts in memory. One that starts again has counted none, and spends its part of the window once more. Class: a limit over a time that outlives the process that counts.

Change: an instance that does not start with the whole fleet grants a quarter of its share and no slack until the window has passed. That suffices for the pauses of targets.

--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -104,7 +104,8 @@
 		ExtraAttempts: hedge.BudgetLimits{
 			Share: s.ExtraShare, Slack: s.ExtraSlack, Span: time.Duration(s.ExtraSeconds * float64(time.Second)),
 		},
-		Metrics: gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
+		FollowsEarlier: !s.FirstStart,
+		Metrics:        gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
 		SendSuspicion: relays.ReportSuspicion, SaveQuarantined: objects.AddQuarantined, Forward: relays.Forward, ConnectRelay: relays.Connect,
 	})
 	saver := directory.NewTargetSaver(a.Store, e.kernel.Bus(), fleet, log)
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -53,10 +53,12 @@
 	Regions map[string]string
 	// ExtraAttempts bounds the extra attempts (hedges and retries) at each service.
 	ExtraAttempts hedge.BudgetLimits
-	Sender        Sender
-	Log           *slog.Logger
-	Metrics       *Metrics
-	Bus           *kernel.Bus
+	// FollowsEarlier is set if an earlier process may have sent extra attempts in the place of this one.
+	FollowsEarlier bool
+	Sender         Sender
+	Log            *slog.Logger
+	Metrics        *Metrics
+	Bus            *kernel.Bus
 	// Members lists the instances among which connections and budgets are divided.
 	Members Members
 	// Forward sends a request to the relay at an address. onTaken is called when the relay confirms that it has it.
@@ -118,6 +120,11 @@
 		gates: map[query.Shard]*admission.Gate{}, queues: map[query.Shard]*admission.Queue[*run]{},
 		relayChooser: forward.NewChooser(), forwardBudget: newForwardBudget(cfg.ExtraAttempts),
 	}
+	if cfg.FollowsEarlier {
+		restrictedUntil := time.Now().Add(cfg.ExtraAttempts.Span)
+		s.balancer.RestrictBudgets(restrictedUntil)
+		s.forwardBudget.Restrict(restrictedUntil)
+	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.suspects = newSuspects()
 	s.fleet = s.fleetOf(nil, gathered{}, nil)
--- a/query/balance/balancer.go
+++ b/query/balance/balancer.go
@@ -74,6 +74,8 @@
 	byShard       map[query.Shard][]*targetState
 	firstAttempts map[query.Shard]int // number of first attempts sent
 	budgets       map[query.Shard]*hedge.WindowBudget
+	// restrictedUntil is the end of the restriction of the budgets after a restart.
+	restrictedUntil time.Time
 	// unsent counts the attempts that reached no target and were no extra ones. Each may be replaced by one that is none.
 	unsent  map[query.Shard]int
 	senders map[query.Shard]Senders // of the shards that not all instances send to
@@ -108,6 +110,10 @@
 	lb.instances, lb.ratePart = max(1, n), ratePart
 }
 
+// RestrictBudgets restricts the budgets until a time, see hedge.WindowBudget.Restrict. It must be called before the first
+// attempt.
+func (lb *Balancer) RestrictBudgets(until time.Time) { lb.restrictedUntil = until }
+
 // Senders describes the instances that send attempts to the targets of a shard.
 type Senders struct {
 	// Count is the number of instances that share the slack of the budget.
@@ -256,6 +262,7 @@
 	budget := lb.budgets[s]
 	if budget == nil {
 		budget = hedge.NewWindowBudget(lb.limitsOf(s))
+		budget.Restrict(lb.restrictedUntil)
 		lb.budgets[s] = budget
 	}
 	return budget
--- a/query/hedge/window_budget.go
+++ b/query/hedge/window_budget.go
@@ -9,6 +9,9 @@
 	// not count: those of a process that has ended, and those that another counter assigns to a different
 	// window.
 	usableShare = 0.85
+	// restrictedShare is the part of BudgetLimits.Share that a process grants after a restart. It suffices for the pauses
+	// of targets.
+	restrictedShare = 0.25
 )
 
 // BudgetLimits bounds the extra attempts of all instances together at a service, in any window of length Span.
@@ -44,6 +47,8 @@
 	extraSum int // sum of extras
 	start    time.Time
 	slot     int64 // number of the current slot since start
+	// restrictedUntil is the end of the restriction after a restart, and latest the latest time of a call.
+	restrictedUntil, latest time.Time
 }
 
 // NewWindowBudget returns a budget that has counted no attempts.
@@ -52,6 +57,10 @@
 // SetLimits replaces the limits. The attempts of the current window stay counted.
 func (b *WindowBudget) SetLimits(l BudgetLimits) { b.limits = l }
 
+// Restrict grants a small part of the limits until a time. A process that has started again does not know what an earlier
+// process has spent within the window.
+func (b *WindowBudget) Restrict(until time.Time) { b.restrictedUntil = until }
+
 // RecordFirst counts a first attempt.
 func (b *WindowBudget) RecordFirst(now time.Time) {
 	i := b.advance(now)
@@ -87,6 +96,9 @@
 
 // Bound returns the number of extra attempts that the current window allows.
 func (b *WindowBudget) Bound(instances int) float64 {
+	if b.latest.Before(b.restrictedUntil) {
+		return usableShare * restrictedShare * b.limits.Share * float64(b.firstSum)
+	}
 	return usableShare * (b.limits.Share*float64(b.firstSum) + b.limits.Slack/float64(max(1, instances)))
 }
 
@@ -110,6 +122,9 @@
 	if b.start.IsZero() {
 		b.start = now
 	}
+	if now.After(b.latest) {
+		b.latest = now
+	}
 	slot := b.slotOf(now)
 	for n := min(slot-b.slot, slotCount); n > 0; n-- {
 		i := int((slot - n + 1) % slotCount)
--- a/query/hedge/window_budget_test.go
+++ b/query/hedge/window_budget_test.go
@@ -92,3 +92,35 @@
 		require.LessOrEqual(t, float64(taken), limits.Slack)
 	}
 }
+
+// Guards against instances that start again and spend the slack of the window that they have spent before. Load: a third of
+// the requests wants an extra attempt for some seconds, and in the middle of that three of six instances are killed twice.
+func TestRestartsDoNotRenewBudget(t *testing.T) {
+	limits := hedge.BudgetLimits{Share: 0.2, Slack: 52, Span: 10 * time.Second}
+	const instances, killed, pause = 6, 3, 20 * time.Millisecond
+	begin := time.Unix(1000, 0)
+	budgets := make([]*hedge.WindowBudget, instances)
+	for i := range budgets {
+		budgets[i] = hedge.NewWindowBudget(limits)
+	}
+	firsts, extras := 0, 0
+	for n := range int(limits.Span / pause) {
+		now := begin.Add(time.Duration(n) * pause)
+		if since := now.Sub(begin); since == 3*time.Second || since == 5*time.Second {
+			for i := range killed {
+				budgets[i] = hedge.NewWindowBudget(limits)
+				budgets[i].Restrict(now.Add(limits.Span))
+			}
+		}
+		b := budgets[n%instances]
+		b.RecordFirst(now)
+		firsts++
+		for range 2 {
+			if b.TryTake(now, instances) {
+				extras++
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(extras), limits.Share*float64(firsts)+limits.Slack)
+	require.Greater(t, float64(extras), limits.Share*float64(firsts)/2, "the budget must be usable")
+}
