Bound the memory of all responses of targets together

A gateway ran out of memory, and the requests of all its callers ended with it, when many targets sent bytes without end at the same time.

Cause: each response was bounded (4 MB), their number at one time was not. Class: a bound on each, none on all.

Change: http1 reserves the memory of a response while it reads it, beyond 4 KB of header and 32 KB of body, and counts a large body until it is garbage. A response never gets more than it leaves to others, so that a few which end still find room among many that do not. One that gets no memory fails as one that may have run, and its connection is closed. A gateway sets a fifth of its memory aside.

--- a/adapter/http1/client.go
+++ b/adapter/http1/client.go
@@ -28,8 +28,9 @@
 type Client struct {
 	dial   func(ctx context.Context, address string) (net.Conn, error)
 	onOpen func() // called for each new connection
-	// onTooLarge is called for each response that exceeds its maximum size.
+	// onTooLarge is called for each response that exceeds its maximum size, or that of all responses together.
 	onTooLarge func(address string)
+	memory     memory
 
 	mu    sync.Mutex // guards hosts and their fields
 	hosts map[string]*host
@@ -68,10 +69,14 @@
 	return &Client{dial: dial, onOpen: onOpen, onTooLarge: func(string) {}, hosts: map[string]*host{}}
 }
 
-// OnTooLarge sets a function that is called for each response that exceeds its maximum size. It must be called before
-// the client is used.
+// OnTooLarge sets a function that is called for each response that exceeds its maximum size, or with which all responses would
+// exceed their memory. It must be called before the client is used.
 func (c *Client) OnTooLarge(f func(address string)) { c.onTooLarge = f }
 
+// LimitMemory bounds the memory that all responses together may occupy, in bytes, until they are garbage. Small responses are
+// not counted. A response that would exceed the bound fails with ErrNoMemory. It must be called before the client is used.
+func (c *Client) LimitMemory(bytes int64) { c.memory.limit = bytes }
+
 // SetLimits sets the maximum number of connections per address and closes idle connections in excess of it. An
 // address that is not in limits has the limit 0.
 func (c *Client) SetLimits(limits map[string]int) {
@@ -108,7 +113,7 @@
 	}
 	c.release(address, cn, reusable && (r.Matches == nil || r.Matches(resp)))
 	if failure != nil {
-		if errors.Is(failure, ErrTooLarge) {
+		if errors.Is(failure, ErrTooLarge) || errors.Is(failure, ErrNoMemory) {
 			c.onTooLarge(address)
 		}
 		return nil, failure
@@ -307,7 +312,7 @@
 		return nil, err
 	}
 	c.onOpen()
-	cn := newConn(dialed)
+	cn := newConn(dialed, &c.memory)
 	c.mu.Lock()
 	cn.idleTimeout = h.idleTimeout
 	refusing := h.refusing
--- a/adapter/http1/conn.go
+++ b/adapter/http1/conn.go
@@ -31,6 +31,14 @@
 	maxHeadBytes = 64 << 10
 	// maxFramingBytes is the maximum size of the framing of a body: chunk sizes, chunk extensions and trailers.
 	maxFramingBytes = 1 << 20
+	// freeHeadBytes is the size of a header up to which its memory is not counted.
+	freeHeadBytes = 4 << 10
+	// headCost is the memory that a byte of a header occupies at most: the shortest field has 5 bytes and an entry in a map.
+	headCost = 80
+	// freeBodyBytes is the size of a body up to which its memory is not counted.
+	freeBodyBytes = 32 << 10
+	// bodyCost is the memory that a byte of a body occupies at most while the buffer grows.
+	bodyCost = 3
 	// connBufferBytes is the size of the read buffer. It holds the header and a small body of a response.
 	connBufferBytes = 4 << 10
 )
@@ -54,8 +62,8 @@
 	responding bool
 }
 
-func newConn(c net.Conn) *conn {
-	input := &boundedInput{reader: c, left: maxHeadBytes}
+func newConn(c net.Conn, m *memory) *conn {
+	input := &boundedInput{reader: c, left: maxHeadBytes, memory: m}
 	now := time.Now()
 	return &conn{Conn: c, input: input, reader: bufio.NewReaderSize(input, connBufferBytes), openedAt: now, usedAt: now}
 }
@@ -64,11 +72,27 @@
 // end would otherwise fill the memory until the deadline of the request.
 var ErrTooLarge = errors.New("response exceeds its maximum size")
 
-// boundedInput reads at most left bytes.
+// boundedInput reads at most left bytes, and reserves the memory that a response occupies while it is read.
 type boundedInput struct {
 	reader io.Reader
 	left   int
 	closed bool // the peer has closed the connection
+
+	memory   *memory
+	free     int   // bytes that need no reservation
+	cost     int64 // memory in bytes for each further byte
+	reserved int64
+}
+
+// begin begins a part of a response, of which at most limit bytes are read.
+func (b *boundedInput) begin(limit, free int, cost int64) {
+	b.left, b.free, b.cost = limit, free, cost
+}
+
+// releaseAll ends the reservation.
+func (b *boundedInput) releaseAll() {
+	b.memory.release(b.reserved)
+	b.reserved = 0
 }
 
 // Read implements io.Reader.
@@ -79,6 +103,13 @@
 	n, err := b.reader.Read(p[:min(len(p), b.left)])
 	b.left -= n
 	b.closed = b.closed || closedByPeer(err)
+	counted := max(0, n-b.free)
+	b.free -= n - counted
+	more := int64(counted) * b.cost
+	if !b.memory.reserve(b.reserved, more) {
+		return 0, ErrNoMemory
+	}
+	b.reserved += more
 	return n, err
 }
 
@@ -137,6 +168,7 @@
 // exchange sends a request and reads its response. reusable reports whether the connection may carry another
 // request.
 func (c *conn) exchange(ctx context.Context, r *Request) (resp *Response, reusable bool, failure *Error) {
+	defer c.input.releaseAll()
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) }) // Fails on a closed connection only.
 	written, err := c.write(r)
 	if err == nil || written {
@@ -201,7 +233,7 @@
 // read returns the next final response and whether the connection is reusable. sendErr is the error of sending
 // the request, if any.
 func (c *conn) read(method string, sendErr error) (*Response, bool, error) {
-	c.input.left = maxHeadBytes
+	c.input.begin(maxHeadBytes, freeHeadBytes, headCost)
 	for {
 		head, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
@@ -212,7 +244,7 @@
 			_ = head.Body.Close() // Interim responses have no body.
 			continue
 		}
-		c.input.left = maxResponseBytes + maxFramingBytes
+		c.input.begin(maxResponseBytes+maxFramingBytes, freeBodyBytes, bodyCost)
 		body, err := io.ReadAll(io.LimitReader(head.Body, maxResponseBytes+1))
 		if err != nil {
 			return nil, false, errors.Wrap(err, "read body")
@@ -220,6 +252,7 @@
 		if len(body) > maxResponseBytes {
 			return nil, false, ErrTooLarge
 		}
+		c.input.memory.hold(body)
 		if announced := announcedIdleTimeout(head.Header); announced > 0 {
 			c.idleTimeout = announced
 		}
--- a/adapter/http1/conn_test.go
+++ b/adapter/http1/conn_test.go
@@ -33,7 +33,7 @@
 			_, _ = server.Write(response)
 			_ = server.Close()
 		}()
-		c := newConn(client)
+		c := newConn(client, &memory{})
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		resp, reusable, failure := c.exchange(ctx, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}})
--- a/cmd/hyssopcroft/gateway.go
+++ b/cmd/hyssopcroft/gateway.go
@@ -84,6 +84,9 @@
 	}
 }
 
+// responseMemoryShare is the fraction of the process's memory that responses of targets may occupy.
+const responseMemoryShare = 0.2
+
 // newAdapter returns the adapter to the platform and registers its metrics.
 func newAdapter(s edge.Settings, registry *prometheus.Registry, out *logline.Writer, log *slog.Logger) edge.Adapter {
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -96,13 +99,14 @@
 		Name: "hyssopcroft_log_lines_dropped_total", Help: "Log lines dropped because nobody read the output.",
 	}, func() float64 { return float64(out.Dropped()) })
 	tooLarge := prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "hyssopcroft_oversized_responses_total", Help: "Responses of targets that exceeded their maximum size.",
+		Name: "hyssopcroft_oversized_responses_total", Help: "Responses of targets that exceeded their maximum size or the memory of all responses.",
 	})
 	registry.MustRegister(calls, opened, dropped, tooLarge)
 	client := http1.NewClient(nil, opened.Inc)
+	client.LimitMemory(int64(responseMemoryShare * float64(s.MemoryMB<<20)))
 	client.OnTooLarge(func(address string) {
 		tooLarge.Inc()
-		log.Warn("response exceeds its maximum size; its connection is closed", "address", address)
+		log.Warn("response exceeds its maximum size or the memory of all responses; its connection is closed", "address", address)
 	})
 	store := platform.NewStore(s.Store, log, func(call string) { calls.WithLabelValues(call).Inc() })
 	return edge.Adapter{
