Repeat background watches once the store answers again

Cause: a watch of a background kind that failed is repeated after 2 to 6 s, although other watches of the same instance have reached the store again after half a second. Class: one outage seen separately by each of those that wait for its end.

Change: the first watch that reaches the store again ends the wait of the others. During an outage, and between outages, the number of calls stays as it was; each return costs one call for each background kind earlier than before.

--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -141,7 +141,9 @@
 	ready            bool
 	stopWatches      context.CancelFunc // stops the watches; nil if the instance is not a watcher
 	confirmedAt      time.Time          // when the objects were last confirmed as the newest in the store
-	storeUnreachable bool               // the last watch call for the required kind failed
+	outage           context.Context    // ends with the current outage of the store, nil if no watch has asked since the last one
+	cancelOutage     context.CancelFunc
+	storeUnreachable bool // the last watch call for the required kind failed
 	fetching         bool
 	// startRevisions are the revisions, by kind, at which the store was read at the start. The first
 	// watch of a kind continues from there.
--- a/instance/configsync/watch.go
+++ b/instance/configsync/watch.go
@@ -83,6 +83,7 @@
 	s.mu.Unlock()
 	available := true
 	for ctx.Err() == nil {
+		outage := s.currentOutage()
 		wait := watchWait
 		if !available {
 			wait = 0 // A waiting call would not return as soon as the store has recovered.
@@ -91,6 +92,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		recovered := !available && err == nil
 		if available != (err == nil) {
 			available = err == nil
 			s.log.Info("platform availability changed", "kind", kind, "available", available)
@@ -100,15 +102,47 @@
 			s.counters.Counter("platform_watch_failures").Add(1)
 			s.recordStoreResult(kind, false)
 			s.fetchElsewhere(ctx, kind)
-			kernel.Sleep(ctx, retryDelay/2+rand.N(retryDelay))
+			sleepDuring(ctx, outage, retryDelay/2+rand.N(retryDelay))
 			continue
 		}
+		if recovered {
+			s.endOutage()
+		}
 		revision = max(revision, changes.Revision)
 		s.offerAll(changes)
 		s.recordStoreResult(kind, true)
 	}
 }
 
+// currentOutage returns a context that ends once a watch has reached the store again. An outage of the store ends for all
+// kinds at once: those with long delays then need not wait for them.
+func (s *Service) currentOutage() context.Context {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage == nil {
+		s.outage, s.cancelOutage = context.WithCancel(s.ctx)
+	}
+	return s.outage
+}
+
+func (s *Service) endOutage() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outage != nil {
+		s.cancelOutage()
+		s.outage = nil
+	}
+}
+
+// sleepDuring sleeps until the time has passed or one of the contexts is done.
+func sleepDuring(ctx, outage context.Context, d time.Duration) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(outage, cancel)
+	defer stop()
+	kernel.Sleep(ctx, d)
+}
+
 func (s *Service) offerAll(changes platform.Changes) {
 	for _, obj := range changes.Objects {
 		if o, ok := objectOf(obj); ok {
