Let the soak's searchers crash in the middle of answers and move

It now crashes before or in the middle of its answer (never, in half or in all crashes, by the seed), and half of its next starts have another id and address.

--- a/emulator/soak/fragile.go
+++ b/emulator/soak/fragile.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,6 +17,8 @@
 const (
 	fragileService = "fragile"
 	fragileCount   = 5
+	// fragileStream is the first of the random streams of fragile searchers.
+	fragileStream = 1000
 	// crashDuration is the time from a crash of a fragile searcher to its restart.
 	crashDuration = 1500 * time.Millisecond
 	// submissionPause is the pause between two submissions of the crashing request.
@@ -25,22 +28,25 @@
 	// maxLateCrashes is the number of crashes that are allowed later.
 	maxLateCrashes = 3
 	crashingBody   = "crash"
+	// crashedAnswerBytes is the length of an answer in the middle of which a searcher crashes.
+	crashedAnswerBytes = 3000
 )
 
-// startFragile starts a searcher that crashes when it gets the crashing request: it closes its listener and all its
-// connections, and starts again at the same address.
-func (s *soak) startFragile(n int) error {
+// startFragile starts a searcher that crashes when it gets the crashing request, before or in the middle of its answer: it
+// closes its listener and all its connections. It starts again at the same address, or elsewhere under another id.
+func (s *soak) startFragile(n int, random *rand.Rand) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	go s.runFragile(fmt.Sprintf("%s-%d", fragileService, n), l)
+	go s.runFragile(fmt.Sprintf("%s-%d", fragileService, n), l, random)
 	return nil
 }
 
-func (s *soak) runFragile(id string, l net.Listener) {
-	address := l.Addr().String()
-	for {
+func (s *soak) runFragile(name string, l net.Listener, random *rand.Rand) {
+	id, address := name, l.Addr().String()
+	for start := 1; ; start++ {
+		inAnswer, moves := random.Float64() < s.inAnswerShare(), random.IntN(2) == 0
 		server := &http.Server{}
 		var once sync.Once
 		server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -52,6 +58,12 @@
 				s.mu.Lock()
 				s.crashes = append(s.crashes, time.Now())
 				s.mu.Unlock()
+				if inAnswer {
+					w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+					w.Header().Set("Content-Length", strconv.Itoa(crashedAnswerBytes))
+					_, _ = io.WriteString(w, "begin")         // The searcher crashes in any case.
+					_ = http.NewResponseController(w).Flush() // As above.
+				}
 				_ = server.Close() // It ends Serve below.
 			})
 		})
@@ -60,14 +72,22 @@
 		})
 		_ = server.Serve(l) // It returns once the server is closed.
 		time.Sleep(crashDuration)
+		if moves {
+			s.store.put("servers", id, nil)
+			id, address = fmt.Sprintf("%s-%d", name, start), "127.0.0.1:0"
+		}
 		var err error
 		if l, err = net.Listen("tcp", address); err != nil {
 			s.recorder.addViolation("stand-in: %v", err)
 			return
 		}
+		address = l.Addr().String()
 	}
 }
 
+// inAnswerShare returns the share of crashes in the middle of an answer in this run: none, half or all of them.
+func (s *soak) inAnswerShare() float64 { return float64(s.seed%3) / 2 }
+
 // submitCrashingRequest submits the request again and again through random instances.
 func (s *soak) submitCrashingRequest(ctx context.Context, random *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
--- a/emulator/soak/soak.go
+++ b/emulator/soak/soak.go
@@ -72,6 +72,7 @@
 }
 
 type soak struct {
+	seed        uint64
 	random      *rand.Rand
 	store       *store
 	recorder    *recorder
@@ -103,7 +104,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }() // Leftover temporary files are harmless.
 	s := &soak{
-		random: rand.New(rand.NewPCG(cfg.Seed, 1)), store: newStore(), recorder: newRecorder(), faultCounts: map[string]int{},
+		seed: cfg.Seed, random: rand.New(rand.NewPCG(cfg.Seed, 1)), store: newStore(), recorder: newRecorder(), faultCounts: map[string]int{},
 		searchers: map[string][]*searcher{},
 	}
 	if err := s.start(dir, cfg.Program, cfg.Instances); err != nil {
@@ -174,7 +175,7 @@
 		}
 	}
 	for n := range fragileCount {
-		if err := s.startFragile(n); err != nil {
+		if err := s.startFragile(n, rand.New(rand.NewPCG(s.seed, fragileStream+uint64(n)))); err != nil {
 			return err
 		}
 	}
