Bound the memory of callers' bodies together

Found while looking for the cause of endless responses elsewhere: each body of a caller was bounded by the configuration, their number at one time was not, and a body is read before its request counts as in flight.

Change: bodies reserve memory as they are read, beyond 16 KB each, from 0.15 of the process's memory. A request for whose body there is none left is refused (503 with a delay; it has not run).

--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -47,6 +47,8 @@
 	// heapShare is the fraction of the memory above which the garbage collector runs more often. The rest is for
 	// stacks, system buffers and the binary.
 	heapShare = 0.7
+	// bodyShare is the fraction of the memory that large bodies of callers' requests may occupy.
+	bodyShare = 0.15
 )
 
 // Adapter connects an instance to its platform.
@@ -104,8 +106,8 @@
 		ExtraAttempts: hedge.BudgetLimits{
 			Share: s.ExtraShare, Slack: s.ExtraSlack, Span: time.Duration(s.ExtraSeconds * float64(time.Second)),
 		},
-		FollowsEarlier: !s.FirstStart,
-		Metrics:        gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
+		FollowsEarlier: !s.FirstStart, BodyMemory: int64(bodyShare * float64(s.MemoryMB<<20)),
+		Metrics: gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
 		SendSuspicion: relays.ReportSuspicion, SaveQuarantined: objects.AddQuarantined, Forward: relays.Forward, ConnectRelay: relays.Connect,
 	})
 	saver := directory.NewTargetSaver(a.Store, e.kernel.Bus(), fleet, log)
