--- /dev/null
+++ b/instance/gateway/run_suspicion.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"slices"
+
+	"hyssopcroft.example/query"
+)
+
+// attemptLimit returns the maximum number of attempts per shard of a request. If targets have crashed on earlier
+// submissions, the attempts and these crashes together do not exceed crashLimit; one attempt is always allowed.
+func attemptLimit(maxAttempts, crashes int) int {
+	if crashes > 0 {
+		maxAttempts = min(maxAttempts, crashLimit-crashes)
+	}
+	return max(1, maxAttempts)
+}
+
+// crashCount returns the number of targets that closed their connections while they ran the request, including the
+// crashes of earlier submissions.
+func (q *run) crashCount() int {
+	var targets []query.TargetID
+	for _, r := range q.attempts {
+		if r.hasOutcome(query.OutcomeCrashed) && !slices.Contains(targets, r.target) {
+			targets = append(targets, r.target)
+		}
+	}
+	return q.priorCrashes + len(targets)
+}
+
+// updateSuspicion evaluates a request that has ended. If the targets of all its shards succeeded, the suspicion ends.
+// Otherwise, the targets that crashed meanwhile are reported. An error response does not show that the request is harmless: a
+// failing target also sends one instead of running the request. Nor does the answer of one shard say anything about another.
+func (q *run) updateSuspicion() {
+	if q.machine.Covered() == len(q.resolved.shards) {
+		q.recordCompleteAnswer()
+		return
+	}
+	if q.priorCrashes > 0 {
+		q.probeUnanswered()
+	}
+	for _, p := range q.probes {
+		q.service.addUnanswered(p, submission{id: q.id, request: q.request.ID, fingerprint: q.fingerprint()})
+	}
+}
+
+func (q *run) recordCompleteAnswer() {
+	f := q.fingerprint()
+	if q.priorCrashes > 0 {
+		q.service.cfg.Log.Info("targets answered a suspected request; its suspicion ends", "request", q.request.ID,
+			fingerprintAttr(f), "crashed_targets", q.priorCrashes)
+	}
+	q.service.suspects.recordCompleteAnswer(f)
+}
+
+// probeUnanswered probes the targets of attempts that ended without a sign. The end of the connection of a crashed target
+// may be lost on the way, and an attempt that was cancelled would not have shown it.
+func (q *run) probeUnanswered() {
+	for _, r := range q.attempts {
+		if r.entry.Address == "" || r.phase == replied && r.outcome != query.OutcomeUnknown {
+			continue
+		}
+		q.addProbe(q.service.probe(r.entry, false))
+	}
+}
+
+// addProbe adds the probe of a target of the request, unless it is there already.
+func (q *run) addProbe(p *crashProbe) {
+	if !slices.Contains(q.probes, p) {
+		q.probes = append(q.probes, p)
+	}
+}
