Release connections that late queries open after a change of the placement

Cause: connections are released when the placement changes. A query that had begun before opens one afterwards, which nobody releases until the next change. Class: a state that is put right once, where it can go wrong again later.

TestLateQueryDoesNotKeepConnectionOpen failed with one connection left.

--- a/adapter/target/pool.go
+++ b/adapter/target/pool.go
@@ -16,7 +16,8 @@
 
 	mu        sync.RWMutex // guards the fields below
 	byAddress map[string]*http.Transport
-	released  map[*http.Transport]int // remaining sweeps
+	released  map[*http.Transport]int   // remaining sweeps
+	keep      func(address string) bool // of the latest call of Retain, nil before the first one
 }
 
 // NewPool returns a pool that creates its transports with newTransport.
@@ -49,20 +50,22 @@
 // once the requests on them have ended.
 func (p *Pool) Retain(keep func(address string) bool) {
 	p.mu.Lock()
-	for address, t := range p.byAddress {
-		if !keep(address) {
-			delete(p.byAddress, address)
-			p.released[t] = sweepsAfterRelease
-		}
-	}
+	p.keep = keep
 	p.mu.Unlock()
 	p.Sweep()
 }
 
-// Sweep closes the idle connections of released transports. It must be called about once per second.
+// Sweep closes the idle connections of released transports. It must be called about once per second. A query that began
+// before the latest call of Retain may have opened a transport since, which Sweep releases too.
 func (p *Pool) Sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for address, t := range p.byAddress {
+		if p.keep != nil && !p.keep(address) {
+			delete(p.byAddress, address)
+			p.released[t] = sweepsAfterRelease
+		}
+	}
 	for t, left := range p.released {
 		t.CloseIdleConnections()
 		p.released[t]--
--- a/adapter/target/pool_test.go
+++ b/adapter/target/pool_test.go
@@ -119,3 +119,34 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a connection that stays open for good because a query that began before a change of the placement opened it
+// after the change.
+func TestLateQueryDoesNotKeepConnectionOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &pipeListener{conns: make(chan net.Conn, 1000)}
+		var protocols http.Protocols
+		protocols.SetUnencryptedHTTP2(true)
+		server := &http.Server{Protocols: &protocols, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte("{}"))
+		})}
+		go func() { _ = server.Serve(l) }()
+		pool := NewPool(func() *http.Transport {
+			transport := NewTransport(time.Second, time.Second)
+			transport.DialContext = l.dial
+			return transport
+		})
+		pool.Retain(func(string) bool { return false })
+		_, err := NewClient(pool).Info(t.Context(), "target:1")
+		require.NoError(t, err)
+		open, _ := l.counts()
+		require.Equal(t, 1, open)
+		pool.Sweep()
+		synctest.Wait()
+		open, _ = l.counts()
+		require.Zero(t, open)
+		close(l.conns)
+		require.NoError(t, server.Close())
+		synctest.Wait()
+	})
+}
