Use plainer words in the comments of the crash check

Read as a newcomer would: "look" meant a check of the list. Comments and the name of one field; no logic has changed, and the tests of query/quarantine and instance/gateway pass.

--- a/query/quarantine/crash_check.go
+++ b/query/quarantine/crash_check.go
@@ -36,7 +36,7 @@
 // String returns the name used in logs.
 func (r ConnectResult) String() string { return connectNames[r] }
 
-// CheckStep is one step of a CrashCheck: a pause, a look at the list and, if Connect is set, a connection check.
+// CheckStep is one step of a CrashCheck: a pause, a connection check if Connect is set, and a check of the list.
 type CheckStep struct {
 	Pause   time.Duration
 	Connect bool
@@ -52,7 +52,7 @@
 }
 
 const (
-	// silentListPause is the pause between two looks at the list for a target that is silent.
+	// silentListPause is the pause between two checks of the list for a target that is silent.
 	silentListPause = 500 * time.Millisecond
 	// silentListSpan is the time for which the list is watched for such a target. An entry lapses three heartbeats after
 	// the last one, and the list lags by seconds.
@@ -62,10 +62,10 @@
 // CrashCheck decides whether a target has crashed that closed a connection in the middle of a request, or left a request
 // unanswered. It is not safe for concurrent use.
 type CrashCheck struct {
-	closed   bool // the target closed a connection
-	evidence Evidence
-	results  []ConnectResult
-	looks    int // steps at the list that Next has returned
+	closed     bool // the target closed a connection
+	evidence   Evidence
+	results    []ConnectResult
+	listChecks int // steps without a connection check that Next has returned
 }
 
 // NewCrashCheck returns a check of a target. closed is set if the target closed a connection in the middle of a request.
@@ -79,14 +79,14 @@
 	case len(c.results) < len(connectSteps):
 		return connectSteps[len(c.results)], true
 	}
-	c.looks++
+	c.listChecks++
 	if c.silent() {
-		return CheckStep{Pause: silentListPause}, c.looks <= int(silentListSpan/silentListPause)
+		return CheckStep{Pause: silentListPause}, c.listChecks <= int(silentListSpan/silentListPause)
 	}
-	if c.looks > len(listSteps) {
+	if c.listChecks > len(listSteps) {
 		return CheckStep{}, false
 	}
-	return listSteps[c.looks-1], true
+	return listSteps[c.listChecks-1], true
 }
 
 // silent reports whether the target did not answer the last connection check.
