Name the request in the log line of a crash

A crash was logged with the id of the submission and the fingerprint. Neither tells whether two lines are of one request: each submission has an id of its own, and the question was whether the fingerprint is right. The line now has method, host, path (200 bytes), size of the body and the caller's address.

--- a/instance/gateway/crash_probe.go
+++ b/instance/gateway/crash_probe.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
+	"strings"
 	"time"
 
 	"hyssopcroft.example/control/roster"
@@ -29,13 +31,25 @@
 	unanswered []submission
 }
 
-// submission is one submission of a request that ended without an answer.
+// submission is one submission of a request that ended without an answer. It outlives the request, and keeps none of its
+// body and header.
 type submission struct {
 	id          query.RequestID
-	request     string
 	fingerprint quarantine.Fingerprint
+	// attrs is what the log says of the request: submissions of one request have different ids.
+	attrs []any
 }
 
+func newSubmission(id query.RequestID, r *Request, f quarantine.Fingerprint) submission {
+	return submission{id: id, fingerprint: f, attrs: []any{
+		slog.String("request", r.ID), slog.String("caller", r.Caller), slog.String("method", r.Method), slog.String("host", r.Host),
+		slog.String("path", strings.Clone(r.Target[:min(len(r.Target), maxLoggedPath)])), slog.Int("body_bytes", len(r.Body)),
+	}}
+}
+
+// maxLoggedPath bounds the path of a request in a log line, in bytes.
+const maxLoggedPath = 200
+
 // probe returns the probe of a target that has closed a connection in the middle of a request or, if closed is not set, left
 // a request unanswered. e is its entry at the time at which the request was sent.
 func (s *Service) probe(e roster.Entry, closed bool) *crashProbe {
@@ -118,7 +132,7 @@
 	if evidence == quarantine.Proven && !s.suspects.answeredRecently(u.fingerprint) {
 		c.Submission = u.id
 	}
-	s.reportCrashes(u.fingerprint, []quarantine.Crash{c}, slog.String("request", u.request), slog.String("evidence", evidence.String()))
+	s.reportCrashes(u.fingerprint, []quarantine.Crash{c}, append(slices.Clone(u.attrs), slog.String("evidence", evidence.String()))...)
 }
 
 func (s *Service) tryConnect(address string) quarantine.ConnectResult {
--- a/instance/gateway/run_suspicion.go
+++ b/instance/gateway/run_suspicion.go
@@ -39,7 +39,7 @@
 		q.probeUnanswered()
 	}
 	for _, p := range q.probes {
-		q.service.addUnanswered(p, submission{id: q.id, request: q.request.ID, fingerprint: q.fingerprint()})
+		q.service.addUnanswered(p, newSubmission(q.id, q.request, q.fingerprint()))
 	}
 }
 
