Identify a crashing request without its caller's address

Cause: the fingerprint of a request had the address of its caller in it. An address is no identity of a request, nor of a caller. Host and path counted as they were spelled, too, although routes ignore the case and the port of a host.

Change: the fingerprint is made of method, canonical host, canonical path and query (RFC 3986, 6.2.2) and body. The order of a query's parameters still counts, since targets may distinguish it.

--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -2,13 +2,13 @@
 
 import (
 	"log/slog"
-	"net"
 	"strconv"
 	"sync"
 	"time"
 
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/quarantine"
+	"hyssopcroft.example/query/routing"
 )
 
 // suspects records requests that crash the targets that run them. Callers resubmit such a request at any instance, and
@@ -29,14 +29,10 @@
 	}
 }
 
-// fingerprint identifies the submissions of one request. It leaves out the caller's port, which differs for each
-// connection.
+// fingerprint identifies the submissions of one request. Nothing of the caller is part of it: the same request comes over
+// many connections and from many addresses.
 func fingerprint(r *Request) quarantine.Fingerprint {
-	caller, _, err := net.SplitHostPort(r.Caller)
-	if err != nil {
-		caller = r.Caller
-	}
-	return quarantine.Hash(caller, r.Method, r.Host, r.Target, string(r.Body))
+	return quarantine.Hash(r.Method, routing.CanonicalHost(r.Host), quarantine.CanonicalTarget(r.Target), string(r.Body))
 }
 
 // refusal returns the refusal of a request that is quarantined, nil for any other request.
--- a/instance/gateway/suspects_restart_test.go
+++ b/instance/gateway/suspects_restart_test.go
@@ -218,10 +218,13 @@
 func (s *restartSite) Connect(context.Context, string) error      { return nil }
 
 func (s *restartSite) submit(ctx context.Context, n int, path, body string) gateway.Response {
-	return s.gateways[s.members[n%len(s.members)].ID].Do(ctx, &gateway.Request{
-		ID: fmt.Sprint(body, n), Caller: "10.0.0.1:1", Method: "GET", Target: path, Path: path, Host: "h", Header: http.Header{},
-		Body: []byte(body), TimeLeft: time.Second,
-	})
+	return s.submitRequest(ctx, n, &gateway.Request{Caller: "10.0.0.1:1", Target: path, Path: path, Host: "h", Body: []byte(body)})
+}
+
+// submitRequest submits a request to the instance n modulo their number.
+func (s *restartSite) submitRequest(ctx context.Context, n int, r *gateway.Request) gateway.Response {
+	r.ID, r.Method, r.Header, r.TimeLeft = fmt.Sprint(string(r.Body), n), "GET", http.Header{}, time.Second
+	return s.gateways[s.members[n%len(s.members)].ID].Do(ctx, r)
 }
 
 // reachedLate returns the number of submissions that reached targets later than a time after the third crash.
@@ -236,45 +239,82 @@
 	return late, len(s.crashes)
 }
 
+const crashedFor = 3100 * time.Millisecond // time from a crash to the next start in most plans
+
+// restartPlans are the ways in which a crashed target may look from outside.
+var restartPlans = map[string]restartPlan{
+	"refuses, back elsewhere":                        {after: crashedFor, newID: true, newAddress: true},
+	"back at once, listed late":                      {listLag: 3 * time.Second},
+	"back at once under another id, listed late":     {listLag: 3 * time.Second, newID: true},
+	"back at once, listed after 6 s":                 {listLag: 6 * time.Second},
+	"silent, back and listed":                        {silent: true, after: crashedFor, listLag: 300 * time.Millisecond},
+	"silent, listed late":                            {silent: true, after: crashedFor, listLag: 1500 * time.Millisecond},
+	"silent, back late":                              {silent: true, after: 5 * time.Second},
+	"silent, back after 12 s":                        {silent: true, after: 12 * time.Second},
+	"silent, back elsewhere":                         {silent: true, after: crashedFor, newID: true, newAddress: true},
+	"silent, entry lapses, back elsewhere":           {silent: true, after: crashedFor, newID: true, newAddress: true, lapseAfter: 2400 * time.Millisecond, listLag: time.Second},
+	"silent, entry lapses, back after a minute":      {silent: true, after: time.Minute, lapseAfter: 3600 * time.Millisecond},
+	"silent, back elsewhere, list changes after 9 s": {silent: true, after: crashedFor, newID: true, newAddress: true, listLag: 6 * time.Second},
+}
+
+const (
+	submitPause = 600 * time.Millisecond // between two submissions of the bad request
+	lateAfter   = 5 * time.Second        // after the third crash
+	allowedLate = 3                      // submissions that may reach targets later than that
+)
+
 // Guards against a crash that is not counted because the address of the target is silent afterwards, or because the next
 // start is listed late, under another id or at another address.
 func TestCrashCountsHoweverTargetRestarts(t *testing.T) {
-	const (
-		pause   = 600 * time.Millisecond
-		window  = 5 * time.Second
-		allowed = 3
-	)
-	back := 3100 * time.Millisecond
-	for name, plan := range map[string]restartPlan{
-		"refuses, back elsewhere":                        {after: back, newID: true, newAddress: true},
-		"back at once, listed late":                      {listLag: 3 * time.Second},
-		"back at once under another id, listed late":     {listLag: 3 * time.Second, newID: true},
-		"back at once, listed after 6 s":                 {listLag: 6 * time.Second},
-		"silent, back and listed":                        {silent: true, after: back, listLag: 300 * time.Millisecond},
-		"silent, listed late":                            {silent: true, after: back, listLag: 1500 * time.Millisecond},
-		"silent, back late":                              {silent: true, after: 5 * time.Second},
-		"silent, back after 12 s":                        {silent: true, after: 12 * time.Second},
-		"silent, back elsewhere":                         {silent: true, after: back, newID: true, newAddress: true},
-		"silent, entry lapses, back elsewhere":           {silent: true, after: back, newID: true, newAddress: true, lapseAfter: 2400 * time.Millisecond, listLag: time.Second},
-		"silent, entry lapses, back after a minute":      {silent: true, after: time.Minute, lapseAfter: 3600 * time.Millisecond},
-		"silent, back elsewhere, list changes after 9 s": {silent: true, after: back, newID: true, newAddress: true, listLag: 6 * time.Second},
-	} {
+	for name, plan := range restartPlans {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newRestartSite(t, plan)
-				defer time.Sleep(timeToCrash) // Attempts that were cancelled are still at their targets.
-				for n := range 100 {
-					s.submit(t.Context(), n, "/one/x", badBody)
-					time.Sleep(pause)
-				}
-				late, crashes := s.reachedLate(window)
-				t.Logf("%d crashes, %d submissions reached targets later than %v after the third", crashes, late, window)
-				require.LessOrEqual(t, late, allowed)
+			requireHeld(t, plan, func(int) *gateway.Request {
+				return &gateway.Request{Caller: "10.0.0.1:1", Target: "/one/x", Path: "/one/x", Host: "h", Body: []byte(badBody)}
 			})
 		})
 	}
 }
 
+// Guards against a request that is counted by the address of its caller: one that comes from many addresses crashes three
+// targets for each of them.
+func TestCrashingRequestOfManyAddressesIsHeld(t *testing.T) {
+	const addresses = 25
+	for name, plan := range restartPlans {
+		t.Run(name, func(t *testing.T) {
+			requireHeld(t, plan, func(n int) *gateway.Request {
+				caller := fmt.Sprintf("10.0.%d.1:%d", n%addresses, 3000+n)
+				return &gateway.Request{Caller: caller, Target: "/one/x", Path: "/one/x", Host: "h", Body: []byte(badBody)}
+			})
+		})
+	}
+}
+
+// Guards against a request that counts apart for each spelling of its host and path.
+func TestCrashingRequestIsHeldInAllSpellings(t *testing.T) {
+	hosts := []string{"h", "H", "h:8226"}
+	targets := []string{"/one/x?q=%c3%a9", "/one/%78?q=%C3%A9", "http://h/one/x?q=%c3%A9"}
+	requireHeld(t, restartPlan{after: crashedFor}, func(n int) *gateway.Request {
+		return &gateway.Request{
+			Caller: "10.0.0.1:1", Target: targets[n%len(targets)], Path: "/one/x", Host: hosts[n/len(targets)%len(hosts)], Body: []byte(badBody),
+		}
+	})
+}
+
+// requireHeld submits a request that crashes targets for a minute, and requires that it is held after its third crash.
+func requireHeld(t *testing.T, plan restartPlan, request func(n int) *gateway.Request) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRestartSite(t, plan)
+		defer time.Sleep(timeToCrash) // Attempts that were cancelled are still at their targets.
+		for n := range 100 {
+			s.submitRequest(t.Context(), n, request(n))
+			time.Sleep(submitPause)
+		}
+		late, crashes := s.reachedLate(lateAfter)
+		t.Logf("%d crashes, %d submissions reached targets later than %v after the third", crashes, late, lateAfter)
+		require.LessOrEqual(t, late, allowedLate)
+	})
+}
+
 // Guards against a target that crashes in the middle of its first answer on a connection, and is not probed.
 func TestCrashInTheMiddleOfAnswerCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/query/routing/routing.go
+++ b/query/routing/routing.go
@@ -73,7 +73,7 @@
 	t.hosts = map[string]map[string]*Route{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
-		host := canonicalHost(r.Host)
+		host := CanonicalHost(r.Host)
 		if t.hosts[host] == nil {
 			t.hosts[host] = map[string]*Route{}
 		}
@@ -87,7 +87,7 @@
 
 // Match returns the route of the host with the longest matching prefix of the path, or nil if there is none.
 func (t *Table) Match(host, path string) *Route {
-	prefixes := t.hosts[canonicalHost(host)]
+	prefixes := t.hosts[CanonicalHost(host)]
 	for len(prefixes) > 0 {
 		end := strings.LastIndexByte(path, '/')
 		if end < 0 {
@@ -118,8 +118,8 @@
 	return minShards
 }
 
-// canonicalHost returns the host in lower case and without port.
-func canonicalHost(host string) string {
+// CanonicalHost returns the host in lower case and without port.
+func CanonicalHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
 		host = host[:i]
 	}
