Look at the list often while a closed connection may be a crash

Cause: the checks of the list followed each other after 0.5, 1, 1, 2 and 4 s. A target that was listed again 3.0 s after its crash counted as crashed only 5 s after it, or at the check after that.

Change: the list is looked at each 0.5 s, as it was for silent targets. A look reads what the instance has in memory.

TestListedRestartCountsAtOnce fails before (a start that is listed after 1.1 s counts at 2 s).

--- a/query/quarantine/crash_check.go
+++ b/query/quarantine/crash_check.go
@@ -45,17 +45,14 @@
 // connectSteps start a check. The first one may find an idle connection whose end has not arrived yet.
 var connectSteps = []CheckStep{{0, true}, {100 * time.Millisecond, true}, {400 * time.Millisecond, true}}
 
-// listSteps follow the connection checks. A target that accepts connections may have started again, and registers within
-// seconds.
-var listSteps = []CheckStep{
-	{Pause: 500 * time.Millisecond}, {Pause: time.Second}, {Pause: time.Second}, {Pause: 2 * time.Second}, {Pause: 4 * time.Second},
-}
-
 const (
-	// silentListPause is the pause between two checks of the list for a target that is silent.
-	silentListPause = 500 * time.Millisecond
-	// silentListSpan is the time for which the list is watched for such a target. An entry lapses three heartbeats after
-	// the last one, and the list lags by seconds.
+	// listPause is the pause between two checks of the list.
+	listPause = 500 * time.Millisecond
+	// listSpan is the time for which the list is watched for a target that accepts connections. It may have started again,
+	// and registers within seconds.
+	listSpan = 8500 * time.Millisecond
+	// silentListSpan is the time for which the list is watched for a target that is silent. An entry lapses three heartbeats
+	// after the last one, and the list lags by seconds.
 	silentListSpan = 15 * time.Second
 )
 
@@ -80,13 +77,11 @@
 		return connectSteps[len(c.results)], true
 	}
 	c.listChecks++
+	span := listSpan
 	if c.silent() {
-		return CheckStep{Pause: silentListPause}, c.listChecks <= int(silentListSpan/silentListPause)
-	}
-	if c.listChecks > len(listSteps) {
-		return CheckStep{}, false
+		span = silentListSpan
 	}
-	return listSteps[c.listChecks-1], true
+	return CheckStep{Pause: listPause}, c.listChecks <= int(span/listPause)
 }
 
 // silent reports whether the target did not answer the last connection check.
--- a/query/quarantine/crash_check_test.go
+++ b/query/quarantine/crash_check_test.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// Guards against a crash that counts seconds after the list has shown it, while the request crashes further targets.
+func TestListedRestartCountsAtOnce(t *testing.T) {
+	const delay = 500 * time.Millisecond
+	for listedAfter := time.Second; listedAfter <= 9*time.Second; listedAfter += 100 * time.Millisecond {
+		target := checkedTarget{closed: true, connect: always(quarantine.ConnectAccepted), restartsIn: listedAfter}
+		evidence, found, _ := target.run()
+		require.Equal(t, quarantine.Proven, evidence, listedAfter)
+		require.LessOrEqual(t, found-listedAfter, delay, listedAfter)
+	}
+}
+
 // Guards against evidence that depends on the order of events, that is withdrawn, or that comes without a sign, and against
 // checks that do not end.
 func TestEvidenceInAnyOrder(t *testing.T) {
