Open a connection to find out whether a target has crashed

Cause: CheckReachable took an idle connection as proof that the target lives.

Change: CheckReachable opens a connection. At the limit it closes an idle one for it, so that a check never exceeds the limit.

TestCheckReachableDoesNotTrustIdleConnection fails before ("Expected error").

--- a/adapter/http1/client.go
+++ b/adapter/http1/client.go
@@ -175,10 +175,11 @@
 	}()
 }
 
-// CheckReachable checks that an address has a usable connection or accepts a new one. It fails only if a dial fails. If
-// ctx ends a wait at the connection limit, nothing is known about the address and CheckReachable returns nil.
+// CheckReachable checks that an address accepts a new connection: the end of an idle one may not have arrived yet. At the
+// limit it closes an idle connection for the new one. It fails only if a dial fails. If ctx ends a wait at the connection
+// limit, nothing is known about the address and CheckReachable returns nil.
 func (c *Client) CheckReachable(ctx context.Context, address string) error {
-	cn, err := c.acquire(ctx, address, time.Time{})
+	cn, err := c.acquire(ctx, address, time.Now())
 	var op *net.OpError
 	switch {
 	case err == nil:
--- a/query/quarantine/crash_check.go
+++ b/query/quarantine/crash_check.go
@@ -42,7 +42,7 @@
 	Connect bool
 }
 
-// connectSteps start a check. The first one may find an idle connection whose end has not arrived yet.
+// connectSteps start a check. A target may close its connections before it stops accepting new ones.
 var connectSteps = []CheckStep{{0, true}, {100 * time.Millisecond, true}, {400 * time.Millisecond, true}}
 
 const (
