Hold back hedges until a target has answered the request

Cause: all targets of such a request are silent until they crash, 30 ms after they began, so that the hedges of all ten shards are due, and were sent to a second replica of each, before the first crash.

Change: until a target has answered a request, it sends four hedges over all its shards together. The first answer lets the others go at once. A shard whose attempt straggles (three times the delay of its hedge) waits no longer, for the case that all targets asked are dark.

TestHedgesWaitForTheFirstAnswer fails before (20 attempts instead of 12 when the first crash shows).

--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -31,6 +31,9 @@
 	// all submissions of a request before the request is quarantined. One crash is not enough: a target that
 	// loses an answer also closes its connection, and a target that is stopped fails unrelated requests.
 	crashLimit = 3
+	// maxUnansweredHedges bounds the hedges of a query that no target has answered. A few suffice where the targets of one
+	// failure domain are silent: the others answer the hedges, which lets the remaining ones go.
+	maxUnansweredHedges = 4
 )
 
 // run is the execution of one request. Only the goroutine of the request uses the machine.
@@ -168,6 +171,7 @@
 		Map:    query.Map{Version: rr.version, Shards: rr.shards},
 		Policy: &runPolicy{run: q, policy: rr.policy}, NextAttempt: s.nextAttempt, DistinctTargets: true, MaxLimitBackoff: maxLimitBackoff,
 		MaxAttempts: attemptLimit(max(rr.route.MaxAttempts-r.SpentAttempts, 1), crashes), AtMostOnce: !rr.route.Repeatable, CrashLimit: max(1, crashLimit-crashes),
+		MaxUnansweredHedges: maxUnansweredHedges,
 	}
 	if rr.route.Gather {
 		q.records = merge.NewRecords(q.id, rr.version, rr.shards)
--- a/query/scatter/crash_guard.go
+++ b/query/scatter/crash_guard.go
@@ -11,21 +11,24 @@
 // already runs the query has answered. Otherwise a request that crashes every target would crash the
 // replicas of a shard one after the other.
 type crashGuard struct {
-	answered bool // a target answered the query, so the query is not the cause of a crash
-	limit    int  // number of crashed targets after which the query ends
-	crashed  []query.TargetID
-	inFlight int // attempts of all shards
+	answered  bool // a target answered the query, so the query is not the cause of a crash
+	limit     int  // number of crashed targets after which the query ends
+	crashed   []query.TargetID
+	inFlight  int // attempts of all shards
+	maxHedges int // before a target has answered, 0 for no limit
+	hedges    int
 }
 
 // defaultCrashLimit is the default of Config.CrashLimit. It is above 1 because a single crash may have another
 // cause.
 const defaultCrashLimit = 2
 
-func newCrashGuard(cleared bool, limit int) crashGuard {
+func newCrashGuard(cfg Config) crashGuard {
+	limit := cfg.CrashLimit
 	if limit == 0 {
 		limit = defaultCrashLimit
 	}
-	return crashGuard{answered: cleared, limit: limit}
+	return crashGuard{answered: cfg.Request.Cleared, limit: limit, maxHedges: cfg.MaxUnansweredHedges}
 }
 
 func (g *crashGuard) recordAnswer() { g.answered = true }
@@ -36,6 +39,13 @@
 	}
 }
 
+// blocksHedges reports whether a hedge has to wait until a target has answered the query, or its shard straggles. All
+// targets that run a query which crashes them are silent until they crash, and hedges would spread it to the other
+// replicas of all shards.
+func (g *crashGuard) blocksHedges() bool {
+	return !g.answered && g.maxHedges > 0 && g.hedges >= g.maxHedges
+}
+
 // blocksSends reports whether further attempts are blocked.
 func (g *crashGuard) blocksSends() bool { return len(g.crashed) > 0 && !g.answered }
 
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -75,6 +75,9 @@
 	// CrashLimit is the number of targets that crash on the query, before any has answered it, after which
 	// the query ends. 0 stands for 2.
 	CrashLimit int
+	// MaxUnansweredHedges is the maximum number of hedges of all shards together before a target has answered the
+	// query, 0 for no limit.
+	MaxUnansweredHedges int
 }
 
 // Collector receives the parts of one query.
@@ -116,7 +119,7 @@
 		actions:    make([]Action, 0, n+1),
 		openShards: n,
 		latest:     -1,
-		guard:      newCrashGuard(cfg.Request.Cleared, cfg.CrashLimit),
+		guard:      newCrashGuard(cfg),
 	}
 	if m.collector == nil {
 		m.merger = merge.New(cfg.Request.ID, cfg.Map.Version, cfg.Map.Shards, cfg.Request.Limit)
@@ -173,12 +176,28 @@
 		m.onFailure(now, a, query.OutcomeUnknown)
 		return
 	}
+	firstAnswer := !m.guard.answered
 	m.guard.recordAnswer()
 	m.covered++
 	m.closeShard(a.shard)
 	if sh := &m.shards[a.shard]; sh.inFlight > 0 {
 		m.cancelShard(now, sh)
 	}
+	if firstAnswer {
+		m.unblockShards(now)
+	}
+}
+
+// unblockShards sends the hedges that waited for the first answer to the query.
+func (m *Machine) unblockShards(now time.Time) {
+	for i := range m.shards {
+		sh := &m.shards[i]
+		if sh.blocked && sh.open && sh.inFlight > 0 {
+			sh.wakeAt = time.Time{}
+			m.wakeShard(now, int32(i))
+		}
+		sh.blocked = false
+	}
 }
 
 func (m *Machine) onFailure(now time.Time, a attempt, o query.Outcome) {
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -38,6 +38,7 @@
 	sends         int32 // attempts that a target may have received
 	extras        int32 // of these, the ones that were sent as extra ones
 	budgetExempt  bool  // the next retry replaces an attempt that certainly did not run
+	blocked       bool  // an attempt is due and waits for the first answer to the query
 	roundBackoff  time.Duration
 	limitBackoff  time.Duration // latest delay while all replicas were at their limits, 0 after an attempt was sent
 	wakeAt        time.Time     // time of the current timer; other timers of the shard are stale
@@ -96,6 +97,7 @@
 		sh.inFlightSince = now
 	} else {
 		sh.hedges++
+		m.guard.hedges++
 	}
 	sh.limitBackoff = 0
 	if sh.sends > 0 {
@@ -203,8 +205,14 @@
 	if sh.inFlight > maxHedges {
 		return
 	}
+	straggleAt := sh.inFlightSince.Add(stragglerFactor * sh.hedgeDelay)
+	straggling := !now.Before(straggleAt)
+	if !budgetExempt && !straggling && m.guard.blocksHedges() {
+		sh.blocked = true
+		m.setTimer(straggleAt, i)
+		return
+	}
 	verdict := m.send(now, i, replica.Hedge, budgetExempt)
-	straggling := now.Sub(sh.inFlightSince) >= stragglerFactor*sh.hedgeDelay
 	if straggling && (verdict == replica.NoToken || verdict == replica.Limited) {
 		verdict = m.send(now, i, replica.Retry, budgetExempt)
 	}
--- /dev/null
+++ b/query/scatter/unanswered_hedges_test.go
@@ -0,0 +1,63 @@
+package scatter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/replica"
+	"hyssopcroft.example/query/scatter"
+)
+
+// newWideHarness returns a machine over ten shards that sends two hedges before a target has answered. The attempts 1 to
+// 10 are in flight.
+func newWideHarness(cfg scatter.Config) *harness {
+	h := &harness{policy: &scriptedPolicy{verdict: replica.Limited}}
+	for range 40 {
+		h.policy.remaining = append(h.policy.remaining, "t")
+	}
+	cfg.Request = query.Request{ID: 7, Limit: 10, Deadline: start.Add(time.Second), PreferCoverage: true}
+	cfg.Map, cfg.Policy = query.Map{Version: 3}, h.policy
+	for s := range 10 {
+		cfg.Map.Shards = append(cfg.Map.Shards, query.Shard(s+1))
+	}
+	cfg.NextAttempt = func() query.AttemptID { h.last++; return h.last }
+	h.Machine = scatter.New(cfg)
+	h.record(h.Start(start))
+	return h
+}
+
+// replyFor reports the outcome of an attempt, whose shard is that of its Send.
+func (h *harness) replyFor(after time.Duration, attempt query.AttemptID, o query.Outcome) {
+	h.record(h.OnReply(start.Add(after), attempt, query.Reply{
+		Attempt: attempt, Request: 7, Shard: h.sends[attempt-1].Shard, Snapshot: 3, Outcome: o,
+	}))
+}
+
+// Guards against a request that crashes its targets and is sent to a second replica of each shard before the first target
+// has crashed. Load: no target of ten shards has answered when the hedges of all of them are due.
+func TestHedgesWaitForTheFirstAnswer(t *testing.T) {
+	const straggles = 3 * hedgeAfter
+	for name, tc := range map[string]struct {
+		events func(h *harness)
+		sends  int
+	}{
+		"no answer":                 {func(*harness) {}, 12},
+		"crash":                     {func(h *harness) { h.replyFor(15*time.Millisecond, 1, query.OutcomeCrashed) }, 12},
+		"crash, then stragglers":    {func(h *harness) { h.replyFor(15*time.Millisecond, 1, query.OutcomeCrashed); h.wake(straggles) }, 12},
+		"answer lets the others go": {func(h *harness) { h.replyFor(15*time.Millisecond, 1, query.OutcomeAnswered) }, 20},
+		"answer to a hedge":         {func(h *harness) { h.replyFor(15*time.Millisecond, 11, query.OutcomeAnswered) }, 20},
+		"stragglers wait no longer": {func(h *harness) { h.wake(straggles) }, 22}, // Two shards have their second hedge.
+		"attempt that did not run":  {func(h *harness) { h.replyFor(15*time.Millisecond, 3, query.OutcomeNotRun) }, 13},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newWideHarness(scatter.Config{MaxUnansweredHedges: 2})
+			h.wake(hedgeAfter)
+			tc.events(h)
+			require.Len(t, h.sends, tc.sends)
+			require.NotContains(t, h.kinds, finish)
+		})
+	}
+}
