Run a suspected request on one target first

Cause: until the third crash is known, only the number of attempts for each shard was bounded. A request that gathers from ten shards was sent to ten targets at once all the same.

Change: a request with known crashes is sent to one target, of a shard chosen at random, and to the other shards once that target has answered. It ends if the target closes the connection or does not answer in the protocol; a second target of the shard gets it if the first one straggles. Attempts that wait for the first answer are sent with it, and not at their next timer.

TestSuspectedRequestRunsOnOneTargetFirst fails before (10 crashes instead of 1); TestCanaryRunsFirst has the cases of the decision.

--- /dev/null
+++ b/instance/gateway/export_test.go
@@ -0,0 +1,4 @@
+package gateway
+
+// Fingerprint is fingerprint, for tests of the package from outside.
+var Fingerprint = fingerprint
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -171,7 +171,7 @@
 		Map:    query.Map{Version: rr.version, Shards: rr.shards},
 		Policy: &runPolicy{run: q, policy: rr.policy}, NextAttempt: s.nextAttempt, DistinctTargets: true, MaxLimitBackoff: maxLimitBackoff,
 		MaxAttempts: attemptLimit(max(rr.route.MaxAttempts-r.SpentAttempts, 1), crashes), AtMostOnce: !rr.route.Repeatable, CrashLimit: max(1, crashLimit-crashes),
-		MaxUnansweredHedges: maxUnansweredHedges,
+		MaxUnansweredHedges: maxUnansweredHedges, Canary: crashes > 0, CanaryShard: rand.N(max(1, len(rr.shards))),
 	}
 	if rr.route.Gather {
 		q.records = merge.NewRecords(q.id, rr.version, rr.shards)
--- a/instance/gateway/suspects_test.go
+++ b/instance/gateway/suspects_test.go
@@ -367,3 +367,29 @@
 		require.Equal(t, crashesBefore, c.crashCount())
 	})
 }
+
+// Guards against a request that has crashed one target, here or at another instance, and crashes one target of each shard
+// with its next submission; and against suspected requests that are harmless and answered short or late.
+func TestSuspectedRequestRunsOnOneTargetFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		defer c.stopAll(t)
+		for _, tc := range []struct {
+			body    string
+			crashes int
+		}{{badBody, 1}, {"good", 0}} {
+			request := &gateway.Request{
+				ID: "r", Method: "POST", Target: "/all/x", Path: "/all/x", Host: "h", Header: http.Header{}, Body: []byte(tc.body), TimeLeft: time.Second,
+			}
+			c.gateways["i0"].OnSuspicion(peer.Suspicion{
+				Fingerprint: gateway.Fingerprint(request), Crashes: []quarantine.Crash{{Target: "elsewhere"}},
+			})
+			before, start := c.crashCount(), time.Now()
+			got := c.gateways["i0"].Do(t.Context(), request)
+			require.Equal(t, tc.crashes, c.crashCount()-before)
+			require.Equal(t, tc.crashes == 0, got.Kind == gateway.Merged && got.Missing == 0, "%+v", got)
+			require.LessOrEqual(t, time.Since(start), 2*serviceTime+time.Millisecond)
+			time.Sleep(restartTime + time.Second)
+		}
+	})
+}
--- a/query/scatter/crash_guard.go
+++ b/query/scatter/crash_guard.go
@@ -15,6 +15,7 @@
 	limit     int  // number of crashed targets after which the query ends
 	crashed   []query.TargetID
 	inFlight  int // attempts of all shards
+	canaries  int // maximum of inFlight before a target has answered, 0 for no limit
 	maxHedges int // before a target has answered, 0 for no limit
 	hedges    int
 }
@@ -28,7 +29,11 @@
 	if limit == 0 {
 		limit = defaultCrashLimit
 	}
-	return crashGuard{answered: cfg.Request.Cleared, limit: limit, maxHedges: cfg.MaxUnansweredHedges}
+	g := crashGuard{answered: cfg.Request.Cleared, limit: limit, maxHedges: cfg.MaxUnansweredHedges}
+	if cfg.Canary {
+		g.canaries = 1
+	}
+	return g
 }
 
 func (g *crashGuard) recordAnswer() { g.answered = true }
@@ -47,11 +52,24 @@
 }
 
 // blocksSends reports whether further attempts are blocked.
-func (g *crashGuard) blocksSends() bool { return len(g.crashed) > 0 && !g.answered }
+func (g *crashGuard) blocksSends() bool {
+	return (len(g.crashed) > 0 || g.awaitsCanary()) && !g.answered
+}
+
+// awaitsCanary reports whether the canaries of the query are in flight.
+func (g *crashGuard) awaitsCanary() bool { return g.canaries > 0 && g.inFlight >= g.canaries }
+
+// allowSecondCanary allows another canary besides one whose target may be silent for another reason than the query.
+func (g *crashGuard) allowSecondCanary() { g.canaries = min(2*g.canaries, 2) }
+
+// isCanaryLost reports whether the outcome of an attempt may mean that it is a canary that has crashed its target.
+func (g *crashGuard) isCanaryLost(o query.Outcome) bool {
+	return g.canaries > 0 && !g.answered && (o == query.OutcomeUnknown || o == query.OutcomeRefused)
+}
 
 // endsQuery reports whether the query must end without the open shards.
 func (g *crashGuard) endsQuery() bool {
-	return g.blocksSends() && (len(g.crashed) >= g.limit || g.inFlight == 0)
+	return len(g.crashed) > 0 && !g.answered && (len(g.crashed) >= g.limit || g.inFlight == 0)
 }
 
 // giveUp cancels all attempts in flight and records the cause for the open shards, which the answer will lack.
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -78,6 +78,10 @@
 	// MaxUnansweredHedges is the maximum number of hedges of all shards together before a target has answered the
 	// query, 0 for no limit.
 	MaxUnansweredHedges int
+	// Canary is set if the query may crash the targets that run it. It runs on one target first, of the shard with the
+	// index CanaryShard, and on the others once that target has answered. It ends if the target may have crashed.
+	Canary      bool
+	CanaryShard int
 }
 
 // Collector receives the parts of one query.
@@ -138,7 +142,7 @@
 func (m *Machine) Start(now time.Time) []Action {
 	m.actions = m.actions[:0]
 	for i := range m.shards {
-		m.sendFirst(now, int32(i))
+		m.sendFirst(now, int32((i+m.cfg.CanaryShard)%len(m.shards)))
 	}
 	m.finishIfDone(now)
 	return m.actions
@@ -188,15 +192,13 @@
 	}
 }
 
-// unblockShards sends the hedges that waited for the first answer to the query.
+// unblockShards sends the attempts that waited for the first answer to the query.
 func (m *Machine) unblockShards(now time.Time) {
 	for i := range m.shards {
-		sh := &m.shards[i]
-		if sh.blocked && sh.open && sh.inFlight > 0 {
-			sh.wakeAt = time.Time{}
+		if sh := &m.shards[i]; sh.open && sh.blocked {
+			sh.wakeAt, sh.blocked = time.Time{}, false
 			m.wakeShard(now, int32(i))
 		}
-		sh.blocked = false
 	}
 }
 
@@ -206,7 +208,7 @@
 	if o == query.OutcomeNotRun {
 		sh.sends--
 	}
-	if o == query.OutcomeCrashed {
+	if o == query.OutcomeCrashed || m.guard.isCanaryLost(o) {
 		m.guard.recordCrash(a.target)
 	}
 	sh.mayServe = sh.mayServe || o != query.OutcomeSnapshotGone && o != query.OutcomeWrongShard
--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -70,6 +70,7 @@
 
 func (m *Machine) choose(now time.Time, i int32, use replica.AttemptKind, budgetExempt bool) (Grant, replica.Verdict) {
 	if m.guard.blocksSends() {
+		m.shards[i].blocked = true
 		return Grant{}, replica.Limited
 	}
 	if m.cfg.MaxAttempts > 0 && int(m.shards[i].sends) >= m.cfg.MaxAttempts {
@@ -99,7 +100,7 @@
 		sh.hedges++
 		m.guard.hedges++
 	}
-	sh.limitBackoff = 0
+	sh.limitBackoff, sh.blocked = 0, false
 	if sh.sends > 0 {
 		sh.extras++
 	}
@@ -207,6 +208,9 @@
 	}
 	straggleAt := sh.inFlightSince.Add(stragglerFactor * sh.hedgeDelay)
 	straggling := !now.Before(straggleAt)
+	if straggling {
+		m.guard.allowSecondCanary()
+	}
 	if !budgetExempt && !straggling && m.guard.blocksHedges() {
 		sh.blocked = true
 		m.setTimer(straggleAt, i)
--- a/query/scatter/unanswered_hedges_test.go
+++ b/query/scatter/unanswered_hedges_test.go
@@ -61,3 +61,37 @@
 		})
 	}
 }
+
+// Guards against a request that has crashed a target before and is sent to all shards at once again, and against one that
+// waits after its canary has been answered. Load: a query over ten shards, whose canary goes to the fourth.
+func TestCanaryRunsFirst(t *testing.T) {
+	const soon = 5 * time.Millisecond
+	for name, tc := range map[string]struct {
+		events   func(h *harness)
+		sends    int
+		finished bool
+	}{
+		"in flight":                {func(h *harness) { h.wake(2 * hedgeAfter) }, 1, false},
+		"answered":                 {func(h *harness) { h.replyFor(soon, 1, query.OutcomeAnswered) }, 10, false},
+		"crashed":                  {func(h *harness) { h.replyFor(soon, 1, query.OutcomeCrashed) }, 1, true},
+		"lost":                     {func(h *harness) { h.replyFor(soon, 1, query.OutcomeUnknown) }, 1, true},
+		"closed a new connection":  {func(h *harness) { h.replyFor(soon, 1, query.OutcomeRefused) }, 1, true},
+		"not run":                  {func(h *harness) { h.replyFor(soon, 1, query.OutcomeNotRun) }, 2, false},
+		"not run, then answered":   {func(h *harness) { h.replyFor(soon, 1, query.OutcomeNotRun); h.replyFor(soon, 2, query.OutcomeAnswered) }, 11, false},
+		"straggles":                {func(h *harness) { h.wake(hedgeAfter); h.wake(3 * hedgeAfter); h.wake(200 * time.Millisecond) }, 2, false},
+		"straggles, then answered": {func(h *harness) { h.wake(3 * hedgeAfter); h.replyFor(200*time.Millisecond, 2, query.OutcomeAnswered) }, 11, false},
+		"straggles, both crash": {func(h *harness) {
+			h.wake(3 * hedgeAfter)
+			h.replyFor(200*time.Millisecond, 2, query.OutcomeCrashed)
+			h.replyFor(200*time.Millisecond, 1, query.OutcomeCrashed)
+		}, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newWideHarness(scatter.Config{Canary: true, CanaryShard: 3})
+			require.Equal(t, query.Shard(4), h.sends[0].Shard)
+			tc.events(h)
+			require.Len(t, h.sends, tc.sends)
+			require.Equal(t, tc.finished, h.kinds[len(h.kinds)-1] == finish)
+		})
+	}
+}
