End the submissions in flight of a request that is quarantined

Cause: the quarantine is looked at before each attempt, and not while attempts are in flight.

Change: the third crash of a request ends its submissions in flight, at each instance that learns of it, and cancels their attempts.

TestQuarantineEndsSubmissionsInFlight fails before (still in flight).

--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -54,7 +54,9 @@
 	attempts     []attemptRecord // in the order of sending
 	probes       []*crashProbe   // of the targets that closed connections
 	fingerprint  func() quarantine.Fingerprint
-	priorCrashes int // targets that crashed on earlier submissions of the request
+	priorCrashes int           // targets that crashed on earlier submissions of the request
+	quarantined  chan struct{} // closed by stop
+	stop         func()        // ends the request because others have crashed too many targets
 	denied       denials
 }
 
@@ -158,12 +160,14 @@
 	crashes := s.suspects.crashCount(fingerprint)
 	q := &run{
 		service: s, request: r, fingerprint: fingerprint, resolved: rr, id: query.RequestID(rand.Uint64()), start: start, priorCrashes: crashes,
-		deadline: s.deadline(start.Add(rr.timeout(r))),
-		answerBy: start.Add(rr.route.Objective - answerReserve(r)),
-		replies:  make(chan attemptReply, 2*len(rr.shards)),
-		offers:   make(chan query.Shard, len(rr.shards)),
-		cancels:  make(map[query.AttemptID]context.CancelFunc, len(rr.shards)),
+		deadline:    s.deadline(start.Add(rr.timeout(r))),
+		answerBy:    start.Add(rr.route.Objective - answerReserve(r)),
+		replies:     make(chan attemptReply, 2*len(rr.shards)),
+		offers:      make(chan query.Shard, len(rr.shards)),
+		cancels:     make(map[query.AttemptID]context.CancelFunc, len(rr.shards)),
+		quarantined: make(chan struct{}),
 	}
+	q.stop = sync.OnceFunc(func() { close(q.quarantined) })
 	cfg := scatter.Config{
 		Request: query.Request{
 			ID: q.id, Plan: rr.route.Name, Index: rr.route.Name, Deadline: q.deadline, PreferCoverage: true,
@@ -205,6 +209,7 @@
 	ctx, cancel := context.WithDeadline(caller, q.deadline)
 	defer cancel() // Cancels the attempts that are still in flight.
 	defer q.service.leaveQueues(q)
+	defer q.service.suspects.begin(q)()
 	finished := q.perform(ctx, q.machine.Start(time.Now()))
 	alarm := kernel.NewAlarm(time.Until(q.machine.NextWake()))
 	defer alarm.Stop()
@@ -220,6 +225,8 @@
 			finished = true
 		case <-q.service.ending:
 			finished = true
+		case <-q.quarantined:
+			finished = true
 		}
 		alarm.Set(time.Until(q.machine.NextWake()))
 	}
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -20,12 +20,38 @@
 	list             *quarantine.List
 	liveIncarnations map[string]uint64              // by id, of the members that were live at the last call of joined
 	probes           map[query.TargetID]*crashProbe // in progress, by incarnation id
+	running          map[*run]struct{}              // requests that run at this instance
 }
 
 func newSuspects() *suspects {
 	return &suspects{
 		list: quarantine.NewListWithThreshold(crashLimit), liveIncarnations: map[string]uint64{},
-		probes: map[query.TargetID]*crashProbe{},
+		probes: map[query.TargetID]*crashProbe{}, running: map[*run]struct{}{},
+	}
+}
+
+// begin registers a request that runs from now on. end must be called once it has ended.
+func (s *suspects) begin(q *run) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[q] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.running, q)
+	}
+}
+
+// stopQuarantined tells the running submissions of a request to end if the request is quarantined. Their targets are likely
+// to crash as well, unless they stop. It must be called with mu held.
+func (s *suspects) stopQuarantined(now time.Time, f quarantine.Fingerprint) {
+	if !s.list.Refuses(now, f) {
+		return
+	}
+	for q := range s.running {
+		if q.fingerprint() == f {
+			q.stop()
+		}
 	}
 }
 
@@ -72,6 +98,9 @@
 			added = append(added, c)
 		}
 	}
+	if len(added) > 0 {
+		s.stopQuarantined(now, f)
+	}
 	return added, s.list.CrashCount(f)
 }
 
--- a/instance/gateway/suspects_loss_test.go
+++ b/instance/gateway/suspects_loss_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -8,7 +9,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/instance/configsync"
+	"hyssopcroft.example/instance/gateway"
+	"hyssopcroft.example/query"
+	"hyssopcroft.example/query/quarantine"
 )
 
 // submitBad submits the bad request of one caller through an instance, and returns the number of targets that it crashed.
@@ -173,3 +178,26 @@
 		require.Equal(t, 3, c.crashCount())
 	})
 }
+
+// Guards against submissions that go on at their targets, and let their callers wait, after other submissions of the same
+// request have crashed enough of them.
+func TestQuarantineEndsSubmissionsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2)
+		defer c.stopAll(t)
+		for id := range c.entries {
+			c.silent[id] = true
+		}
+		ended := make(chan gateway.Response, 1)
+		go func() { ended <- c.do(t.Context(), 0, "/all/x", badBody, "10.0.0.1:1") }()
+		time.Sleep(20 * time.Millisecond)
+		f := gateway.Fingerprint(&gateway.Request{Method: "POST", Target: "/all/x", Host: "h", Body: []byte(badBody)})
+		for n := range 3 {
+			require.Empty(t, ended)
+			c.gateways["i0"].OnSuspicion(peer.Suspicion{Fingerprint: f, Crashes: []quarantine.Crash{{Target: query.TargetID(fmt.Sprint(n))}}})
+			synctest.Wait()
+		}
+		require.Len(t, ended, 1)
+		require.Equal(t, gateway.Failed, (<-ended).Kind)
+	})
+}
--- a/instance/gateway/suspicion_exchange.go
+++ b/instance/gateway/suspicion_exchange.go
@@ -104,6 +104,7 @@
 	for _, c := range stored {
 		known[c.Fingerprint] = true
 		s.suspects.list.Import(now, c)
+		s.suspects.stopQuarantined(now, c.Fingerprint)
 	}
 	missing := slices.DeleteFunc(s.suspects.list.AllConfirmed(now), func(c quarantine.Confirmed) bool { return known[c.Fingerprint] })
 	s.suspects.mu.Unlock()
