Count the crash of an overdue request before it ends

Cause: a crash counts once its request has ended without an answer, since most requests are answered by other targets. The first submission saw its first crash after 33 ms and ended after 50 ms; the report then needs up to 50 ms to the farthest instance, where the second one had just begun.

Change: if no target has answered although several hedges are due, the crash is reported at once.

TestCrashOfOverdueRequestCountsBeforeItEnds fails before (ten more targets reached, 1 now).

--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -241,7 +241,7 @@
 		q.service.onAddressReused(r.target)
 	}
 	if r.reply.ConnectionClosed || r.reply.Outcome == query.OutcomeCrashed || r.reply.Outcome == query.OutcomeRefused {
-		q.addProbe(q.service.probe(q.sentTo(r.attempt), true))
+		q.onClosed(q.service.probe(q.sentTo(r.attempt), true))
 	}
 	if q.single != nil {
 		if r.reply.Outcome == query.OutcomeFailed {
--- a/instance/gateway/run_suspicion.go
+++ b/instance/gateway/run_suspicion.go
@@ -63,6 +63,16 @@
 	}
 }
 
+// onClosed adds the probe of a target that has closed a connection. Its crash counts when the request ends without an answer.
+// It counts at once if no target has answered for long: then the request is likely to crash the others too, and another
+// submission may arrive at any instance before it ends.
+func (q *run) onClosed(p *crashProbe) {
+	q.addProbe(p)
+	if q.machine.IsOverdue() {
+		q.service.addUnanswered(p, newSubmission(q.id, q.request, q.fingerprint()))
+	}
+}
+
 // addProbe adds the probe of a target of the request, unless it is there already.
 func (q *run) addProbe(p *crashProbe) {
 	if !slices.Contains(q.probes, p) {
--- a/instance/gateway/suspects_test.go
+++ b/instance/gateway/suspects_test.go
@@ -43,12 +43,14 @@
 	entries   map[string]roster.Entry
 	down      map[string]bool
 	crashes   int
+	started   int             // runs of requests at targets
 	mute      bool            // a bad request crashes the target, whose connections stay open
 	resetOnly bool            // a bad request closes its connection but does not crash the target
 	failing   map[string]bool // targets that answer each request with an error
 	silent    map[string]bool // targets that answer no request
 	paused    map[string]bool // instances that answer no other instance
 	restartIn time.Duration   // time from a crash of a target to its restart
+	timeToRun func(target string) time.Duration
 	stored    []quarantine.Confirmed
 }
 
@@ -56,6 +58,7 @@
 	c := &cluster{
 		gateways: map[string]*gateway.Service{}, buses: map[string]*kernel.Bus{}, entries: map[string]roster.Entry{}, down: map[string]bool{},
 		failing: map[string]bool{}, silent: map[string]bool{}, paused: map[string]bool{}, restartIn: restartTime,
+		timeToRun: func(string) time.Duration { return serviceTime },
 	}
 	for _, name := range []string{"single", "s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9"} {
 		for i, domain := range []string{"near", "far", "far", "near"} {
@@ -145,6 +148,13 @@
 	return c.crashes
 }
 
+// startedCount returns the number of requests that targets have begun to run.
+func (c *cluster) startedCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.started
+}
+
 func (c *cluster) sendSuspicion(ctx context.Context, address string, m peer.Suspicion) error {
 	c.mu.Lock()
 	s, paused := c.gateways[address], c.paused[address]
@@ -170,7 +180,10 @@
 		<-ctx.Done()
 		return outcome(query.OutcomeUnknown)
 	}
-	time.Sleep(serviceTime)
+	c.mu.Lock()
+	c.started++
+	c.mu.Unlock()
+	time.Sleep(c.timeToRun(id))
 	if failing {
 		return query.Reply{Outcome: query.OutcomeFailed, Part: &query.Part{Status: http.StatusInternalServerError, Signature: id}}
 	}
@@ -393,3 +406,28 @@
 		}
 	})
 }
+
+// Guards against a request that another instance sends to all shards because its first submission has not ended yet. Load:
+// the second submission comes 40 ms after the first crash, while nine of ten shards are still silent.
+func TestCrashOfOverdueRequestCountsBeforeItEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const firstCrash, otherCrashes = 60 * time.Millisecond, 400 * time.Millisecond
+		c := newCluster(t, 2)
+		defer c.stopAll(t)
+		c.timeToRun = func(target string) time.Duration {
+			if strings.HasPrefix(target, "s0-") {
+				return firstCrash
+			}
+			return otherCrashes
+		}
+		var wait sync.WaitGroup
+		wait.Go(func() { c.do(t.Context(), 0, "/all/x", badBody, "10.0.0.1:1") })
+		time.Sleep(firstCrash + 40*time.Millisecond)
+		started := c.startedCount()
+		wait.Go(func() { c.do(t.Context(), 1, "/all/x", badBody, "10.0.0.2:1") })
+		time.Sleep(10 * time.Millisecond)
+		require.Equal(t, 1, c.startedCount()-started)
+		wait.Wait()
+		time.Sleep(otherCrashes)
+	})
+}
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -410,6 +410,9 @@
 	return m.cfg.MinShards > 0 && m.covered >= m.cfg.MinShards && !now.Before(m.cfg.AnswerBy)
 }
 
+// IsOverdue reports whether no target has answered although the hedges of several shards are due.
+func (m *Machine) IsOverdue() bool { return m.guard.blocksHedges() }
+
 // Covered returns the number of shards whose part was accepted.
 func (m *Machine) Covered() int { return m.covered }
 
