Tell the other instances when targets have answered a suspected request

Callers of a page that is in flight when targets crash for another reason would be refused by instances that see little of it: after three such crashes with answers between them, 503 for ten minutes at two of three instances.

Cause: an answer ended the suspicion only at the instance that saw it; the others counted all crashes together. Since the fingerprint has no caller any more, one refusal meets all callers.

Change: the instance that ends a suspicion tells the others when targets answered. Crashes before that time do not count, whichever report arrives first, nor does a quarantine that was stored before it.

The message has one more field.

--- a/adapter/peer/suspect.go
+++ b/adapter/peer/suspect.go
@@ -9,18 +9,24 @@
 	"hyssopcroft.example/query/quarantine"
 )
 
-// Suspicion reports to a peer the targets that crashed while they ran a request.
+// Suspicion reports to a peer the targets that crashed while they ran a request, or that targets have answered it.
 type Suspicion struct {
 	Fingerprint quarantine.Fingerprint
 	Shape       quarantine.Shape
 	Crashes     []quarantine.Crash
+	// Answered is the time of the last complete answer to the request, the zero time if none is known. Crashes before it
+	// do not count.
+	Answered time.Time
 	// Hops is the number of times that the suspicion may be forwarded.
 	Hops int
 }
 
 // ReportSuspicion sends a suspicion to the instance at the given address.
 func (c *RelayClient) ReportSuspicion(ctx context.Context, address string, s Suspicion) error {
-	req := &relaypb.SuspectRequest{Fingerprint: uint64(s.Fingerprint), Shape: uint64(s.Shape), Hops: uint32(max(0, s.Hops))}
+	req := &relaypb.SuspectRequest{
+		Fingerprint: uint64(s.Fingerprint), Shape: uint64(s.Shape), Hops: uint32(max(0, s.Hops)),
+		AnsweredAgeUsPlusOne: ageToWire(s.Answered),
+	}
 	for _, crash := range s.Crashes {
 		req.Crashes = append(req.Crashes, &relaypb.Crash{
 			Shard: uint32(crash.Shard), Target: string(crash.Target), AgeUsPlusOne: ageToWire(crash.At), Submission: uint64(crash.Submission),
@@ -34,6 +40,7 @@
 func SuspicionFromWire(r *relaypb.SuspectRequest) Suspicion {
 	s := Suspicion{
 		Fingerprint: quarantine.Fingerprint(r.GetFingerprint()), Shape: quarantine.Shape(r.GetShape()), Hops: int(r.GetHops()),
+		Answered: timeFromWire(r.GetAnsweredAgeUsPlusOne()),
 	}
 	for _, c := range r.GetCrashes() {
 		s.Crashes = append(s.Crashes, quarantine.Crash{
--- a/adapter/peer/suspect_test.go
+++ b/adapter/peer/suspect_test.go
@@ -29,7 +29,7 @@
 // Guards against a field of a crash that is lost in transit, so that the receiver counts crashes of one moment separately.
 func TestSuspicionRoundTrip(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		want := peer.Suspicion{Fingerprint: 1, Shape: 2, Hops: 3, Crashes: []quarantine.Crash{
+		want := peer.Suspicion{Fingerprint: 1, Shape: 2, Hops: 3, Answered: time.Now().Add(-time.Second), Crashes: []quarantine.Crash{
 			{Shard: 4, Target: "a", At: time.Now(), Submission: 5}, {Target: "b", At: time.Now().Add(-time.Minute)}, {Target: "c"},
 		}}
 		var got peer.Suspicion
@@ -45,6 +45,8 @@
 			require.WithinDuration(t, want.Crashes[i].At, got.Crashes[i].At, time.Microsecond)
 			want.Crashes[i].At, got.Crashes[i].At = time.Time{}, time.Time{}
 		}
+		require.WithinDuration(t, want.Answered, got.Answered, time.Microsecond)
+		want.Answered, got.Answered = time.Time{}, time.Time{}
 		require.Equal(t, want, got)
 	})
 }
--- a/instance/gateway/run_suspicion.go
+++ b/instance/gateway/run_suspicion.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"time"
 
+	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/query"
 )
 
@@ -43,13 +45,16 @@
 	}
 }
 
+// recordCompleteAnswer records that targets have answered the request. If that ends a suspicion, the other instances are told:
+// they would count the crashes before and after the answer together.
 func (q *run) recordCompleteAnswer() {
-	f := q.fingerprint()
-	if q.priorCrashes > 0 {
-		q.service.cfg.Log.Info("targets answered a suspected request; its suspicion ends", "request", q.request.ID,
-			fingerprintAttr(f), "crashed_targets", q.priorCrashes)
+	f, now := q.fingerprint(), time.Now()
+	if !q.service.suspects.recordCompleteAnswer(now, f) {
+		return
 	}
-	q.service.suspects.recordCompleteAnswer(f)
+	q.service.cfg.Log.Info("targets answered a suspected request; its suspicion ends", "request", q.request.ID,
+		fingerprintAttr(f), "crashed_targets", q.priorCrashes)
+	q.service.sendToOthers(peer.Suspicion{Fingerprint: f, Answered: now})
 }
 
 // probeUnanswered probes the targets of attempts that ended without a sign. The end of the connection of a crashed target
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -104,14 +104,12 @@
 	return added, s.list.CrashCount(f)
 }
 
-// recordCompleteAnswer ends the suspicion of a request that targets have answered.
-func (s *suspects) recordCompleteAnswer(f quarantine.Fingerprint) {
+// recordCompleteAnswer records that targets have answered a request at the given time. It reports whether that ends a
+// suspicion.
+func (s *suspects) recordCompleteAnswer(at time.Time, f quarantine.Fingerprint) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.list.RecordCompleteAnswer(time.Now(), f)
-	if s.list.Restricted(f) {
-		s.list.RecordAnswer(f, 0)
-	}
+	return s.list.RecordCompleteAnswer(at, f)
 }
 
 // answeredRecently reports whether targets have answered an earlier submission of a request.
--- a/instance/gateway/suspicion_exchange.go
+++ b/instance/gateway/suspicion_exchange.go
@@ -60,16 +60,23 @@
 	}
 	s.logCrashes("targets crashed while they ran a request", f, added, total, source...)
 	s.saveIfQuarantined(f)
-	self := s.cfg.Instance
+	s.sendToOthers(peer.Suspicion{Fingerprint: f, Crashes: added})
+}
+
+// sendToOthers sends a suspicion to all other members.
+func (s *Service) sendToOthers(suspicion peer.Suspicion) {
 	for _, m := range s.cfg.Members.Members() {
-		if m.ID != self && m.State != membership.Dead {
-			s.sendSuspicion(m, peer.Suspicion{Fingerprint: f, Crashes: added})
+		if m.ID != s.cfg.Instance && m.State != membership.Dead {
+			s.sendSuspicion(m, suspicion)
 		}
 	}
 }
 
-// Suspect records crashes that another instance reports.
+// OnSuspicion records crashes, or an answer, that another instance reports.
 func (s *Service) OnSuspicion(m peer.Suspicion) {
+	if !m.Answered.IsZero() && s.suspects.recordCompleteAnswer(m.Answered, m.Fingerprint) {
+		s.cfg.Log.Info("another instance reports an answer to a suspected request; earlier crashes no longer count", fingerprintAttr(m.Fingerprint))
+	}
 	if added, total := s.suspects.record(m.Fingerprint, m.Crashes); len(added) > 0 {
 		s.logCrashes("another instance reports a request that crashes targets", m.Fingerprint, added, total)
 		// Neither instance may have counted the last crash by itself.
--- a/query/quarantine/confirmed.go
+++ b/query/quarantine/confirmed.go
@@ -42,11 +42,12 @@
 	return all
 }
 
-// Import adds a request that another instance has confirmed. It ignores one whose hold has ended. A hold
-// never exceeds HoldDuration by the local clock, even if the clock of the other instance is ahead.
+// Import adds a request that another instance has confirmed. It ignores one whose hold has ended, and one that has had a
+// complete answer since it was confirmed. A hold never exceeds HoldDuration by the local clock, even if the clock of the
+// other instance is ahead.
 func (l *List) Import(now time.Time, c Confirmed) {
 	holdStart := time.UnixMilli(c.UntilMillis).Add(-HoldDuration)
-	if !now.Before(holdStart.Add(HoldDuration)) || len(c.Crashes) < l.crashThreshold {
+	if !now.Before(holdStart.Add(HoldDuration)) || len(c.Crashes) < l.crashThreshold || l.LastAnswered(c.Fingerprint).After(holdStart) {
 		return
 	}
 	l.shapes.remove(c.Shape)
--- a/query/quarantine/list.go
+++ b/query/quarantine/list.go
@@ -238,8 +238,30 @@
 	l.shapes.put(s, struct{}{})
 }
 
-// RecordCompleteAnswer records that all targets that ran a request have answered it, which AnsweredRecently reports.
-func (l *List) RecordCompleteAnswer(now time.Time, f Fingerprint) { l.answered.put(f, now) }
+// RecordCompleteAnswer records that all targets that ran a request have answered it, at the given time. Crashes before that
+// time no longer count. It reports whether that ends or weakens a suspicion, so that the peers must be notified.
+func (l *List) RecordCompleteAnswer(at time.Time, f Fingerprint) bool {
+	if known, ok := l.answered.get(f); !ok || at.After(known) {
+		l.answered.put(f, at)
+	}
+	e, suspected := l.entries.get(f)
+	if !suspected || e.confirmed && !at.After(e.holdStart) {
+		return false
+	}
+	before := len(e.crashes)
+	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return e.confirmed || !c.At.After(at) })
+	e.confirmed = false
+	if len(e.crashes) == 0 && !e.inFlight {
+		l.entries.remove(f)
+	}
+	return len(e.crashes) < before
+}
+
+// LastAnswered returns the time of the last complete answer to a request, the zero time if none is known.
+func (l *List) LastAnswered(f Fingerprint) time.Time {
+	at, _ := l.answered.get(f)
+	return at
+}
 
 // AnsweredRecently reports whether a request had a complete answer within HoldDuration.
 func (l *List) AnsweredRecently(now time.Time, f Fingerprint) bool {
@@ -247,9 +269,12 @@
 	return ok && now.Sub(at) < HoldDuration
 }
 
-// RecordCrash records that a target crashed while it ran a request that no target has answered. It reports
+// RecordCrash records that a target crashed while it ran a request that no target has answered since. It reports
 // whether that is new, so that the peers must be notified.
 func (l *List) RecordCrash(now time.Time, f Fingerprint, s Shape, c Crash) bool {
+	if !c.At.IsZero() && !c.At.After(l.LastAnswered(f)) {
+		return false // The report arrived after that of the answer.
+	}
 	l.shapes.remove(s)
 	e, ok := l.entries.get(f)
 	if !ok {
--- a/query/quarantine/moment_test.go
+++ b/query/quarantine/moment_test.go
@@ -47,6 +47,50 @@
 	}
 }
 
+// Guards against crashes that count although targets have answered the request since, at this or another instance, in
+// whichever order the reports arrive; and against an answer that clears later crashes.
+func TestCrashesBeforeAnAnswerDoNotCount(t *testing.T) {
+	a, b, c := crashAt("a", 0, 0), crashAt("b", 2*time.Second, 0), crashAt("c", 4*time.Second, 0)
+	answer := func(after time.Duration) func(*quarantine.List) {
+		return func(l *quarantine.List) { l.RecordCompleteAnswer(start.Add(after), fingerprint) }
+	}
+	crash := func(c quarantine.Crash) func(*quarantine.List) {
+		return func(l *quarantine.List) { l.RecordCrash(c.At, fingerprint, 0, c) }
+	}
+	imported := func(until time.Duration) func(*quarantine.List) {
+		return func(l *quarantine.List) {
+			l.Import(start.Add(5*time.Second), quarantine.Confirmed{
+				Fingerprint: fingerprint, Crashes: []quarantine.Crash{a, b, c}, UntilMillis: start.Add(until).UnixMilli(),
+			})
+		}
+	}
+	for name, tc := range map[string]struct {
+		events []func(*quarantine.List)
+		want   int
+	}{
+		"between crashes":                {[]func(*quarantine.List){crash(a), answer(time.Second), crash(b)}, 1},
+		"report of the answer is late":   {[]func(*quarantine.List){crash(a), crash(b), answer(time.Second)}, 1},
+		"report of the crash is late":    {[]func(*quarantine.List){answer(time.Second), crash(a), crash(b)}, 1},
+		"after all crashes":              {[]func(*quarantine.List){crash(a), crash(b), answer(3 * time.Second)}, 0},
+		"after the quarantine":           {[]func(*quarantine.List){crash(a), crash(b), crash(c), answer(5 * time.Second)}, 0},
+		"before the quarantine":          {[]func(*quarantine.List){crash(a), crash(b), crash(c), answer(time.Second)}, 3},
+		"quarantined before, imported":   {[]func(*quarantine.List){answer(5 * time.Second), imported(quarantine.HoldDuration + 4*time.Second)}, 0},
+		"quarantined since, imported":    {[]func(*quarantine.List){answer(time.Second), imported(quarantine.HoldDuration + 4*time.Second)}, 3},
+		"older report of an answer":      {[]func(*quarantine.List){answer(3 * time.Second), answer(time.Second), crash(b)}, 0},
+		"no answer":                      {[]func(*quarantine.List){crash(a), crash(b)}, 2},
+		"crash without a time, answered": {[]func(*quarantine.List){crash(quarantine.Crash{Target: "x"}), answer(time.Second)}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := quarantine.NewListWithThreshold(3)
+			for _, event := range tc.events {
+				event(l)
+			}
+			require.Equal(t, tc.want, l.CrashCount(fingerprint))
+			require.Equal(t, tc.want == 3, l.Refuses(start.Add(6*time.Second), fingerprint))
+		})
+	}
+}
+
 // Guards against a count that depends on the order in which reports arrive, and against instances that therefore disagree.
 func TestCrashCountIgnoresOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
