--- a/query/scatter/shard.go
+++ b/query/scatter/shard.go
@@ -70,7 +70,7 @@
 
 func (m *Machine) choose(now time.Time, i int32, use replica.AttemptKind, budgetExempt bool) (Grant, replica.Verdict) {
 	if m.guard.blocksSends() {
-		m.shards[i].blocked = true
+		m.shards[i].blocked = m.guard.canaries > 0
 		return Grant{}, replica.Limited
 	}
 	if m.cfg.MaxAttempts > 0 && int(m.shards[i].sends) >= m.cfg.MaxAttempts {
