Try a quarantined page that targets had answered before

Callers of a page that three crashes in a row had met, and that nobody had been answered in between, were refused everywhere for ten minutes: 0 of 60 in the minute after the targets were back.

Cause: three crashes are taken as proof for ten minutes, also for a request that its targets had answered before, for which another cause is as likely.

Change: such a request is tried 15 s after the third crash, and after pauses that double: one submission, at one target, by the one instance that rendezvous hashing names. A complete answer releases the request at all instances and in the store. Callers are advised to come back at the time of the trial. Requests that no target ever answered are held for ten minutes as before.

TestAnsweredPageIsServedSoonAfterCrashes fails before (0 of 60 served). TestTrialsOfCrashingRequestAreFew guards the other side, with at most three crashes in a minute, and TestReleasedRequestIsRemovedFromStore the list in the store.

--- a/instance/configsync/quarantine.go
+++ b/instance/configsync/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,46 +31,67 @@
 // Topic implements kernel.Event.
 func (QuarantineChanged) Topic() string { return "quarantine_changed" }
 
-// quarantineQueue contains the confirmed requests that are not yet written to the store.
+// quarantineQueue contains the changes of the list that are not yet written to the store.
 type quarantineQueue struct {
 	mu      sync.Mutex // guards the fields below
-	pending []quarantine.Confirmed
-	writing bool // writeConfirmed is running
+	pending quarantineChanges
+	writing bool // writeChanges is running
+}
+
+// quarantineChanges are changes of the list of quarantined requests. No request is in both lists.
+type quarantineChanges struct {
+	added    []quarantine.Confirmed
+	released []quarantine.Fingerprint
 }
 
 // AddQuarantined queues a confirmed request to be written to the store, from which all instances receive
 // it. It does not block.
 func (s *Service) AddQuarantined(c quarantine.Confirmed) {
+	s.queueQuarantine(func(p *quarantineChanges) {
+		p.released = slices.DeleteFunc(p.released, func(f quarantine.Fingerprint) bool { return f == c.Fingerprint })
+		p.added = append(p.added, c)
+	})
+}
+
+// RemoveQuarantined queues a request that is no longer quarantined to be removed from the store. It does not block.
+func (s *Service) RemoveQuarantined(f quarantine.Fingerprint) {
+	s.queueQuarantine(func(p *quarantineChanges) {
+		p.added = slices.DeleteFunc(p.added, func(c quarantine.Confirmed) bool { return c.Fingerprint == f })
+		p.released = append(p.released, f)
+	})
+}
+
+func (s *Service) queueQuarantine(change func(*quarantineChanges)) {
 	q := &s.quarantineQueue
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.pending = append(q.pending, c)
+	change(&q.pending)
 	if !q.writing && s.ctx.Err() == nil {
 		q.writing = true
-		s.done.Go(s.writeConfirmed)
+		s.done.Go(s.writeQuarantine)
 	}
 }
 
-// writeConfirmed writes pending requests in batches until none is left.
-func (s *Service) writeConfirmed() {
+// writeQuarantine writes pending changes in batches until none is left.
+func (s *Service) writeQuarantine() {
 	q := &s.quarantineQueue
 	for {
 		q.mu.Lock()
 		batch := q.pending
-		q.pending = nil
-		q.writing = len(batch) > 0 && s.ctx.Err() == nil
+		q.pending = quarantineChanges{}
+		q.writing = len(batch.added)+len(batch.released) > 0 && s.ctx.Err() == nil
 		writing := q.writing
 		q.mu.Unlock()
 		if !writing {
 			return
 		}
 		for start := time.Now(); time.Since(start) < quarantine.HoldDuration && s.ctx.Err() == nil; {
-			err := s.addConfirmed(batch)
+			err := s.updateQuarantine(batch)
 			kernel.Sleep(s.ctx, quarantineWriteInterval)
 			if err == nil {
 				break
 			}
-			s.log.Info("quarantined requests not written to the store yet", "requests", len(batch), "error", err)
+			s.log.Info("quarantined requests not written to the store yet", "requests", len(batch.added), "released", len(batch.released), "error", err)
 			s.counters.Counter("quarantine_writes_failed").Add(1)
 		}
 	}
@@ -84,17 +106,18 @@
 	WriteQuarantined(ctx context.Context, list []quarantine.Confirmed, expected platform.Version) error
 }
 
-// addConfirmed adds a batch to the list in the store. If a write succeeded but its response was lost, the next attempt
-// finds the requests in the list and writes nothing.
-func (s *Service) addConfirmed(batch []quarantine.Confirmed) error {
+// updateQuarantine applies a batch of changes to the list in the store. If a write succeeded but its response was lost, the
+// next attempt finds the list as it should be and writes nothing.
+func (s *Service) updateQuarantine(batch quarantineChanges) error {
 	ctx, cancel := context.WithTimeout(s.ctx, quarantineWriteTimeout)
 	defer cancel()
 	stored, version, err := s.quarantineStore.ReadQuarantined(ctx)
 	if err != nil {
 		return err
 	}
-	stored, added := quarantine.MergeConfirmed(time.Now(), stored, batch)
-	if !added {
+	stored, removed := quarantine.RemoveConfirmed(stored, batch.released)
+	stored, added := quarantine.MergeConfirmed(time.Now(), stored, batch.added)
+	if !added && !removed {
 		return nil
 	}
 	return s.quarantineStore.WriteQuarantined(ctx, stored, version)
--- a/instance/directory/restore_test.go
+++ b/instance/directory/restore_test.go
@@ -35,6 +35,36 @@
 	})
 }
 
+// Guards against a request that instances refuse which start after it has been released, also if it is released while the
+// store is away or in the batch in which it was added.
+func TestReleasedRequestIsRemovedFromStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, first := startWithTargets(t, "a")
+		confirmed := func(f quarantine.Fingerprint) quarantine.Confirmed {
+			return quarantine.Confirmed{
+				Fingerprint: f, Crashes: []quarantine.Crash{{Target: "a"}, {Target: "b"}, {Target: "c"}},
+				UntilMillis: time.Now().Add(quarantine.HoldDuration).UnixMilli(),
+			}
+		}
+		stays, released, again := confirmed(7), confirmed(8), confirmed(9)
+		first.service.AddQuarantined(stays)
+		first.service.AddQuarantined(released)
+		time.Sleep(5 * time.Second)
+		require.Len(t, first.quarantinedRequests(), 2)
+		store.set(func() { store.down = true })
+		first.service.RemoveQuarantined(released.Fingerprint)
+		first.service.AddQuarantined(again)
+		first.service.RemoveQuarantined(again.Fingerprint)
+		first.service.AddQuarantined(again)
+		time.Sleep(30 * time.Second)
+		store.set(func() { store.down = false })
+		time.Sleep(10 * time.Second)
+		second := start(t, store)
+		time.Sleep(2 * time.Second)
+		require.ElementsMatch(t, []quarantine.Confirmed{stays, again}, second.quarantinedRequests())
+	})
+}
+
 // Guards against a watch that goes on from a revision that the store has lost, and reads the list again and again until
 // the store's revisions have passed it.
 func TestRestoredStoreIsNotReadInALoop(t *testing.T) {
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -108,7 +108,7 @@
 		},
 		FollowsEarlier: !s.FirstStart, BodyMemory: int64(bodyShare * float64(s.MemoryMB<<20)),
 		Metrics: gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
-		SendSuspicion: relays.ReportSuspicion, SaveQuarantined: objects.AddQuarantined, Forward: relays.Forward, ConnectRelay: relays.Connect,
+		SendSuspicion: relays.ReportSuspicion, SaveQuarantined: objects.AddQuarantined, ReleaseQuarantined: objects.RemoveQuarantined, Forward: relays.Forward, ConnectRelay: relays.Connect,
 	})
 	saver := directory.NewTargetSaver(a.Store, e.kernel.Bus(), fleet, log)
 	for _, service := range []kernel.Service{e.gateway, saver, objects, fleet} {
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -103,7 +103,7 @@
 		ExtraAttempts: hedge.BudgetLimits{Share: 0.2, Slack: 600, Span: 10 * time.Second}, Sender: sender,
 		Log: slog.New(slog.DiscardHandler), Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Bus: bus, Members: singleInstance{},
 		ConnectRelay:    func(context.Context, string) error { return nil },
-		SaveQuarantined: func(quarantine.Confirmed) {},
+		SaveQuarantined: func(quarantine.Confirmed) {}, ReleaseQuarantined: func(quarantine.Fingerprint) {},
 	}
 }
 
--- a/instance/gateway/policy.go
+++ b/instance/gateway/policy.go
@@ -24,7 +24,7 @@
 // Choose implements scatter.Policy.
 func (p *runPolicy) Choose(now time.Time, spec scatter.AttemptSpec) (scatter.Grant, replica.Verdict) {
 	s := p.run.service
-	if s.suspects.refusal(p.run.fingerprint) != nil {
+	if !p.run.isTrial && s.suspects.refusal(p.run.fingerprint) != nil {
 		return scatter.Grant{}, replica.Final // Other submissions have crashed targets since this one arrived.
 	}
 	s.mu.Lock()
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -57,6 +57,7 @@
 	priorCrashes int           // targets that crashed on earlier submissions of the request
 	quarantined  chan struct{} // closed by stop
 	stop         func()        // ends the request because others have crashed too many targets
+	isTrial      bool          // the request is quarantined, and runs to find out whether it still crashes targets
 	denied       denials
 }
 
@@ -131,7 +132,8 @@
 		return Response{Kind: Refused, Reason: reasonBusy, RetryAfter: busyRetryAfter}, nil
 	}
 	fingerprint := sync.OnceValue(func() quarantine.Fingerprint { return fingerprint(r) })
-	if refused := s.suspects.refusal(fingerprint); refused != nil {
+	trial := s.beginTrial(r, fingerprint)
+	if refused := s.suspects.refusal(fingerprint); refused != nil && !trial {
 		return *refused, nil
 	}
 	rr, refused := s.resolve(r, forwarded)
@@ -144,6 +146,7 @@
 	result := admission.InTime
 	defer func() { s.releaseGate(rr.gate, time.Since(start), result) }()
 	q := s.newRun(r, rr, start, fingerprint)
+	q.isTrial = trial
 	if !start.Before(q.deadline) {
 		return Response{Kind: Refused, Reason: "the caller waits no longer", RetryAfter: busyRetryAfter}, nil
 	}
--- a/instance/gateway/run_suspicion.go
+++ b/instance/gateway/run_suspicion.go
@@ -55,6 +55,9 @@
 	q.service.cfg.Log.Info("targets answered a suspected request; its suspicion ends", "request", q.request.ID,
 		fingerprintAttr(f), "crashed_targets", q.priorCrashes)
 	q.service.sendToOthers(peer.Suspicion{Fingerprint: f, Answered: now})
+	if q.isTrial {
+		q.service.cfg.ReleaseQuarantined(f)
+	}
 }
 
 // probeUnanswered probes the targets of attempts that ended without a sign. The end of the connection of a crashed target
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -72,6 +72,8 @@
 	// SaveQuarantined adds a request to the list in the platform's store, from which all instances receive it, also
 	// those that start later. It does not block.
 	SaveQuarantined func(quarantine.Confirmed)
+	// ReleaseQuarantined removes a request from that list. It does not block.
+	ReleaseQuarantined func(quarantine.Fingerprint)
 }
 
 // Members lists the instances of the fleet. The members service implements it.
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -49,7 +49,7 @@
 		return
 	}
 	for q := range s.running {
-		if q.fingerprint() == f {
+		if !q.isTrial && q.fingerprint() == f {
 			q.stop()
 		}
 	}
@@ -78,6 +78,25 @@
 	}
 }
 
+// trialIsDue reports whether a quarantined request may run once.
+func (s *suspects) trialIsDue(fingerprint func() quarantine.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.list.Empty() && s.list.TrialIsDue(time.Now(), fingerprint())
+}
+
+// takeTrial reports whether the trial of a request has still to be made, and counts it if so.
+func (s *suspects) takeTrial(f quarantine.Fingerprint) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !s.list.TrialIsDue(now, f) {
+		return false
+	}
+	s.list.BeginTrial(now, f)
+	return true
+}
+
 // crashCount returns the number of targets that are known to have crashed on a request.
 func (s *suspects) crashCount(fingerprint func() quarantine.Fingerprint) int {
 	s.mu.Lock()
--- a/instance/gateway/suspects_answered_test.go
+++ b/instance/gateway/suspects_answered_test.go
@@ -48,3 +48,52 @@
 		}
 	})
 }
+
+// Guards against a page that all instances refuse for ten minutes because three crashes in a row met it, although targets
+// had answered it before; and against a trial that each instance makes for itself.
+func TestAnsweredPageIsServedSoonAfterCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll(t)
+		for instance := range 3 {
+			require.Equal(t, gateway.Answered, c.do(t.Context(), instance, "/one/x", "page", "10.0.0.1:1").Kind)
+		}
+		for n := range 3 {
+			c.crashUnder(t, n, "page")
+			time.Sleep(restartTime + time.Second)
+		}
+		require.True(t, isQuarantined(c.do(t.Context(), 0, "/one/x", "page", "10.0.0.1:1")))
+		require.Len(t, c.stored, 1)
+		served := 0
+		for n := range 60 {
+			time.Sleep(time.Second)
+			if c.do(t.Context(), n, "/one/x", "page", "10.0.0.1:1").Kind == gateway.Answered {
+				served++
+			}
+		}
+		require.GreaterOrEqual(t, served, 40)
+		require.Empty(t, c.stored, "instances that start later would refuse the page")
+	})
+}
+
+// Guards against trials of a request that crashes all its targets again, more than the few that the rules allow.
+func TestTrialsOfCrashingRequestAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll(t)
+		for instance := range 3 {
+			require.Equal(t, gateway.Answered, c.do(t.Context(), instance, "/one/x", "page", "10.0.0.1:1").Kind)
+		}
+		c.deadly = "page" // From now on, after a change of the targets.
+		for n := range 3 {
+			c.do(t.Context(), n, "/one/x", "page", "10.0.0.1:1")
+			time.Sleep(restartTime + time.Second)
+		}
+		before := c.crashCount()
+		for n := range 300 {
+			c.do(t.Context(), n, "/one/x", "page", "10.0.0.1:1")
+			time.Sleep(200 * time.Millisecond)
+		}
+		require.LessOrEqual(t, c.crashCount()-before, 3)
+	})
+}
--- a/instance/gateway/suspects_test.go
+++ b/instance/gateway/suspects_test.go
@@ -44,6 +44,7 @@
 	down      map[string]bool
 	crashes   int
 	started   int             // runs of requests at targets
+	deadly    string          // body of another request that crashes targets
 	mute      bool            // a bad request crashes the target, whose connections stay open
 	resetOnly bool            // a bad request closes its connection but does not crash the target
 	failing   map[string]bool // targets that answer each request with an error
@@ -79,6 +80,7 @@
 func (c *cluster) start(t *testing.T, id string) {
 	cfg := testConfig(t, c)
 	cfg.Instance, cfg.Members, cfg.SendSuspicion, cfg.SaveQuarantined = id, c, c.sendSuspicion, c.save
+	cfg.ReleaseQuarantined = c.release
 	s := newServiceFrom(t, cfg)
 	require.NoError(t, s.Start(t.Context()))
 	c.mu.Lock()
@@ -101,6 +103,13 @@
 	c.stored, _ = quarantine.MergeConfirmed(time.Now(), c.stored, []quarantine.Confirmed{q})
 }
 
+// release removes a quarantined request from the store.
+func (c *cluster) release(f quarantine.Fingerprint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stored, _ = quarantine.RemoveConfirmed(c.stored, []quarantine.Fingerprint{f})
+}
+
 func (c *cluster) stopAll(t *testing.T) {
 	for _, s := range c.gateways {
 		require.NoError(t, s.Stop(t.Context()))
@@ -187,7 +196,7 @@
 	if failing {
 		return query.Reply{Outcome: query.OutcomeFailed, Part: &query.Part{Status: http.StatusInternalServerError, Signature: id}}
 	}
-	if string(a.Request.Body) == badBody {
+	if body := string(a.Request.Body); body == badBody || body == c.deadly {
 		if !c.resetOnly {
 			c.crash(id)
 		}
--- a/instance/gateway/suspicion_exchange.go
+++ b/instance/gateway/suspicion_exchange.go
@@ -92,6 +92,16 @@
 	return rendezvous.Choose(key, membership.LiveIDs(s.cfg.Members.Members())) == s.cfg.Instance
 }
 
+// beginTrial reports whether a quarantined request is to run once, to find out whether it still crashes targets. One instance
+// makes all trials of a request, so that they stay few.
+func (s *Service) beginTrial(r *Request, fingerprint func() quarantine.Fingerprint) bool {
+	if !s.suspects.trialIsDue(fingerprint) || !s.isSaver(fingerprint()) || !s.suspects.takeTrial(fingerprint()) {
+		return false
+	}
+	s.cfg.Log.Info("quarantined request runs once, since targets had answered it before", "request", r.ID, fingerprintAttr(fingerprint()))
+	return true
+}
+
 // saveIfQuarantined saves a request in the platform's store if it is quarantined. What instances keep in memory is lost
 // with them, and does not reach an instance that is cut off from the others.
 func (s *Service) saveIfQuarantined(f quarantine.Fingerprint) {
--- a/query/quarantine/confirmed.go
+++ b/query/quarantine/confirmed.go
@@ -80,3 +80,9 @@
 	slices.SortFunc(merged, func(a, b Confirmed) int { return cmp.Compare(a.UntilMillis, b.UntilMillis) })
 	return merged[max(0, len(merged)-maxConfirmed):], changed
 }
+
+// RemoveConfirmed returns a list without the given requests. It returns false if it contains none of them.
+func RemoveConfirmed(shared []Confirmed, released []Fingerprint) ([]Confirmed, bool) {
+	left := slices.DeleteFunc(slices.Clone(shared), func(c Confirmed) bool { return slices.Contains(released, c.Fingerprint) })
+	return left, len(left) < len(shared)
+}
--- a/query/quarantine/list.go
+++ b/query/quarantine/list.go
@@ -23,6 +23,13 @@
 	maxAnswered = 4096
 	// maxCrashes bounds the crashes that an instance stores of one request.
 	maxCrashes = 16
+	// firstTrialPause is the time from the confirmation of a request to its first trial. It doubles with each trial.
+	firstTrialPause = 15 * time.Second
+	// maxTrialDoublings bounds the pause, together with HoldDuration.
+	maxTrialDoublings = 6
+	// minTrialRetryAfter is the minimum delay advised to callers of a request that may be tried: the trial may have failed,
+	// or another instance makes it.
+	minTrialRetryAfter = 5 * time.Second
 	// sameMoment is the maximum time between the first and the last of crashes that may have a common cause. It covers the
 	// transit time of a report between regions.
 	sameMoment = 100 * time.Millisecond
@@ -69,6 +76,17 @@
 	confirmed bool
 	holdStart time.Time
 	inFlight  bool // whether a canary of this instance is in flight
+	trials    int  // since the request was confirmed
+	lastTrial time.Time
+}
+
+// nextTrial returns the earliest time of the next trial.
+func (e *entry) nextTrial() time.Time {
+	last := e.holdStart
+	if e.lastTrial.After(last) {
+		last = e.lastTrial
+	}
+	return last.Add(min(firstTrialPause<<min(e.trials, maxTrialDoublings), HoldDuration))
 }
 
 // List holds suspected and confirmed fingerprints and the shapes that have succeeded. It is not safe
@@ -207,12 +225,38 @@
 	return l.CrashCount(f) > 0
 }
 
-// RetryAfter returns the time until the hold of a request ends.
+// RetryAfter returns the time until a refused request may run again: the end of its hold, or its next trial.
 func (l *List) RetryAfter(now time.Time, f Fingerprint) time.Duration {
+	e, ok := l.entries.get(f)
+	if !ok {
+		return 0
+	}
+	left := max(0, e.holdStart.Add(HoldDuration).Sub(now))
+	if e.confirmed && l.mayBeHarmless(f, e) {
+		left = min(left, max(minTrialRetryAfter, e.nextTrial().Sub(now)))
+	}
+	return left
+}
+
+// mayBeHarmless reports whether a confirmed request had a complete answer within HoldDuration before it was confirmed. It may
+// have met several crashes that had another cause.
+func (l *List) mayBeHarmless(f Fingerprint, e *entry) bool {
+	at := l.LastAnswered(f)
+	return !at.IsZero() && e.holdStart.Sub(at) < HoldDuration
+}
+
+// TrialIsDue reports whether a confirmed request may run once before its hold ends.
+func (l *List) TrialIsDue(now time.Time, f Fingerprint) bool {
+	e, ok := l.entries.get(f)
+	return ok && l.Refuses(now, f) && l.mayBeHarmless(f, e) && !now.Before(e.nextTrial())
+}
+
+// BeginTrial records that a trial of a request begins for which TrialIsDue returns true.
+func (l *List) BeginTrial(now time.Time, f Fingerprint) {
 	if e, ok := l.entries.get(f); ok {
-		return max(0, e.holdStart.Add(HoldDuration).Sub(now))
+		e.lastTrial = now
+		e.trials++
 	}
-	return 0
 }
 
 // RemoveShape removes a shape from those that have succeeded, because another instance restricts a request of
