Let the soak's crashing request come from 25 addresses

The soak sent its crashing request from one address, as all tests did, so that it could not show a request that is counted by the address of its caller. It now comes from 25 addresses of the loopback network in turn.

--- a/emulator/soak/fragile.go
+++ b/emulator/soak/fragile.go
@@ -21,6 +21,8 @@
 	fragileStream = 1000
 	// crashDuration is the time from a crash of a fragile searcher to its restart.
 	crashDuration = 1500 * time.Millisecond
+	// crashingCallers is the number of addresses from which the crashing request comes.
+	crashingCallers = 25
 	// submissionPause is the pause between two submissions of the crashing request.
 	submissionPause = 250 * time.Millisecond
 	// spreadTime is the time after the third crash in which all instances must have been told of it.
@@ -88,9 +90,14 @@
 // inAnswerShare returns the share of crashes in the middle of an answer in this run: none, half or all of them.
 func (s *soak) inAnswerShare() float64 { return float64(s.seed%3) / 2 }
 
-// submitCrashingRequest submits the request again and again through random instances.
+// clientFrom returns a client whose connections come from an address of the loopback network.
+func clientFrom(n int) *http.Client {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(2+n%crashingCallers))}}
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}, Timeout: requestTimeout}
+}
+
+// submitCrashingRequest submits the request again and again through random instances, each time from another address.
 func (s *soak) submitCrashingRequest(ctx context.Context, random *rand.Rand) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
 	for n := 0; ctx.Err() == nil; n++ {
 		time.Sleep(submissionPause)
 		i := s.readyInstance(random)
@@ -104,7 +111,7 @@
 		r.Host = host
 		r.Header.Set("Request-Id", fmt.Sprintf("crash-%d", n))
 		r.Header.Set("Deadline-Ms", strconv.FormatInt(requestTimeout.Milliseconds(), 10))
-		if resp, err := client.Do(r); err == nil {
+		if resp, err := clientFrom(n).Do(r); err == nil {
 			_ = resp.Body.Close() // The body is not used.
 		}
 	}
