Keep the count of trials when a request is confirmed again

Found while reading the change: a quarantined request that the store names with a later end, because another instance has confirmed it by itself or written it again, was taken over as a new one, without its trials; the next trial would have come after 15 s again instead of 30 or more.

TestTrialsGrowRare fails before (a pause of 15 s where 30 s are the minimum).

--- a/instance/configsync/quarantine.go
+++ b/instance/configsync/quarantine.go
@@ -35,7 +35,7 @@
 type quarantineQueue struct {
 	mu      sync.Mutex // guards the fields below
 	pending quarantineChanges
-	writing bool // writeChanges is running
+	writing bool // writeQuarantine is running
 }
 
 // quarantineChanges are changes of the list of quarantined requests. No request is in both lists.
--- a/query/quarantine/confirmed.go
+++ b/query/quarantine/confirmed.go
@@ -51,12 +51,15 @@
 		return
 	}
 	l.shapes.remove(c.Shape)
-	if e, ok := l.entries.get(c.Fingerprint); ok && e.confirmed && !e.holdStart.Before(holdStart) {
+	known, ok := l.entries.get(c.Fingerprint)
+	if ok && known.confirmed && !known.holdStart.Before(holdStart) {
 		return
 	}
-	l.entries.put(c.Fingerprint, &entry{
-		crashes: c.Crashes[:l.crashThreshold:l.crashThreshold], confirmed: true, holdStart: earlier(holdStart, now),
-	})
+	e := &entry{crashes: c.Crashes[:l.crashThreshold:l.crashThreshold], confirmed: true, holdStart: earlier(holdStart, now)}
+	if ok {
+		e.trials, e.lastTrial = known.trials, known.lastTrial
+	}
+	l.entries.put(c.Fingerprint, e)
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/query/quarantine/moment_test.go
+++ b/query/quarantine/moment_test.go
@@ -91,6 +91,42 @@
 	}
 }
 
+// Guards against a trial that is repeated soon because another instance has confirmed the request again, and against trials of a request
+// that was never answered.
+func TestTrialsGrowRare(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		l := quarantine.NewListWithThreshold(3)
+		if answered {
+			l.RecordCompleteAnswer(start.Add(-time.Second), fingerprint)
+		}
+		for n := range 3 {
+			c := crashAt(fmt.Sprint(n), time.Duration(n)*time.Second, 0)
+			l.RecordCrash(c.At, fingerprint, 0, c)
+		}
+		stored, confirmed := l.Confirmed(start.Add(3*time.Second), fingerprint, 0)
+		require.True(t, confirmed)
+		var trials []time.Duration
+		for after := 3 * time.Second; after < 5*time.Minute; after += time.Second {
+			now := start.Add(after)
+			l.Import(now, stored)
+			if l.TrialIsDue(now, fingerprint) {
+				require.LessOrEqual(t, l.RetryAfter(now, fingerprint), 5*time.Second)
+				l.BeginTrial(now, fingerprint)
+				trials = append(trials, after)
+				stored.UntilMillis = now.Add(quarantine.HoldDuration).UnixMilli() // Another instance confirms the request now.
+			}
+		}
+		if !answered {
+			require.Empty(t, trials)
+			continue
+		}
+		require.GreaterOrEqual(t, len(trials), 3)
+		for n := range trials[1:] {
+			require.GreaterOrEqual(t, trials[n+1]-trials[n], 30*time.Second<<n)
+		}
+	}
+}
+
 // Guards against a count that depends on the order in which reports arrive, and against instances that therefore disagree.
 func TestCrashCountIgnoresOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
