Say what the fields of the canary and the test of leases mean

Found while reading the change as a newcomer: CanaryShard orders the first attempts of every query, also of one without a canary, and its comment said otherwise; a counter had none; a test's comment had to be read twice. Comments only; no figure changes. The tests of both packages pass.

--- a/instance/limits/view_test.go
+++ b/instance/limits/view_test.go
@@ -38,9 +38,9 @@
 	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(`{"version":1}`)), Request: r}, nil
 }
 
-// Guards against searches that are refused within their plan's limit in the first seconds of a fleet: an instance acquires
-// the leases of all buckets because its view is older than the others' start, and no loan grows for two seconds after it has
-// handed them over.
+// Guards against searches that are refused within their plan's limit in the first seconds of a fleet: an instance whose view
+// is older than the start of the others acquires their leases too. It releases them at the next check, and their new holders
+// let no loan grow for two seconds.
 func TestLeasesFollowTheMembersAtPresent(t *testing.T) {
 	first, second := membership.Member{ID: "a", State: membership.Live}, membership.Member{ID: "b", State: membership.Live}
 	members, store := memberList{first}, &leaseStore{}
--- a/query/scatter/crash_guard.go
+++ b/query/scatter/crash_guard.go
@@ -17,7 +17,7 @@
 	inFlight  int // attempts of all shards
 	canaries  int // maximum of inFlight before a target has answered, 0 for no limit
 	maxHedges int // before a target has answered, 0 for no limit
-	hedges    int
+	hedges    int // sent so far, of all shards
 }
 
 // defaultCrashLimit is the default of Config.CrashLimit. It is above 1 because a single crash may have another
@@ -59,7 +59,8 @@
 // awaitsCanary reports whether the canaries of the query are in flight.
 func (g *crashGuard) awaitsCanary() bool { return g.canaries > 0 && g.inFlight >= g.canaries }
 
-// allowSecondCanary allows another canary besides one whose target may be silent for another reason than the query.
+// allowSecondCanary allows another canary besides one whose target may be silent for another reason than the query. It does
+// nothing for a query without canaries.
 func (g *crashGuard) allowSecondCanary() { g.canaries = min(2*g.canaries, 2) }
 
 // isCanaryLost reports whether the outcome of an attempt may mean that it is a canary that has crashed its target.
--- a/query/scatter/machine.go
+++ b/query/scatter/machine.go
@@ -78,9 +78,10 @@
 	// MaxUnansweredHedges is the maximum number of hedges of all shards together before a target has answered the
 	// query, 0 for no limit.
 	MaxUnansweredHedges int
-	// Canary is set if the query may crash the targets that run it. It runs on one target first, of the shard with the
-	// index CanaryShard, and on the others once that target has answered. It ends if the target may have crashed.
-	Canary      bool
+	// Canary is set if the query may crash the targets that run it. It runs on one target first, and on the others once
+	// that target has answered. It ends if the target may have crashed.
+	Canary bool
+	// CanaryShard is the index of the shard whose first attempt is sent first, that of the canary if there is one.
 	CanaryShard int
 }
 
