--- a/instance/limits/service.go
+++ b/instance/limits/service.go
@@ -140,9 +140,7 @@
 // others. It processes all buckets concurrently, because a store that does not answer delays each of them by
 // the timeout of a call, which is half of leaseDuration.
 func (s *Service) checkLeases(ctx context.Context) {
-	// By an older view an instance would acquire leases that it has to hand over at the next check, after which no loan
-	// grows for LoanDuration.
-	v := s.refreshView(time.Now())
+	v := s.view()
 	var wg sync.WaitGroup
 	for _, b := range s.buckets {
 		wg.Go(func() {
--- a/instance/limits/view.go
+++ b/instance/limits/view.go
@@ -57,11 +57,6 @@
 	if v := s.cachedView.Load(); v != nil && now.Sub(v.createdAt) < viewPeriod {
 		return v
 	}
-	return s.refreshView(now)
-}
-
-// refreshView replaces the cached view by that of the members at present.
-func (s *Service) refreshView(now time.Time) *view {
 	v := newView(now, s.cfg.Members.Members())
 	s.cachedView.Store(v)
 	return v
