Dial a target that has left the list when its crash is checked

Cause, one of two: the list sets the limits of connections, and a target that has left it has none. CheckReachable then waited for a connection until its time was over, and returned "nothing is known", which a probe reads as "accepted". No probe of a target that had left the list ever dialled it, so that "left the list without being reachable" could not be shown.

Change: without a limit, CheckReachable dials once and closes the connection.

TestCheckReachableDialsTargetsThatHaveLeftTheList fails before ("connection refused" expected, got nil). The last line of TestCheckReachable said that there is no dial without a limit; that was the fault. The new test asks more in its place: a refused and a silent dial are errors, an accepted one is not, and no connection stays open.

--- a/adapter/http1/client.go
+++ b/adapter/http1/client.go
@@ -176,9 +176,13 @@
 }
 
 // CheckReachable checks that an address accepts a new connection: the end of an idle one may not have arrived yet. At the
-// limit it closes an idle connection for the new one. It fails only if a dial fails. If ctx ends a wait at the connection
-// limit, nothing is known about the address and CheckReachable returns nil.
+// limit it closes an idle connection for the new one. A connection to an address without a limit is closed at once. It fails
+// only if a dial fails. If ctx ends a wait at the connection limit, nothing is known about the address and CheckReachable
+// returns nil.
 func (c *Client) CheckReachable(ctx context.Context, address string) error {
+	if !c.hasLimit(address) {
+		return c.checkDial(ctx, address)
+	}
 	cn, err := c.acquire(ctx, address, time.Now())
 	var op *net.OpError
 	switch {
@@ -191,6 +195,24 @@
 	return nil
 }
 
+func (c *Client) hasLimit(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.hosts[address]
+	return h != nil && h.limit > 0
+}
+
+// checkDial checks that an address accepts a connection, and keeps none.
+func (c *Client) checkDial(ctx context.Context, address string) error {
+	dialed, err := c.dial(ctx, address)
+	if err != nil {
+		return errors.WithMessage(err, "check of "+address)
+	}
+	c.onOpen()
+	_ = dialed.Close() // It has carried nothing.
+	return nil
+}
+
 // CloseUnused closes the idle connections that have carried no request for the given time, except those to
 // the addresses in keep.
 func (c *Client) CloseUnused(unusedFor time.Duration, keep map[string]bool) {
--- a/adapter/http1/client_test.go
+++ b/adapter/http1/client_test.go
@@ -305,13 +305,45 @@
 	require.NoError(t, l.Close())
 	c.SetLimits(map[string]int{address: 1, closed: 1})
 	require.Error(t, c.CheckReachable(t.Context(), closed))
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
-	defer cancel()
-	require.NoError(t, c.CheckReachable(ctx, "127.0.0.1:1"), "without a limit there is no dial that can fail")
 	require.True(t, c.NeedsConnection(closed))
 	require.Equal(t, int64(1), most.Load())
 }
 
+// Guards against a target that counts as reachable because it has left the list: without a limit, a check has to dial all the
+// same, and keeps no connection (review/8).
+func TestCheckReachableDialsTargetsThatHaveLeftTheList(t *testing.T) {
+	s := serve(t, okResponse)
+	address := s.Addr().String()
+	silent := false
+	var open atomic.Int64
+	c := http1.NewClient(func(ctx context.Context, address string) (net.Conn, error) {
+		if silent {
+			<-ctx.Done()
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		open.Add(1)
+		return &countedConn{Conn: conn, open: &open}, nil
+	}, nil)
+	check := func(address string) error {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		return c.CheckReachable(ctx, address)
+	}
+	c.SetLimits(map[string]int{address: 1})
+	require.NoError(t, check(address))
+	c.SetLimits(nil)
+	require.NoError(t, check(address))
+	require.Zero(t, open.Load(), "no connection stays open")
+	require.False(t, c.NeedsConnection(address))
+	require.ErrorIs(t, check("127.0.0.1:1"), syscall.ECONNREFUSED)
+	silent = true
+	require.ErrorIs(t, check(address), context.DeadlineExceeded)
+}
+
 // countedConn is a connection that counts as open until it is closed.
 type countedConn struct {
 	net.Conn
