Count crashes that only the list of targets shows

Such a crash shows itself by nothing but the list, seconds after the submission has ended and is forgotten.

Change: each instance remembers for 30 s which submissions were unanswered at which start of which target. When the list loses that start, the target is probed and its crash reported. Only the list times these crashes: those that it shows within a heartbeat count as one, and as a half if several submissions were in flight, since a failure domain that goes dark leaves everything unanswered. Suspected requests no longer probe before the list has lost the target, which would count one outage several times. Nothing is dialled for targets that are only slow.

--- a/adapter/peer/suspect.go
+++ b/adapter/peer/suspect.go
@@ -30,6 +30,7 @@
 	for _, crash := range s.Crashes {
 		req.Crashes = append(req.Crashes, &relaypb.Crash{
 			Shard: uint32(crash.Shard), Target: string(crash.Target), AgeUsPlusOne: ageToWire(crash.At), Submission: uint64(crash.Submission),
+			BeganAgeUsPlusOne: ageToWire(crash.Began),
 		})
 	}
 	_, err := relaypb.NewRelayProtobufClient("http://"+address, c.http).Suspect(ctx, req)
@@ -45,7 +46,7 @@
 	for _, c := range r.GetCrashes() {
 		s.Crashes = append(s.Crashes, quarantine.Crash{
 			Shard: query.Shard(c.GetShard()), Target: query.TargetID(c.GetTarget()), At: timeFromWire(c.GetAgeUsPlusOne()),
-			Submission: query.RequestID(c.GetSubmission()),
+			Submission: query.RequestID(c.GetSubmission()), Began: timeFromWire(c.GetBeganAgeUsPlusOne()),
 		})
 	}
 	return s
--- a/adapter/peer/suspect_test.go
+++ b/adapter/peer/suspect_test.go
@@ -30,7 +30,7 @@
 func TestSuspicionRoundTrip(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		want := peer.Suspicion{Fingerprint: 1, Shape: 2, Hops: 3, Answered: time.Now().Add(-time.Second), Crashes: []quarantine.Crash{
-			{Shard: 4, Target: "a", At: time.Now(), Submission: 5}, {Target: "b", At: time.Now().Add(-time.Minute)}, {Target: "c"},
+			{Shard: 4, Target: "a", At: time.Now(), Submission: 5}, {Target: "d", At: time.Now(), Submission: 6, Began: time.Now().Add(-time.Minute)}, {Target: "b", At: time.Now().Add(-time.Minute)}, {Target: "c"},
 		}}
 		var got peer.Suspicion
 		_, handler := peer.RelayHandler(suspicionReceiver{got: &got})
@@ -40,10 +40,12 @@
 			return w.Result(), nil
 		}))
 		require.NoError(t, client.ReportSuspicion(t.Context(), "peer:1", want))
-		require.Len(t, got.Crashes, 3)
+		require.Len(t, got.Crashes, 4)
 		for i := range got.Crashes {
 			require.WithinDuration(t, want.Crashes[i].At, got.Crashes[i].At, time.Microsecond)
+			require.WithinDuration(t, want.Crashes[i].Began, got.Crashes[i].Began, time.Microsecond)
 			want.Crashes[i].At, got.Crashes[i].At = time.Time{}, time.Time{}
+			want.Crashes[i].Began, got.Crashes[i].Began = time.Time{}, time.Time{}
 		}
 		require.WithinDuration(t, want.Answered, got.Answered, time.Microsecond)
 		want.Answered, got.Answered = time.Time{}, time.Time{}
--- a/control/roster/roster.go
+++ b/control/roster/roster.go
@@ -230,6 +230,12 @@
 	return Removed
 }
 
+// IsDraining reports whether the list has this start of a target as draining.
+func (r *Roster) IsDraining(e Entry) bool {
+	now, ok := r.entries[e.ID]
+	return ok && now.Incarnation == e.Incarnation && now.Draining
+}
+
 // ReadyCount returns the number of targets that are not draining.
 func (r *Roster) ReadyCount() int {
 	n := 0
--- a/instance/gateway/crash_probe.go
+++ b/instance/gateway/crash_probe.go
@@ -17,8 +17,8 @@
 // probeTimeout bounds one check whether a target accepts connections. It allows several round trips between regions.
 const probeTimeout = 300 * time.Millisecond
 
-// crashProbe finds out whether a target has crashed. It starts when a connection closes in the middle of a request, and
-// is shared by all requests that the target had in flight.
+// crashProbe finds out whether a target has crashed. It starts when a connection closes in the middle of a request or when the
+// list has lost a target that left a request unanswered, and is shared by all requests that the target had in flight.
 type crashProbe struct {
 	target query.TargetID // incarnation id
 	closed bool           // the target closed a connection
@@ -28,20 +28,13 @@
 
 	evidence quarantine.Evidence
 	// unanswered are the submissions that the target had in flight and that ended without an answer.
-	unanswered []submission
+	unanswered []quarantine.Submission
 }
 
-// submission is one submission of a request that ended without an answer. It outlives the request, and keeps none of its
-// body and header.
-type submission struct {
-	id          query.RequestID
-	fingerprint quarantine.Fingerprint
-	// attrs is what the log says of the request: submissions of one request have different ids.
-	attrs []any
-}
-
-func newSubmission(id query.RequestID, r *Request, f quarantine.Fingerprint) submission {
-	return submission{id: id, fingerprint: f, attrs: []any{
+// newSubmission returns the submission of a request that runs. It outlives the request, and keeps none of its body and header.
+func newSubmission(q *run) quarantine.Submission {
+	r := q.request
+	return quarantine.Submission{ID: q.id, Fingerprint: q.fingerprint(), Began: q.start, Attrs: []any{
 		slog.String("request", r.ID), slog.String("caller", r.Caller), slog.String("method", r.Method), slog.String("host", r.Host),
 		slog.String("path", strings.Clone(r.Target[:min(len(r.Target), maxLoggedPath)])), slog.Int("body_bytes", len(r.Body)),
 	}}
@@ -51,7 +44,7 @@
 const maxLoggedPath = 200
 
 // probe returns the probe of a target that has closed a connection in the middle of a request or, if closed is not set, left
-// a request unanswered. e is its entry at the time at which the request was sent.
+// a request unanswered and is lost to the list. e is its entry at the time at which the request was sent.
 func (s *Service) probe(e roster.Entry, closed bool) *crashProbe {
 	p := &crashProbe{target: incarnationID(query.TargetID(e.ID), e.Incarnation), closed: closed, start: time.Now()}
 	s.suspects.mu.Lock()
@@ -66,7 +59,11 @@
 
 func (s *Service) runProbe(p *crashProbe, e roster.Entry) {
 	check := quarantine.NewCrashCheck(p.closed)
-	state := roster.Listed
+	state := s.stateOf(e)
+	if state == roster.Replaced {
+		check.OnRestarted()
+		s.updateEvidence(p, check.Evidence())
+	}
 	for step, ok := check.Next(); ok; step, ok = check.Next() {
 		if !kernel.Sleep(s.ctx, step.Pause) {
 			break
@@ -116,7 +113,7 @@
 }
 
 // addUnanswered adds a submission that ended without an answer to the probe of a target that had it in flight.
-func (s *Service) addUnanswered(p *crashProbe, u submission) {
+func (s *Service) addUnanswered(p *crashProbe, u quarantine.Submission) {
 	s.suspects.mu.Lock()
 	p.unanswered = append(p.unanswered, u)
 	evidence := p.evidence
@@ -127,12 +124,18 @@
 }
 
 // reportCrash reports a crash of a target that had a submission in flight.
-func (s *Service) reportCrash(u submission, p *crashProbe, evidence quarantine.Evidence) {
+func (s *Service) reportCrash(u quarantine.Submission, p *crashProbe, evidence quarantine.Evidence) {
 	c := quarantine.Crash{Target: p.target, At: p.start}
-	if evidence == quarantine.Proven && !s.suspects.answeredRecently(u.fingerprint) {
-		c.Submission = u.id
+	switch {
+	case !p.closed && !s.suspects.mayReport(len(s.cfg.Members.Members())):
+		s.cfg.Metrics.unreported.Inc()
+		return
+	case !p.closed:
+		c.Began, c.Submission = u.Began, u.ID
+	case evidence == quarantine.Proven && !s.suspects.answeredRecently(u.Fingerprint):
+		c.Submission = u.ID
 	}
-	s.reportCrashes(u.fingerprint, []quarantine.Crash{c}, append(slices.Clone(u.attrs), slog.String("evidence", evidence.String()))...)
+	s.reportCrashes(u.Fingerprint, []quarantine.Crash{c}, append(slices.Clone(u.Attrs), slog.String("evidence", evidence.String()))...)
 }
 
 func (s *Service) tryConnect(address string) quarantine.ConnectResult {
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -16,6 +16,8 @@
 	latency  *prometheus.HistogramVec
 	missing  prometheus.Counter
 	crashes  prometheus.Counter
+	// unreported counts crashes that were not counted against an unanswered request, since too many came at once.
+	unreported prometheus.Counter
 	// rateLimits counts the changes of the rate limits that targets state.
 	rateLimits prometheus.Counter
 	// forwarded counts the attempts at relays by outcome.
@@ -39,6 +41,9 @@
 	m.crashes = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "hyssopcroft_suspected_crashes_total", Help: "Targets that are known to have crashed while they ran a request that no target answered.",
 	})
+	m.unreported = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "hyssopcroft_unreported_crashes_total", Help: "Crashes shown by the list that were not counted against an unanswered request, since too many came at once.",
+	})
 	m.rateLimits = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "hyssopcroft_rate_limit_changes_total", Help: "Changes of the rate limits that targets state in their answers.",
 	})
@@ -51,7 +56,7 @@
 	m.forwarded = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "hyssopcroft_forwarded_total", Help: "Requests sent to relays by what became of them there.",
 	}, []string{"outcome"})
-	r.MustRegister(m.forwarded, m.rateLimits, m.requests, m.latency, m.missing, m.crashes, attempts)
+	r.MustRegister(m.forwarded, m.rateLimits, m.unreported, m.requests, m.latency, m.missing, m.crashes, attempts)
 	return m
 }
 
--- a/instance/gateway/run.go
+++ b/instance/gateway/run.go
@@ -56,6 +56,7 @@
 	fingerprint  func() quarantine.Fingerprint
 	priorCrashes int           // targets that crashed on earlier submissions of the request
 	quarantined  chan struct{} // closed by stop
+	targetsLost  chan struct{} // signalled when the list has lost targets
 	stop         func()        // ends the request because others have crashed too many targets
 	isTrial      bool          // the request is quarantined, and runs to find out whether it still crashes targets
 	denied       denials
@@ -76,8 +77,9 @@
 	sent   time.Duration // since the start of the request
 	took   time.Duration
 	phase  attemptPhase
-	// outcome is valid in phase replied only.
+	// outcome and closed are valid in phase replied only.
 	outcome query.Outcome
+	closed  bool // the target closed the connection
 }
 
 // attemptPhase is the progress of an attempt.
@@ -95,10 +97,10 @@
 }
 
 // endAttempt records the end of an attempt that is in flight.
-func (q *run) endAttempt(id query.AttemptID, phase attemptPhase, outcome query.Outcome) {
+func (q *run) endAttempt(id query.AttemptID, phase attemptPhase, reply query.Reply) {
 	for i := range q.attempts {
 		if r := &q.attempts[i]; r.id == id && r.phase == inFlight {
-			r.took, r.phase, r.outcome = time.Since(q.start)-r.sent, phase, outcome
+			r.took, r.phase, r.outcome, r.closed = time.Since(q.start)-r.sent, phase, reply.Outcome, reply.ConnectionClosed
 		}
 	}
 }
@@ -169,6 +171,7 @@
 		offers:      make(chan query.Shard, len(rr.shards)),
 		cancels:     make(map[query.AttemptID]context.CancelFunc, len(rr.shards)),
 		quarantined: make(chan struct{}),
+		targetsLost: make(chan struct{}, 1),
 	}
 	q.stop = sync.OnceFunc(func() { close(q.quarantined) })
 	cfg := scatter.Config{
@@ -230,6 +233,8 @@
 			finished = true
 		case <-q.quarantined:
 			finished = true
+		case <-q.targetsLost:
+			q.onTargetsLost()
 		}
 		alarm.Set(time.Until(q.machine.NextWake()))
 	}
@@ -238,7 +243,7 @@
 
 func (q *run) onReply(r attemptReply) []scatter.Action {
 	q.service.cfg.Metrics.countAttempt(r.reply.Outcome)
-	q.endAttempt(r.attempt, replied, r.reply.Outcome)
+	q.endAttempt(r.attempt, replied, r.reply)
 	q.service.observeRateLimit(r.target, r.reply)
 	if r.reply.Outcome == query.OutcomeWrongShard {
 		q.service.onAddressReused(r.target)
@@ -273,7 +278,7 @@
 			q.send(ctx, a)
 		case scatter.Cancel:
 			q.cancels[a.Attempt]()
-			q.endAttempt(a.Attempt, cancelled, query.OutcomeUnknown)
+			q.endAttempt(a.Attempt, cancelled, query.Reply{})
 		case scatter.Finish:
 			finished = true
 		}
--- a/instance/gateway/run_suspicion.go
+++ b/instance/gateway/run_suspicion.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hyssopcroft.example/adapter/peer"
+	"hyssopcroft.example/control/roster"
 	"hyssopcroft.example/query"
 )
 
@@ -37,12 +38,14 @@
 		q.recordCompleteAnswer()
 		return
 	}
-	if q.priorCrashes > 0 {
-		q.probeUnanswered()
+	if len(q.attempts) == 0 {
+		return
 	}
+	submission := newSubmission(q)
 	for _, p := range q.probes {
-		q.service.addUnanswered(p, newSubmission(q.id, q.request, q.fingerprint()))
+		q.service.addUnanswered(p, submission)
 	}
+	q.service.rememberUnanswered(q.unansweredTargets(), submission)
 }
 
 // recordCompleteAnswer records that targets have answered the request. If that ends a suspicion, the other instances are told:
@@ -60,14 +63,35 @@
 	}
 }
 
-// probeUnanswered probes the targets of attempts that ended without a sign. The end of the connection of a crashed target
-// may be lost on the way, and an attempt that was cancelled would not have shown it.
-func (q *run) probeUnanswered() {
+// unansweredTargets returns the entries of the targets that have neither answered nor closed a connection, of shards without an
+// answer. An attempt that was cancelled would not have shown its crash.
+func (q *run) unansweredTargets() []roster.Entry {
+	answered := map[query.Shard]bool{}
 	for _, r := range q.attempts {
-		if r.entry.Address == "" || r.phase == replied && r.outcome != query.OutcomeUnknown {
-			continue
+		if r.hasOutcome(query.OutcomeAnswered) {
+			answered[r.shard] = true
 		}
-		q.addProbe(q.service.probe(r.entry, false))
+	}
+	var entries []roster.Entry
+	for _, r := range q.attempts {
+		isUnanswered := r.phase != replied || r.outcome == query.OutcomeUnknown && !r.closed
+		if isUnanswered && r.entry.Address != "" && !answered[r.shard] {
+			entries = append(entries, r.entry)
+		}
+	}
+	return entries
+}
+
+// onTargetsLost counts the crashes of targets that the list has lost while the request waits for them. Its submission may go
+// on for long, and the same request may arrive at any instance meanwhile.
+func (q *run) onTargetsLost() {
+	lost := q.service.lostOf(q.unansweredTargets())
+	if len(lost) == 0 {
+		return
+	}
+	submission := newSubmission(q)
+	for _, e := range lost {
+		q.service.addUnanswered(q.service.probe(e, false), submission)
 	}
 }
 
@@ -77,7 +101,7 @@
 func (q *run) onClosed(p *crashProbe) {
 	q.addProbe(p)
 	if q.machine.IsOverdue() {
-		q.service.addUnanswered(p, newSubmission(q.id, q.request, q.fingerprint()))
+		q.service.addUnanswered(p, newSubmission(q))
 	}
 }
 
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -4,8 +4,11 @@
 	"log/slog"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"hyssopcroft.example/query"
 	"hyssopcroft.example/query/quarantine"
 	"hyssopcroft.example/query/routing"
@@ -21,12 +24,19 @@
 	liveIncarnations map[string]uint64              // by id, of the members that were live at the last call of joined
 	probes           map[query.TargetID]*crashProbe // in progress, by incarnation id
 	running          map[*run]struct{}              // requests that run at this instance
+	unanswered       *quarantine.Unanswered[targetStart]
+	// unansweredCount is unanswered.Len(), also readable without mu.
+	unansweredCount atomic.Int64
+	// reports bounds the crashes that are reported because the list has lost targets. The loss of a failure domain leaves all
+	// requests unanswered that it had in flight.
+	reports *rate.Limiter
 }
 
 func newSuspects() *suspects {
 	return &suspects{
 		list: quarantine.NewListWithThreshold(crashLimit), liveIncarnations: map[string]uint64{},
 		probes: map[query.TargetID]*crashProbe{}, running: map[*run]struct{}{},
+		unanswered: quarantine.NewUnanswered[targetStart](), reports: rate.NewLimiter(fleetReportRate, fleetReportBurst),
 	}
 }
 
--- a/instance/gateway/suspects_restart_test.go
+++ b/instance/gateway/suspects_restart_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -32,6 +33,8 @@
 	newAddress bool          // the next start has another address
 	lapseAfter time.Duration // from the crash to the removal of the entry; 0: it stays until the next start is listed
 	inAnswer   bool          // targets crash in the middle of their answers, on connections without an earlier one
+	mute       bool          // open connections of a crashed target stay open and silent
+	hangs      bool          // a crashed target accepts connections until its next start
 }
 
 const (
@@ -56,6 +59,11 @@
 	starts  int
 	crashes []time.Time
 	reached map[string]time.Time // first arrival of a submission at a target, by its id
+	checks  int                  // connections opened to find out whether a target is there
+
+	badPath   string        // requests of this path crash targets, too; set before the first request
+	badCaller string        // and those of this caller; set before the first request
+	heartbeat time.Duration // crashed targets lapse up to one heartbeat earlier than the plan says; set before the first crash
 }
 
 func newRestartSite(t *testing.T, plan restartPlan) *restartSite {
@@ -113,6 +121,9 @@
 func (s *restartSite) Send(ctx context.Context, a gateway.Attempt) query.Reply {
 	e, up := s.at(a.Address)
 	switch {
+	case !up && s.plan.mute:
+		<-ctx.Done()
+		return outcome(query.OutcomeUnknown)
 	case !up && s.plan.silent:
 		<-ctx.Done()
 		return outcome(query.OutcomeNotRun)
@@ -128,15 +139,25 @@
 	s.mu.Unlock()
 	time.Sleep(timeToCrash)
 	if now, up := s.at(a.Address); !up || now.Incarnation != e.Incarnation {
-		return outcome(query.OutcomeCrashed)
+		return s.onConnectionOfCrashed(ctx)
 	}
-	if string(a.Request.Body) != badBody || e.Service != "single" && e.Service != "s0" {
+	isBad := string(a.Request.Body) == badBody || a.Request.Path == s.badPath || a.Request.Caller == s.badCaller
+	if !isBad || e.Service != "single" && e.Service != "s0" {
 		return answer(e.ID)
 	}
 	s.crash(e)
 	if s.plan.inAnswer {
 		return query.Reply{Outcome: query.OutcomeUnknown, ConnectionClosed: true}
 	}
+	return s.onConnectionOfCrashed(ctx)
+}
+
+// onConnectionOfCrashed returns the reply to an attempt that a target had in flight when it crashed.
+func (s *restartSite) onConnectionOfCrashed(ctx context.Context) query.Reply {
+	if s.plan.mute {
+		<-ctx.Done()
+		return outcome(query.OutcomeUnknown)
+	}
 	return outcome(query.OutcomeCrashed)
 }
 
@@ -164,7 +185,11 @@
 		}
 	}
 	if s.plan.lapseAfter > 0 {
-		time.AfterFunc(s.plan.lapseAfter, func() { s.unlist(slot, e) })
+		lapse := s.plan.lapseAfter
+		if s.heartbeat > 0 {
+			lapse -= rand.N(s.heartbeat)
+		}
+		time.AfterFunc(lapse, func() { s.unlist(slot, e) })
 	}
 	s.starts++
 	next := e
@@ -200,9 +225,12 @@
 
 // CheckReachable implements gateway.Sender.
 func (s *restartSite) CheckReachable(ctx context.Context, address string) error {
+	s.mu.Lock()
+	s.checks++
+	s.mu.Unlock()
 	_, up := s.at(address)
 	switch {
-	case up:
+	case up || s.plan.hangs:
 		return nil
 	case s.plan.silent:
 		<-ctx.Done()
--- a/instance/gateway/targets.go
+++ b/instance/gateway/targets.go
@@ -13,6 +13,11 @@
 
 // SetTargets applies a new list of targets.
 func (s *Service) SetTargets(ev directory.TargetsChanged) {
+	s.applyList(ev)
+	s.onListChanged()
+}
+
+func (s *Service) applyList(ev directory.TargetsChanged) {
 	s.relayMu.Lock()
 	defer s.relayMu.Unlock()
 	s.mu.Lock()
@@ -128,6 +133,9 @@
 // observeTarget acts on what a target says of itself in a reply. It must be called for each reply, also if the request has
 // ended meanwhile.
 func (s *Service) observeTarget(e roster.Entry, r query.Reply) {
+	if isAnswer(r) {
+		s.suspects.onAnswer(time.Now(), e)
+	}
 	if r.TurnedAwayFor > 0 {
 		s.onTurnedAway(e, r.TurnedAwayFor)
 	}
@@ -157,13 +165,20 @@
 
 // onAddressReused removes the entry of a target whose address now belongs to another target.
 func (s *Service) onAddressReused(id query.TargetID) {
+	if e, known := s.removeReused(id); known {
+		s.probeLost(startOf(e))
+	}
+}
+
+func (s *Service) removeReused(id query.TargetID) (e roster.Entry, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, ok := s.targets[id]
-	if !ok {
-		return
+	e, known = s.targets[id]
+	if !known {
+		return e, false
 	}
 	s.cfg.Log.Warn("another target has this address; the entry is left out", "target", id, "address", e.Address)
 	s.roster.OnAddressReused(e)
 	s.applyTargets()
+	return e, true
 }
--- a/query/quarantine/crash_check.go
+++ b/query/quarantine/crash_check.go
@@ -57,7 +57,8 @@
 )
 
 // CrashCheck decides whether a target has crashed that closed a connection in the middle of a request, or left a request
-// unanswered. It is not safe for concurrent use.
+// unanswered. One that did the latter may hang, accept connections and leave the list before it starts anew. CrashCheck is not
+// safe for concurrent use.
 type CrashCheck struct {
 	closed     bool // the target closed a connection
 	evidence   Evidence
@@ -78,7 +79,7 @@
 	}
 	c.listChecks++
 	span := listSpan
-	if c.silent() {
+	if c.silent() || !c.closed {
 		span = silentListSpan
 	}
 	return CheckStep{Pause: listPause}, c.listChecks <= int(span/listPause)
--- a/query/quarantine/list.go
+++ b/query/quarantine/list.go
@@ -22,7 +22,7 @@
 	// at most 0.4 MB.
 	maxAnswered = 4096
 	// maxCrashes bounds the crashes that an instance stores of one request.
-	maxCrashes = 16
+	maxCrashes = 32
 	// firstTrialPause is the time from the confirmation of a request to its first trial. It doubles with each trial.
 	firstTrialPause = 15 * time.Second
 	// maxTrialDoublings bounds the pause, together with HoldDuration.
@@ -30,9 +30,6 @@
 	// minTrialRetryAfter is the minimum delay advised to callers of a request that may be tried: the trial may have failed,
 	// or another instance makes it.
 	minTrialRetryAfter = 5 * time.Second
-	// sameMoment is the maximum time between the first and the last of crashes that may have a common cause. It covers the
-	// transit time of a report between regions.
-	sameMoment = 100 * time.Millisecond
 	// defaultCrashThreshold is the number of crashed targets that confirms a suspected request. A single
 	// crash may have another cause.
 	defaultCrashThreshold = 2
@@ -62,6 +59,20 @@
 	// Submission identifies the submission that ran on the target. Crashes of one moment count separately if they have the
 	// same submission. It is 0 if that would prove too much: the crash is not proven, or targets have answered the request.
 	Submission query.RequestID `json:"-"`
+	// Began is the start of the submission, by the local clock, if only the list has shown the crash. At is then the time at
+	// which the list showed it, which depends on when the target last wrote its entry, and Submission is always set.
+	Began time.Time `json:"-"`
+}
+
+// isSilent reports whether only the list has shown the crash.
+func (c Crash) isSilent() bool { return !c.Began.IsZero() }
+
+// IsBefore reports whether a complete answer at the given time shows that the crash had another cause.
+func (c Crash) IsBefore(answer time.Time) bool {
+	if c.isSilent() {
+		return !c.Began.After(answer)
+	}
+	return !c.At.After(answer)
 }
 
 // sameAs reports whether two reports describe the same crash. In a fan-out over two levels the entry
@@ -192,34 +203,6 @@
 	return countCrashes(e.crashes)
 }
 
-// countCrashes returns the number of crashes that count against a request. Those of one moment count as one, except for
-// those of one submission.
-func countCrashes(crashes []Crash) int {
-	sorted := slices.SortedStableFunc(slices.Values(crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
-	total := 0
-	for len(sorted) > 0 {
-		n := 1
-		for n < len(sorted) && !sorted[0].At.IsZero() && sorted[n].At.Sub(sorted[0].At) <= sameMoment {
-			n++
-		}
-		total += max(1, largestSubmission(sorted[:n]))
-		sorted = sorted[n:]
-	}
-	return total
-}
-
-// largestSubmission returns the maximum number of crashes that have the same submission.
-func largestSubmission(crashes []Crash) int {
-	largest, bySubmission := 0, map[query.RequestID]int{}
-	for _, c := range crashes {
-		if c.Submission != 0 {
-			bySubmission[c.Submission]++
-			largest = max(largest, bySubmission[c.Submission])
-		}
-	}
-	return largest
-}
-
 // Restricted reports whether the request may run only as a canary, or not at all.
 func (l *List) Restricted(f Fingerprint) bool {
 	return l.CrashCount(f) > 0
@@ -293,7 +276,7 @@
 		return false
 	}
 	before := len(e.crashes)
-	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return e.confirmed || !c.At.After(at) })
+	e.crashes = slices.DeleteFunc(e.crashes, func(c Crash) bool { return e.confirmed || c.IsBefore(at) })
 	e.confirmed = false
 	if len(e.crashes) == 0 && !e.inFlight {
 		l.entries.remove(f)
@@ -316,7 +299,7 @@
 // RecordCrash records that a target crashed while it ran a request that no target has answered since. It reports
 // whether that is new, so that the peers must be notified.
 func (l *List) RecordCrash(now time.Time, f Fingerprint, s Shape, c Crash) bool {
-	if !c.At.IsZero() && !c.At.After(l.LastAnswered(f)) {
+	if !c.At.IsZero() && c.IsBefore(l.LastAnswered(f)) {
 		return false // The report arrived after that of the answer.
 	}
 	l.shapes.remove(s)
@@ -344,7 +327,7 @@
 	switch {
 	case i >= 0 && e.crashes[i].Submission == 0 && c.Submission != 0:
 		e.crashes[i].Submission = c.Submission
-	case i >= 0 || len(e.crashes) == maxCrashes:
+	case i >= 0 || len(e.crashes) == maxCrashes || isRedundant(e.crashes, c):
 		return false
 	default:
 		e.crashes = append(e.crashes, c)
--- /dev/null
+++ b/query/quarantine/moment.go
@@ -0,0 +1,133 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"hyssopcroft.example/query"
+)
+
+const (
+	// sameMoment is the maximum time between the first and the last of crashes that may have a common cause. It covers the
+	// transit time of a report between regions.
+	sameMoment = 100 * time.Millisecond
+	// lapseSpread is the time over which the list may show silent crashes that have a common cause, such as the loss of a
+	// failure domain: entries lapse a fixed time after their last heartbeat, and targets send these at different times.
+	lapseSpread = 1200 * time.Millisecond
+	// sameBurst is the maximum time between the starts of two submissions that may have been in flight together when targets
+	// crashed for another reason.
+	sameBurst = 500 * time.Millisecond
+	// sharedMoments is the number of moments that count as one crash if several submissions of the request were in flight.
+	sharedMoments = 2
+	// enoughOfMoment is the number of silent crashes that decide how a moment counts.
+	enoughOfMoment = 4
+)
+
+// countCrashes returns the number of crashes that count against a request.
+func countCrashes(crashes []Crash) int {
+	sorted := slices.SortedStableFunc(slices.Values(crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
+	var seen, silent []Crash
+	for _, c := range sorted {
+		if c.isSilent() {
+			silent = append(silent, c)
+		} else {
+			seen = append(seen, c)
+		}
+	}
+	return countSeen(seen) + countSilent(silent)
+}
+
+// countSeen counts crashes whose time is known, in the order of that time. Those of one moment count as one, except for those
+// of one submission.
+func countSeen(sorted []Crash) int {
+	total := 0
+	for len(sorted) > 0 {
+		n := 1
+		for n < len(sorted) && !sorted[0].At.IsZero() && sorted[n].At.Sub(sorted[0].At) <= sameMoment {
+			n++
+		}
+		total += max(1, largestSubmission(sorted[:n]))
+		sorted = sorted[n:]
+	}
+	return total
+}
+
+// largestSubmission returns the maximum number of crashes that have the same submission.
+func largestSubmission(crashes []Crash) int {
+	largest, bySubmission := 0, map[query.RequestID]int{}
+	for _, c := range crashes {
+		if c.Submission != 0 {
+			bySubmission[c.Submission]++
+			largest = max(largest, bySubmission[c.Submission])
+		}
+	}
+	return largest
+}
+
+// silentMoment is a set of silent crashes that may have a common cause.
+type silentMoment []Crash
+
+// includes reports whether a later crash may have the same cause: the list shows it at about the same time, or submissions
+// that began together were in flight.
+func (m silentMoment) includes(c Crash) bool {
+	first := m[0]
+	return c.At.Sub(first.At).Abs() < lapseSpread || c.Began.Sub(first.Began).Abs() < sameBurst
+}
+
+// isShared reports whether several submissions that began together were in flight. A request that many callers send is in
+// flight at most targets that a failure domain loses, so that this is weak evidence against it.
+func (m silentMoment) isShared() bool {
+	for i, a := range m {
+		for _, b := range m[:i] {
+			if a.Submission != b.Submission && a.Began.Sub(b.Began).Abs() < sameBurst {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// countSilent counts crashes that only the list has shown, in the order in which it did. Those of one moment count as one
+// together, and less if several submissions were in flight: what a moment has in common may be a failure domain, and three
+// separate moments that a request has in common point at the request.
+func countSilent(sorted []Crash) int {
+	alone, shared := 0, 0
+	for _, m := range silentMoments(sorted) {
+		if m.isShared() {
+			shared++
+		} else {
+			alone++
+		}
+	}
+	return alone + shared/sharedMoments
+}
+
+// silentMoments divides crashes, which are sorted by time, into moments.
+func silentMoments(sorted []Crash) []silentMoment {
+	var moments []silentMoment
+	for _, c := range sorted {
+		if n := len(moments); n > 0 && moments[n-1].includes(c) {
+			moments[n-1] = append(moments[n-1], c)
+		} else {
+			moments = append(moments, silentMoment{c})
+		}
+	}
+	return moments
+}
+
+// isRedundant reports whether a silent crash adds nothing to a moment of which enough is known. A failure domain would
+// otherwise fill the memory of each request that was in flight there.
+func isRedundant(crashes []Crash, c Crash) bool {
+	if !c.isSilent() {
+		return false
+	}
+	silent := slices.DeleteFunc(slices.Clone(crashes), func(k Crash) bool { return !k.isSilent() })
+	slices.SortStableFunc(silent, func(a, b Crash) int { return a.At.Compare(b.At) })
+	return slices.ContainsFunc(silentMoments(silent), func(m silentMoment) bool { return m.includes(c) && m.hasEnough(c) })
+}
+
+// hasEnough reports whether another crash would not change how the moment counts.
+func (m silentMoment) hasEnough(c Crash) bool {
+	isKnown := slices.ContainsFunc(m, func(k Crash) bool { return k.Submission == c.Submission })
+	return len(m) >= enoughOfMoment && (isKnown || m.isShared())
+}
