Tell an instance that reports a crash of a later answer

Callers would see: a page refused by all instances for ten minutes, although targets had answered it after each of its crashes.

Cause: a complete answer is known where it was seen, and is sent to the others only if it ends a suspicion there. The list shows a silent crash seconds later: an instance that has seen an answer meanwhile ignores the report, all others count it.

Change: a report names its reporter. An instance that knows a later answer tells it, and the reporter tells the others once.

--- a/adapter/peer/suspect.go
+++ b/adapter/peer/suspect.go
@@ -17,6 +17,9 @@
 	// Answered is the time of the last complete answer to the request, the zero time if none is known. Crashes before it
 	// do not count.
 	Answered time.Time
+	// Reporter is the id of the instance that has seen the crashes, empty if it needs no reply. It is told if targets have
+	// answered the request since.
+	Reporter string
 	// Hops is the number of times that the suspicion may be forwarded.
 	Hops int
 }
@@ -25,7 +28,7 @@
 func (c *RelayClient) ReportSuspicion(ctx context.Context, address string, s Suspicion) error {
 	req := &relaypb.SuspectRequest{
 		Fingerprint: uint64(s.Fingerprint), Shape: uint64(s.Shape), Hops: uint32(max(0, s.Hops)),
-		AnsweredAgeUsPlusOne: ageToWire(s.Answered),
+		AnsweredAgeUsPlusOne: ageToWire(s.Answered), Reporter: s.Reporter,
 	}
 	for _, crash := range s.Crashes {
 		req.Crashes = append(req.Crashes, &relaypb.Crash{
@@ -41,7 +44,7 @@
 func SuspicionFromWire(r *relaypb.SuspectRequest) Suspicion {
 	s := Suspicion{
 		Fingerprint: quarantine.Fingerprint(r.GetFingerprint()), Shape: quarantine.Shape(r.GetShape()), Hops: int(r.GetHops()),
-		Answered: timeFromWire(r.GetAnsweredAgeUsPlusOne()),
+		Answered: timeFromWire(r.GetAnsweredAgeUsPlusOne()), Reporter: r.GetReporter(),
 	}
 	for _, c := range r.GetCrashes() {
 		s.Crashes = append(s.Crashes, quarantine.Crash{
--- a/adapter/peer/suspect_test.go
+++ b/adapter/peer/suspect_test.go
@@ -29,7 +29,7 @@
 // Guards against a field of a crash that is lost in transit, so that the receiver counts crashes of one moment separately.
 func TestSuspicionRoundTrip(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		want := peer.Suspicion{Fingerprint: 1, Shape: 2, Hops: 3, Answered: time.Now().Add(-time.Second), Crashes: []quarantine.Crash{
+		want := peer.Suspicion{Reporter: "i", Fingerprint: 1, Shape: 2, Hops: 3, Answered: time.Now().Add(-time.Second), Crashes: []quarantine.Crash{
 			{Shard: 4, Target: "a", At: time.Now(), Submission: 5}, {Target: "d", At: time.Now(), Submission: 6, Began: time.Now().Add(-time.Minute)}, {Target: "b", At: time.Now().Add(-time.Minute)}, {Target: "c"},
 		}}
 		var got peer.Suspicion
--- a/instance/gateway/silent_crash_test.go
+++ b/instance/gateway/silent_crash_test.go
@@ -173,3 +173,27 @@
 		require.Zero(t, s.checks)
 	})
 }
+
+// Guards against a page that is refused although another instance has seen its answer between each crash and the time at which
+// the list showed it: the instance that reports the crash has not.
+func TestPageAnsweredElsewhereSinceItsCrashIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRestartSite(t, restartPlan{silent: true, mute: true, after: 5 * time.Second, lapseAfter: lapse, newID: true})
+		defer time.Sleep(timeToCrash) // Attempts that were cancelled are still at their targets.
+		s.badCaller = "10.0.0.9:1"
+		page := func(instance int, caller string) gateway.Response {
+			return s.submitRequest(t.Context(), instance, &gateway.Request{Caller: caller, Target: "/one/x", Path: "/one/x", Host: "h"})
+		}
+		for range 4 {
+			start := time.Now()
+			require.Equal(t, gateway.TimedOut, page(0, s.badCaller).Kind)
+			for page(1, "10.0.0.1:1").Kind != gateway.Answered { // The list has the dark targets still.
+				require.Less(t, time.Since(start), lapse)
+			}
+			time.Sleep(8 * time.Second)
+		}
+		for instance := range restartInstances {
+			require.Equal(t, gateway.Answered, page(instance, "10.0.0.1:1").Kind, instance)
+		}
+	})
+}
--- a/instance/gateway/suspects.go
+++ b/instance/gateway/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -141,6 +142,18 @@
 	return s.list.RecordCompleteAnswer(at, f)
 }
 
+// answeredSince returns the time of the last complete answer to a request if one of the crashes was before it, else the zero
+// time.
+func (s *suspects) answeredSince(f quarantine.Fingerprint, crashes []quarantine.Crash) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.list.LastAnswered(f)
+	if at.IsZero() || !slices.ContainsFunc(crashes, func(c quarantine.Crash) bool { return c.IsBefore(at) }) {
+		return time.Time{}
+	}
+	return at
+}
+
 // answeredRecently reports whether targets have answered an earlier submission of a request.
 func (s *suspects) answeredRecently(f quarantine.Fingerprint) bool {
 	s.mu.Lock()
--- a/instance/gateway/suspicion_exchange.go
+++ b/instance/gateway/suspicion_exchange.go
@@ -60,7 +60,7 @@
 	}
 	s.logCrashes("targets crashed while they ran a request", f, added, total, source...)
 	s.saveIfQuarantined(f)
-	s.sendToOthers(peer.Suspicion{Fingerprint: f, Crashes: added})
+	s.sendToOthers(peer.Suspicion{Fingerprint: f, Crashes: added, Reporter: s.cfg.Instance})
 }
 
 // sendToOthers sends a suspicion to all other members.
@@ -76,7 +76,11 @@
 func (s *Service) OnSuspicion(m peer.Suspicion) {
 	if !m.Answered.IsZero() && s.suspects.recordCompleteAnswer(m.Answered, m.Fingerprint) {
 		s.cfg.Log.Info("another instance reports an answer to a suspected request; earlier crashes no longer count", fingerprintAttr(m.Fingerprint))
+		if m.Hops > 0 {
+			s.sendToOthers(peer.Suspicion{Fingerprint: m.Fingerprint, Answered: m.Answered})
+		}
 	}
+	s.tellReporterOfAnswer(m)
 	if added, total := s.suspects.record(m.Fingerprint, m.Crashes); len(added) > 0 {
 		s.logCrashes("another instance reports a request that crashes targets", m.Fingerprint, added, total)
 		// Neither instance may have counted the last crash by itself.
@@ -86,6 +90,20 @@
 	}
 }
 
+// tellReporterOfAnswer tells the instance that reports crashes of an answer that came after them. That instance tells all the
+// others, which may have counted the crashes as well.
+func (s *Service) tellReporterOfAnswer(m peer.Suspicion) {
+	answered := s.suspects.answeredSince(m.Fingerprint, m.Crashes)
+	if m.Reporter == "" || answered.IsZero() {
+		return
+	}
+	for _, member := range s.cfg.Members.Members() {
+		if member.ID == m.Reporter {
+			s.sendSuspicion(member, peer.Suspicion{Fingerprint: m.Fingerprint, Answered: answered, Hops: 1})
+		}
+	}
+}
+
 // isSaver reports whether this instance is the live member that saves a request which several instances have reported.
 func (s *Service) isSaver(f quarantine.Fingerprint) bool {
 	key := strconv.FormatUint(uint64(f), 16)
