Fail a response without a valid status at once

Callers saw, on other systems, an answer with status 000.

Cause: each status below 200 was read as an interim response, also 000, 099, a change of protocols (101) that nothing had asked for, and "+20", since the parser takes any number of three characters. 600 and 999 were passed on as answers.

Change: a status is three digits from 100 to 599 and not 101. Any other ends the attempt at once as sent (the target may have run the request), and its connection is not used again.

--- a/adapter/http1/conn.go
+++ b/adapter/http1/conn.go
@@ -240,6 +240,9 @@
 			return nil, false, err
 		}
 		c.responding = true
+		if err := checkStatus(head); err != nil {
+			return nil, false, err
+		}
 		if head.StatusCode < http.StatusOK {
 			_ = head.Body.Close() // Interim responses have no body.
 			continue
@@ -262,6 +265,31 @@
 	}
 }
 
+// ErrBadStatus means that the status line of a response is none that a request may get. What follows on the connection belongs
+// to no request.
+var ErrBadStatus = errors.New("response has no valid status")
+
+const (
+	minStatus   = 100
+	maxStatus   = 599
+	statusBytes = 3
+)
+
+// checkStatus fails unless a response has a status by RFC 9110, section 15: three digits, from 100 to 599. The parser of net/http
+// takes any number of three characters. It also fails for a change of protocols, since no request asks for one.
+func checkStatus(head *http.Response) error {
+	code := head.StatusCode
+	for _, digit := range head.Status[:min(statusBytes, len(head.Status))] {
+		if digit < '0' || digit > '9' {
+			code = 0
+		}
+	}
+	if code < minStatus || code > maxStatus || code == http.StatusSwitchingProtocols {
+		return errors.Wrapf(ErrBadStatus, "status line %q", head.Status)
+	}
+	return nil
+}
+
 // announcedIdleTimeout returns the timeout parameter of the Keep-Alive field, 0 if there is none.
 func announcedIdleTimeout(h http.Header) time.Duration {
 	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
