Take an answer of the store without a valid status as none

Operators would see: the list of quarantined requests, the targets in use or the entry of an instance missing from the store, although the instance that wrote them counted the write as accepted; and an era that no store has.

Cause: a write counted as accepted with any status below 300 (gateways) or 400 (the product's own store client), also 000, 099 and "+20", which net/http passes on; the era was read from such an answer as well.

--- a/adapter/platform/client.go
+++ b/adapter/platform/client.go
@@ -134,10 +134,10 @@
 			return errors.Wrapf(ErrUnavailable, "%s %s: bad conflict body: %v", method, path, err)
 		}
 		return &ConflictError{Kind: current.Kind, Name: current.Name, Actual: current.Version}
-	case status >= http.StatusInternalServerError:
-		return errors.Wrapf(ErrUnavailable, "%s %s: status %d", method, path, status)
-	case status >= http.StatusBadRequest:
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
 		return errors.Errorf("%s %s: status %d: %s", method, path, status, raw)
+	case status < http.StatusOK || status >= http.StatusMultipleChoices:
+		return errors.Wrapf(ErrUnavailable, "%s %s: status %d", method, path, status)
 	case out == nil:
 		return nil
 	}
