Take a configuration of up to the store's limit from other instances

Cause: the receiver refused objects above 1 MB. That is the store's limit of its own encoding; a route takes more in the product's.

Change: the bound between instances is eight times as large.

--- a/adapter/peer/object.go
+++ b/adapter/peer/object.go
@@ -12,6 +12,10 @@
 	"hyssopcroft.example/control/config"
 )
 
+// maxObjectBytes is the maximum size of an object's value between instances. It is a multiple of the store's limit: an instance
+// encodes what it has read from the store in the product's own form, whose field names may be longer.
+const maxObjectBytes = 8 * platform.MaxValueBytes
+
 // ObjectToWire converts an object of the platform. It compresses the value, most of which is the repeated field names
 // of a JSON list.
 func ObjectToWire(o config.Object) *memberpb.Object {
@@ -25,18 +29,18 @@
 }
 
 // ObjectFromWire converts an object of the platform. It fails if the value is not valid gzip or is
-// larger than platform.MaxValueBytes.
+// larger than maxObjectBytes.
 func ObjectFromWire(o *memberpb.Object) (config.Object, error) {
 	r, err := gzip.NewReader(bytes.NewReader(o.GetData()))
 	if err != nil {
 		return config.Object{}, errors.Wrap(err, "decompress object")
 	}
-	data, err := io.ReadAll(io.LimitReader(r, platform.MaxValueBytes+1))
+	data, err := io.ReadAll(io.LimitReader(r, maxObjectBytes+1))
 	if err != nil {
 		return config.Object{}, errors.Wrap(err, "decompress object")
 	}
-	if len(data) > platform.MaxValueBytes {
-		return config.Object{}, errors.Errorf("object %s/%s exceeds %d bytes", o.GetKind(), o.GetName(), platform.MaxValueBytes)
+	if len(data) > maxObjectBytes {
+		return config.Object{}, errors.Errorf("object %s/%s exceeds %d bytes", o.GetKind(), o.GetName(), maxObjectBytes)
 	}
 	key := config.Key{Kind: o.GetKind(), Name: o.GetName()}
 	return config.Object{Key: key, Revision: o.GetRevision(), Data: data}, nil
