Do not extend the time for which a mass removal keeps targets

Cause: a second answer of the store that takes away more than a quarter of the entries set the time until the list is read again anew, also for the entries that the first one had taken.

Change: the second one leaves that time as it is. TestSecondMassRemovalDoesNotDelayTheFirst fails before.

--- a/instance/directory/source.go
+++ b/instance/directory/source.go
@@ -174,7 +174,9 @@
 		s.roster.Apply(now, changes)
 		if after := s.roster.ReadyCount(); float64(before-after) > massLapseShare*float64(before) {
 			s.log.Warn("many target entries disappeared at once; assuming that they lapsed in an outage", "before", before, "after", after)
-			s.recheckAt = now.Add(lapseGrace)
+			if s.recheckAt.IsZero() { // Otherwise the list is read soon: targets that live are back lapseGrace after the outage.
+				s.recheckAt = now.Add(lapseGrace)
+			}
 		}
 		return len(changes) > 0
 	})
--- a/instance/directory/source_test.go
+++ b/instance/directory/source_test.go
@@ -343,3 +343,22 @@
 		})
 	}
 }
+
+// Guards against targets that stay in use for long after they have left the list, because many others leave it within
+// lapseGrace (review/10): the time until the list is read again must not start anew.
+func TestSecondMassRemovalDoesNotDelayTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.version = 1
+		for id := 'a'; id <= 'j'; id++ {
+			store.targets = append(store.targets, roster.Entry{ID: string(id)})
+		}
+		c := start(t, store)
+		time.Sleep(5 * time.Second)
+		store.change(func() { store.targets, store.vanished = store.targets[4:], 4 })
+		time.Sleep(1700 * time.Millisecond)
+		store.change(func() { store.targets, store.vanished = store.targets[3:], 7 })
+		time.Sleep(time.Second)
+		require.ElementsMatch(t, []string{"h", "i", "j"}, c.targetIDs())
+	})
+}
