Let an isolated instance watch the store itself

Cause: an instance that does not watch the store took over the watch only once it had declared its watchers dead, after some 5 s.

Change: it watches the store while its last exchange with each neighbour has failed, 1.5 s after the loss at the latest. TestIsolatedInstanceReadsTheStoreItself fails before.

--- a/control/membership/node.go
+++ b/control/membership/node.go
@@ -110,6 +110,16 @@
 	return append(actions, n.reconnect(now)...)
 }
 
+// Isolated reports whether the last exchange with each neighbour has failed. The instance then learns nothing from the others.
+func (n *Node) Isolated() bool {
+	for _, id := range n.neighbours {
+		if m, known := n.Get(id); known && m.State == Live && n.peerOf(id).misses == 0 {
+			return false
+		}
+	}
+	return len(n.neighbours) > 0
+}
+
 // NextWake returns the time at which OnWake is due next. Messages that arrive earlier may change it.
 func (n *Node) NextWake() time.Time {
 	next := n.nextReap
--- a/emulator/controlplane/fleet_test.go
+++ b/emulator/controlplane/fleet_test.go
@@ -66,6 +66,23 @@
 	}
 }
 
+// Guards against an instance that has lost its watchers and all other instances, and learns of an edit only when it has declared
+// them dead (review/9).
+func TestIsolatedInstanceReadsTheStoreItself(t *testing.T) {
+	const applyWithin = 3 * time.Second
+	runWithFleet(t, 21, Faults{}, func(t *testing.T, f *Fleet) {
+		e := newEditor(f, 1)
+		time.Sleep(2 * time.Second)
+		f.Network.UpdateFaults(func(faults *Faults) { faults.LossShare = 1 })
+		e.edit(0, anyInstance)
+		time.Sleep(applyWithin)
+		for _, i := range f.Instances {
+			inForce, _ := i.Config.InForce()
+			require.EqualValues(t, 2, inForce.Sequence, i.Self.ID)
+		}
+	})
+}
+
 // Guards against a cold instance that waits for an unavailable store although its peers have the objects that it needs,
 // and against instances that do not report that their configuration is unconfirmed.
 func TestColdInstanceStartsFromPeers(t *testing.T) {
--- a/instance/configsync/service.go
+++ b/instance/configsync/service.go
@@ -133,6 +133,8 @@
 	wireMu      sync.Mutex                      // guards wireObjects
 	wireObjects map[config.Key]*memberpb.Object // the latest message of each object
 
+	roleChanged chan struct{} // signals that the instance may have become a watcher
+
 	publishMu sync.Mutex // keeps events in the order of revisions; locked before mu
 
 	mu               sync.Mutex // guards the fields below
@@ -145,6 +147,7 @@
 	cancelOutage     context.CancelFunc
 	storeUnreachable bool // the last watch call for the required kind failed
 	fetching         bool
+	isolated         bool // see SetIsolated
 	// startRevisions are the revisions, by kind, at which the store was read at the start. The first
 	// watch of a kind continues from there.
 	startRevisions map[string]platform.Version
@@ -161,7 +164,7 @@
 // UseQuarantineStore is called.
 func NewWithSchema(schema Schema, source Source, bus *kernel.Bus, ring *timeline.Ring, log *slog.Logger, c *counters.Set) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Service{source: source, schema: schema, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel, startRevisions: map[string]platform.Version{}, wireObjects: map[config.Key]*memberpb.Object{}}
+	return &Service{source: source, schema: schema, bus: bus, ring: ring, log: log, counters: c, ctx: ctx, cancel: cancel, roleChanged: make(chan struct{}, 1), startRevisions: map[string]platform.Version{}, wireObjects: map[config.Key]*memberpb.Object{}}
 }
 
 // UseRecorder sets the recorder of the configuration versions that are offered. subject is the ID of
--- a/instance/configsync/watch.go
+++ b/instance/configsync/watch.go
@@ -33,20 +33,52 @@
 	s.coldStart()
 	var watches sync.WaitGroup
 	defer watches.Wait()
-	s.updateRole(&watches)
-	for kernel.Sleep(s.ctx, roleInterval) {
+	alarm := kernel.NewAlarm(0)
+	defer alarm.Stop()
+	for {
+		select {
+		case <-alarm.C:
+		case <-s.roleChanged:
+		case <-s.ctx.Done():
+			return
+		}
 		s.updateRole(&watches)
+		alarm.Set(roleInterval)
 	}
 }
 
+// SetIsolated states whether all exchanges with other instances fail. An isolated instance watches the store itself: the watchers
+// that it depends on may be lost long before it has declared them dead.
+func (s *Service) SetIsolated(isolated bool) {
+	s.mu.Lock()
+	changed := s.isolated != isolated
+	s.isolated = isolated
+	s.mu.Unlock()
+	if !changed {
+		return
+	}
+	select {
+	case s.roleChanged <- struct{}{}:
+	default: // A signal is pending already.
+	}
+}
+
+// isSelected reports whether the instance is to watch the store.
+func (s *Service) isSelected() bool {
+	s.mu.Lock()
+	isolated := s.isolated
+	s.mu.Unlock()
+	self := s.fleet.Self()
+	return isolated || slices.Contains(s.watchersOf(self.FailureDomain), self.ID)
+}
+
 // updateRole starts or stops the watches when the instance becomes or ceases to be a watcher.
 func (s *Service) updateRole(watches *sync.WaitGroup) {
-	self := s.fleet.Self()
-	selected := slices.Contains(s.watchersOf(self.FailureDomain), self.ID)
+	selected := s.isSelected()
 	if selected == s.Watching() || s.ctx.Err() != nil {
 		return
 	}
-	s.ring.Add("store_watch", self.ID, strconv.FormatBool(selected))
+	s.ring.Add("store_watch", s.fleet.Self().ID, strconv.FormatBool(selected))
 	if !selected {
 		s.mu.Lock()
 		s.stopWatches()
--- a/instance/members/service.go
+++ b/instance/members/service.go
@@ -214,7 +214,9 @@
 	s.mu.Lock()
 	f(time.Now())
 	changed := s.node.TakeChanges()
+	isolated := s.node.Isolated()
 	s.mu.Unlock()
+	s.config.SetIsolated(isolated)
 	s.announceChanges(changed)
 	select {
 	case s.wake <- struct{}{}:
