Keep in the store that targets had answered a quarantined request

Cause: a page that targets had answered before its crashes is tried after 15 s, but only instances that have seen the answer know it; the list in the store, which outlives them, did not say so.

Change: the list says when a request was last answered before its confirmation, and an instance that knows of an answer adds it. TestAnsweredPageIsServedSoonAfterLossOfAllInstances fails before (0 of 60 served).

--- a/instance/gateway/suspects_answered_test.go
+++ b/instance/gateway/suspects_answered_test.go
@@ -97,3 +97,32 @@
 		require.LessOrEqual(t, c.crashCount()-before, 3)
 	})
 }
+
+// Guards against a page that is refused for ten minutes after the loss of all instances, although targets had answered it all the
+// time before three crashes met it (review/7): the store has to say so.
+func TestAnsweredPageIsServedSoonAfterLossOfAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stopAll(t)
+		for instance := range 3 {
+			require.Equal(t, gateway.Answered, c.do(t.Context(), instance, "/one/x", "page", "10.0.0.1:1").Kind)
+		}
+		for n := range 3 {
+			c.crashUnder(t, n, "page")
+			time.Sleep(restartTime + time.Second)
+		}
+		require.True(t, isQuarantined(c.do(t.Context(), 0, "/one/x", "page", "10.0.0.1:1")))
+		c.stopAll(t)
+		for instance := range 3 {
+			c.restart(t, instance)
+		}
+		served := 0
+		for n := range 60 {
+			time.Sleep(time.Second)
+			if c.do(t.Context(), n, "/one/x", "page", "10.0.0.1:1").Kind == gateway.Answered {
+				served++
+			}
+		}
+		require.GreaterOrEqual(t, served, 40)
+	})
+}
--- a/instance/gateway/suspicion_exchange.go
+++ b/instance/gateway/suspicion_exchange.go
@@ -131,17 +131,21 @@
 	}
 }
 
-// onQuarantineStored takes over the list of quarantined requests in the platform's store, and saves those that it lacks.
+// onQuarantineStored takes over the list of quarantined requests in the platform's store, and saves what it lacks: requests, and
+// that targets had answered one before, which would be lost with the instances that know it.
 func (s *Service) onQuarantineStored(stored []quarantine.Confirmed) {
 	now := time.Now()
-	known := make(map[quarantine.Fingerprint]bool, len(stored))
+	answered := make(map[quarantine.Fingerprint]bool, len(stored)) // whether the store knows of an answer
 	s.suspects.mu.Lock()
 	for _, c := range stored {
-		known[c.Fingerprint] = true
+		answered[c.Fingerprint] = c.AnsweredMillis > 0
 		s.suspects.list.Import(now, c)
 		s.suspects.stopQuarantined(now, c.Fingerprint)
 	}
-	missing := slices.DeleteFunc(s.suspects.list.AllConfirmed(now), func(c quarantine.Confirmed) bool { return known[c.Fingerprint] })
+	missing := slices.DeleteFunc(s.suspects.list.AllConfirmed(now), func(c quarantine.Confirmed) bool {
+		hasAnswer, isStored := answered[c.Fingerprint]
+		return isStored && (hasAnswer || c.AnsweredMillis == 0)
+	})
 	s.suspects.mu.Unlock()
 	s.cfg.Log.Info("quarantined requests read from the store", "requests", len(stored), "missing", len(missing))
 	for _, c := range missing {
--- a/query/quarantine/confirmed.go
+++ b/query/quarantine/confirmed.go
@@ -18,6 +18,9 @@
 	// UntilMillis is the end of the hold in Unix milliseconds, by the clock of the instance that confirmed
 	// the request.
 	UntilMillis int64 `json:"until_ms"`
+	// AnsweredMillis is the last complete answer before the confirmation in Unix milliseconds, by the same clock, 0 if none is
+	// known. A request that had one may have met crashes with another cause, and is tried before its hold ends.
+	AnsweredMillis int64 `json:"answered_ms,omitempty"`
 }
 
 // Confirmed returns the request as confirmed if it is refused at the given time, or false.
@@ -26,9 +29,13 @@
 	if !ok || !l.Refuses(now, f) {
 		return Confirmed{}, false
 	}
-	return Confirmed{
+	c := Confirmed{
 		Fingerprint: f, Shape: s, Crashes: slices.Clone(e.crashes), UntilMillis: e.holdStart.Add(HoldDuration).UnixMilli(),
-	}, true
+	}
+	if l.mayBeHarmless(f, e) {
+		c.AnsweredMillis = l.LastAnswered(f).UnixMilli()
+	}
+	return c, true
 }
 
 // AllConfirmed returns the requests that are refused at the given time, without their shapes.
@@ -51,6 +58,7 @@
 		return
 	}
 	l.shapes.remove(c.Shape)
+	l.importAnswer(c, holdStart)
 	known, ok := l.entries.get(c.Fingerprint)
 	if ok && known.confirmed && !known.holdStart.Before(holdStart) {
 		return
@@ -62,6 +70,14 @@
 	l.entries.put(c.Fingerprint, e)
 }
 
+// importAnswer takes over the answer to a request that was confirmed later.
+func (l *List) importAnswer(c Confirmed, holdStart time.Time) {
+	at := earlier(time.UnixMilli(c.AnsweredMillis), holdStart)
+	if c.AnsweredMillis > 0 && at.After(l.LastAnswered(c.Fingerprint)) {
+		l.answered.put(c.Fingerprint, at)
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -70,14 +86,17 @@
 }
 
 // MergeConfirmed returns the union of shared and added, ordered by the end of the holds and without expired
-// requests of shared. It returns false if added contains no new request.
+// requests of shared. It returns false if added contains neither a new request nor an answer to a known one.
 func MergeConfirmed(now time.Time, shared, added []Confirmed) ([]Confirmed, bool) {
 	merged := slices.DeleteFunc(slices.Clone(shared), func(c Confirmed) bool { return c.UntilMillis <= now.UnixMilli() })
 	changed := false
 	for _, c := range added {
 		i := slices.IndexFunc(merged, func(o Confirmed) bool { return o.Fingerprint == c.Fingerprint })
-		if i < 0 {
+		switch {
+		case i < 0:
 			merged, changed = append(merged, c), true
+		case merged[i].AnsweredMillis == 0 && c.AnsweredMillis > 0:
+			merged[i], changed = c, true
 		}
 	}
 	slices.SortFunc(merged, func(a, b Confirmed) int { return cmp.Compare(a.UntilMillis, b.UntilMillis) })
--- a/query/quarantine/list_test.go
+++ b/query/quarantine/list_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -167,3 +168,38 @@
 	require.Equal(t, candidates[1:], quarantine.SingleShardCanaryTargets(7, 0, targets, candidates[:1]))
 	require.Empty(t, quarantine.SingleShardCanaryTargets(7, 0, targets, []quarantine.Crash{{Shard: 0}}))
 }
+
+// Guards against an answer of which only some instances know, so that a request that it shows to be harmless is refused by those
+// that start later; and against one that counts as later than the confirmation.
+func TestConfirmedRequestKeepsItsAnswer(t *testing.T) {
+	confirm := func(answered bool) quarantine.Confirmed {
+		l := quarantine.NewListWithThreshold(3)
+		if answered {
+			l.RecordCompleteAnswer(start, fingerprint)
+		}
+		for n := range 3 {
+			at := start.Add(time.Duration(n+1) * time.Second)
+			l.RecordCrash(at, fingerprint, 0, crashAt(fmt.Sprint(n), time.Duration(n+1)*time.Second, 0))
+		}
+		c, confirmed := l.Confirmed(start.Add(3*time.Second), fingerprint, 0)
+		require.True(t, confirmed)
+		return c
+	}
+	unanswered, answered := confirm(false), confirm(true)
+	require.Zero(t, unanswered.AnsweredMillis)
+	merged, changed := quarantine.MergeConfirmed(start, []quarantine.Confirmed{unanswered}, []quarantine.Confirmed{answered})
+	require.True(t, changed)
+	require.Equal(t, []quarantine.Confirmed{answered}, merged)
+	merged, changed = quarantine.MergeConfirmed(start, merged, []quarantine.Confirmed{unanswered, answered})
+	require.False(t, changed)
+	ahead := answered
+	ahead.AnsweredMillis = start.Add(time.Hour).UnixMilli()
+	for _, c := range append(merged, ahead) {
+		l := quarantine.NewListWithThreshold(3)
+		now := start.Add(4 * time.Second)
+		l.Import(now, c)
+		require.True(t, l.Refuses(now, fingerprint))
+		require.False(t, l.TrialIsDue(now, fingerprint))
+		require.True(t, l.TrialIsDue(now.Add(20*time.Second), fingerprint))
+	}
+}
