Take the time between heartbeats of targets from the settings

Where targets send heartbeats less often than each 1.2 s, the list shows the loss of a failure domain over a longer time, and a sound page that was in flight there would count as crashing its targets several times.

Change: the time in which silent crashes count as one moment is a setting, target_heartbeat_ms, which the platform fills in. TestMomentLastsOneHeartbeat.

--- a/emulator/soak/fragile.go
+++ b/emulator/soak/fragile.go
@@ -25,6 +25,12 @@
 	crashingCallers = 25
 	// submissionPause is the pause between two submissions of the crashing request.
 	submissionPause = 250 * time.Millisecond
+	// silentSubmissionPause replaces it in runs with silent crashes, which show seconds later.
+	silentSubmissionPause = 1200 * time.Millisecond
+	// silentRuns is the number of runs, by their seed, of which one has silent crashes.
+	silentRuns = 5
+	// lapseTime is the time from a silent crash to the removal of the entry.
+	lapseTime = 3600 * time.Millisecond
 	// spreadTime is the time after the third crash in which all instances must have been told of it.
 	spreadTime = recoveryTime
 	// maxLateCrashes is the number of crashes that are allowed later.
@@ -35,16 +41,70 @@
 )
 
 // startFragile starts a searcher that crashes when it gets the crashing request, before or in the middle of its answer: it
-// closes its listener and all its connections. It starts again at the same address, or elsewhere under another id.
+// closes its listener and all its connections. It starts again at the same address, or elsewhere under another id. In runs with
+// silent crashes it leaves its connections open, says nothing on them any more, and starts again elsewhere.
 func (s *soak) startFragile(n int, random *rand.Rand) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	go s.runFragile(fmt.Sprintf("%s-%d", fragileService, n), l, random)
+	name := fmt.Sprintf("%s-%d", fragileService, n)
+	if s.crashesAreSilent() {
+		go s.runSilentlyFragile(name, l)
+	} else {
+		go s.runFragile(name, l, random)
+	}
 	return nil
 }
 
+// crashesAreSilent reports whether the crashes of this run leave connections open.
+func (s *soak) crashesAreSilent() bool { return s.seed%silentRuns == silentRuns-1 }
+
+func (s *soak) runSilentlyFragile(name string, l net.Listener) {
+	for start := 0; ; start++ {
+		id := fmt.Sprintf("%s-%d", name, start)
+		crashed := make(chan struct{})
+		crash := sync.OnceFunc(func() {
+			s.recordCrash()
+			close(crashed)
+			_ = l.Close() // New connections are refused, also if Close fails for another reason.
+		})
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-crashed:
+			default:
+				if r.Header.Get("Expect-Instance") != id {
+					w.WriteHeader(http.StatusMisdirectedRequest)
+					return
+				}
+				crash()
+			}
+			<-r.Context().Done() // The far end closes the connection.
+		})}
+		s.putFragile(id, l.Addr().String())
+		_ = server.Serve(l) // It returns once the listener is closed.
+		time.AfterFunc(lapseTime, func() { s.store.put("servers", id, nil) })
+		time.Sleep(crashDuration)
+		var err error
+		if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			s.recorder.addViolation("stand-in: %v", err)
+			return
+		}
+	}
+}
+
+func (s *soak) recordCrash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashes = append(s.crashes, time.Now())
+}
+
+func (s *soak) putFragile(id, address string) {
+	s.store.put("servers", id, map[string]any{
+		"backend": fragileService, "address": address, "zone": "d0", "state": "ready", "slots": 4, "born": time.Now().UnixMilli(),
+	})
+}
+
 func (s *soak) runFragile(name string, l net.Listener, random *rand.Rand) {
 	id, address := name, l.Addr().String()
 	for start := 1; ; start++ {
@@ -57,9 +117,7 @@
 				return
 			}
 			once.Do(func() {
-				s.mu.Lock()
-				s.crashes = append(s.crashes, time.Now())
-				s.mu.Unlock()
+				s.recordCrash()
 				if inAnswer {
 					w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 					w.Header().Set("Content-Length", strconv.Itoa(crashedAnswerBytes))
@@ -69,9 +127,7 @@
 				_ = server.Close() // It ends Serve below.
 			})
 		})
-		s.store.put("servers", id, map[string]any{
-			"backend": fragileService, "address": address, "zone": "d0", "state": "ready", "slots": 4, "born": time.Now().UnixMilli(),
-		})
+		s.putFragile(id, address)
 		_ = server.Serve(l) // It returns once the server is closed.
 		time.Sleep(crashDuration)
 		if moves {
@@ -98,8 +154,12 @@
 
 // submitCrashingRequest submits the request again and again through random instances, each time from another address.
 func (s *soak) submitCrashingRequest(ctx context.Context, random *rand.Rand) {
+	pause := submissionPause
+	if s.crashesAreSilent() {
+		pause = silentSubmissionPause
+	}
 	for n := 0; ctx.Err() == nil; n++ {
-		time.Sleep(submissionPause)
+		time.Sleep(pause)
 		i := s.readyInstance(random)
 		if i == nil {
 			continue
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -106,7 +106,8 @@
 		ExtraAttempts: hedge.BudgetLimits{
 			Share: s.ExtraShare, Slack: s.ExtraSlack, Span: time.Duration(s.ExtraSeconds * float64(time.Second)),
 		},
-		FollowsEarlier: !s.FirstStart, BodyMemory: int64(bodyShare * float64(s.MemoryMB<<20)),
+		TargetHeartbeat: time.Duration(s.TargetHeartbeatMS * float64(time.Millisecond)),
+		FollowsEarlier:  !s.FirstStart, BodyMemory: int64(bodyShare * float64(s.MemoryMB<<20)),
 		Metrics: gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
 		SendSuspicion: relays.ReportSuspicion, SaveQuarantined: objects.AddQuarantined, ReleaseQuarantined: objects.RemoveQuarantined, Forward: relays.Forward, ConnectRelay: relays.Connect,
 	})
--- a/instance/edge/settings.go
+++ b/instance/edge/settings.go
@@ -54,6 +54,8 @@
 	ExtraShare   float64 `json:"extra_share"`
 	ExtraSlack   float64 `json:"extra_slack"`
 	ExtraSeconds float64 `json:"extra_seconds"`
+	// TargetHeartbeatMS is the time between two heartbeats of a target in milliseconds, 0 if it is not known.
+	TargetHeartbeatMS float64 `json:"target_heartbeat_ms"`
 }
 
 // LoadSettings reads and checks a settings file. A *settings.FaultsError lists all faults.
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -55,6 +55,8 @@
 	ExtraAttempts hedge.BudgetLimits
 	// BodyMemory is the memory in bytes that large bodies of requests in progress may occupy, 0 for no limit.
 	BodyMemory int64
+	// TargetHeartbeat is the time between two heartbeats of a target, 0 if it is not known.
+	TargetHeartbeat time.Duration
 	// FollowsEarlier is set if an earlier process may have sent extra attempts in the place of this one.
 	FollowsEarlier bool
 	Sender         Sender
@@ -132,6 +134,9 @@
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.suspects = newSuspects()
+	if cfg.TargetHeartbeat > 0 {
+		s.suspects.list.SetHeartbeat(cfg.TargetHeartbeat)
+	}
 	s.fleet = s.fleetOf(nil, gathered{}, nil)
 	s.balancer.SetInstances(s.fleet.all.instances, s.fleet.all.ratePart)
 	s.lastAttempt.Store(rand.Uint64())
--- a/query/quarantine/list.go
+++ b/query/quarantine/list.go
@@ -104,6 +104,7 @@
 // for concurrent use.
 type List struct {
 	crashThreshold int // number of crashed targets that confirms a request
+	heartbeat      time.Duration
 	entries        lru[Fingerprint, *entry]
 	shapes         lru[Shape, struct{}]
 	answered       lru[Fingerprint, time.Time] // time of the last complete answer
@@ -115,13 +116,17 @@
 // NewListWithThreshold returns an empty list that confirms a request once the given number of targets has crashed.
 func NewListWithThreshold(crashThreshold int) *List {
 	return &List{
-		crashThreshold: crashThreshold,
-		entries:        newLRU[Fingerprint, *entry](maxEntries),
-		shapes:         newLRU[Shape, struct{}](maxShapes),
-		answered:       newLRU[Fingerprint, time.Time](maxAnswered),
+		crashThreshold: crashThreshold, heartbeat: defaultHeartbeat,
+		entries:  newLRU[Fingerprint, *entry](maxEntries),
+		shapes:   newLRU[Shape, struct{}](maxShapes),
+		answered: newLRU[Fingerprint, time.Time](maxAnswered),
 	}
 }
 
+// SetHeartbeat sets the time between two heartbeats of a target, which is the time over which the list shows targets that were
+// lost together.
+func (l *List) SetHeartbeat(d time.Duration) { l.heartbeat = d }
+
 // Empty reports whether the list has no suspected or confirmed request and no canary in flight.
 func (l *List) Empty() bool { return len(l.entries.items) == 0 }
 
@@ -200,7 +205,7 @@
 	case e.confirmed:
 		return l.crashThreshold
 	}
-	return countCrashes(e.crashes)
+	return l.countCrashes(e.crashes)
 }
 
 // Restricted reports whether the request may run only as a canary, or not at all.
@@ -313,21 +318,21 @@
 		e.holdStart, e.crashes[0] = now, c
 		return true
 	}
-	if e.confirmed || !e.add(c) {
+	if e.confirmed || !l.add(e, c) {
 		return false
 	}
 	e.holdStart = now
-	e.confirmed = countCrashes(e.crashes) >= l.crashThreshold
+	e.confirmed = l.countCrashes(e.crashes) >= l.crashThreshold
 	return true
 }
 
 // add adds a crash, or what is new about a known one. It reports whether anything is new.
-func (e *entry) add(c Crash) bool {
+func (l *List) add(e *entry, c Crash) bool {
 	i := slices.IndexFunc(e.crashes, c.sameAs)
 	switch {
 	case i >= 0 && e.crashes[i].Submission == 0 && c.Submission != 0:
 		e.crashes[i].Submission = c.Submission
-	case i >= 0 || len(e.crashes) == maxCrashes || isRedundant(e.crashes, c):
+	case i >= 0 || len(e.crashes) == maxCrashes || l.isRedundant(e.crashes, c):
 		return false
 	default:
 		e.crashes = append(e.crashes, c)
--- a/query/quarantine/moment.go
+++ b/query/quarantine/moment.go
@@ -11,9 +11,8 @@
 	// sameMoment is the maximum time between the first and the last of crashes that may have a common cause. It covers the
 	// transit time of a report between regions.
 	sameMoment = 100 * time.Millisecond
-	// lapseSpread is the time over which the list may show silent crashes that have a common cause, such as the loss of a
-	// failure domain: entries lapse a fixed time after their last heartbeat, and targets send these at different times.
-	lapseSpread = 1200 * time.Millisecond
+	// defaultHeartbeat is the time between two heartbeats of a target, unless SetHeartbeat is called.
+	defaultHeartbeat = 1200 * time.Millisecond
 	// sameBurst is the maximum time between the starts of two submissions that may have been in flight together when targets
 	// crashed for another reason.
 	sameBurst = 500 * time.Millisecond
@@ -24,7 +23,7 @@
 )
 
 // countCrashes returns the number of crashes that count against a request.
-func countCrashes(crashes []Crash) int {
+func (l *List) countCrashes(crashes []Crash) int {
 	sorted := slices.SortedStableFunc(slices.Values(crashes), func(a, b Crash) int { return a.At.Compare(b.At) })
 	var seen, silent []Crash
 	for _, c := range sorted {
@@ -34,7 +33,7 @@
 			seen = append(seen, c)
 		}
 	}
-	return countSeen(seen) + countSilent(silent)
+	return countSeen(seen) + l.countSilent(silent)
 }
 
 // countSeen counts crashes whose time is known, in the order of that time. Those of one moment count as one, except for those
@@ -67,11 +66,12 @@
 // silentMoment is a set of silent crashes that may have a common cause.
 type silentMoment []Crash
 
-// includes reports whether a later crash may have the same cause: the list shows it at about the same time, or submissions
-// that began together were in flight.
-func (m silentMoment) includes(c Crash) bool {
+// includes reports whether a crash may have the same cause: the list shows it within a heartbeat, or submissions that began
+// together were in flight. Entries lapse a fixed time after the last heartbeat, and targets send these at different times, so
+// that the list shows the loss of a failure domain over that time.
+func (m silentMoment) includes(c Crash, heartbeat time.Duration) bool {
 	first := m[0]
-	return c.At.Sub(first.At).Abs() < lapseSpread || c.Began.Sub(first.Began).Abs() < sameBurst
+	return c.At.Sub(first.At).Abs() < heartbeat || c.Began.Sub(first.Began).Abs() < sameBurst
 }
 
 // isShared reports whether several submissions that began together were in flight. A request that many callers send is in
@@ -90,9 +90,9 @@
 // countSilent counts crashes that only the list has shown, in the order in which it did. Those of one moment count as one
 // together, and less if several submissions were in flight: what a moment has in common may be a failure domain, and three
 // separate moments that a request has in common point at the request.
-func countSilent(sorted []Crash) int {
+func (l *List) countSilent(sorted []Crash) int {
 	alone, shared := 0, 0
-	for _, m := range silentMoments(sorted) {
+	for _, m := range l.silentMoments(sorted) {
 		if m.isShared() {
 			shared++
 		} else {
@@ -103,10 +103,10 @@
 }
 
 // silentMoments divides crashes, which are sorted by time, into moments.
-func silentMoments(sorted []Crash) []silentMoment {
+func (l *List) silentMoments(sorted []Crash) []silentMoment {
 	var moments []silentMoment
 	for _, c := range sorted {
-		if n := len(moments); n > 0 && moments[n-1].includes(c) {
+		if n := len(moments); n > 0 && moments[n-1].includes(c, l.heartbeat) {
 			moments[n-1] = append(moments[n-1], c)
 		} else {
 			moments = append(moments, silentMoment{c})
@@ -117,13 +117,13 @@
 
 // isRedundant reports whether a silent crash adds nothing to a moment of which enough is known. A failure domain would
 // otherwise fill the memory of each request that was in flight there.
-func isRedundant(crashes []Crash, c Crash) bool {
+func (l *List) isRedundant(crashes []Crash, c Crash) bool {
 	if !c.isSilent() {
 		return false
 	}
 	silent := slices.DeleteFunc(slices.Clone(crashes), func(k Crash) bool { return !k.isSilent() })
 	slices.SortStableFunc(silent, func(a, b Crash) int { return a.At.Compare(b.At) })
-	return slices.ContainsFunc(silentMoments(silent), func(m silentMoment) bool { return m.includes(c) && m.hasEnough(c) })
+	return slices.ContainsFunc(l.silentMoments(silent), func(m silentMoment) bool { return m.includes(c, l.heartbeat) && m.hasEnough(c) })
 }
 
 // hasEnough reports whether another crash would not change how the moment counts.
--- a/query/quarantine/unanswered_test.go
+++ b/query/quarantine/unanswered_test.go
@@ -126,3 +126,18 @@
 	}
 	require.True(t, l.Refuses(shown(4), fingerprint))
 }
+
+// Guards against the loss of a failure domain that counts several times where targets send heartbeats seldom.
+func TestMomentLastsOneHeartbeat(t *testing.T) {
+	for heartbeat, want := range map[time.Duration]int{time.Second: 3, 5 * time.Second: 1} {
+		l := quarantine.NewListWithThreshold(3)
+		l.SetHeartbeat(heartbeat)
+		for n := range 3 {
+			at := start.Add(time.Duration(n) * 2 * time.Second)
+			l.RecordCrash(at, fingerprint, 0, quarantine.Crash{
+				Target: query.TargetID(fmt.Sprint(n)), Submission: query.RequestID(n + 1), Began: at.Add(-3 * time.Second), At: at,
+			})
+		}
+		require.Equal(t, want, l.CrashCount(fingerprint), heartbeat)
+	}
+}
