Keep how a crash that closed its connection counts when the list shows it as well

A report from the list carries a submission for another purpose. It must not make a crash that was seen, and whose submission proves too much, count separately. By reading; the tests of the counts pass before and after.

--- a/query/quarantine/list.go
+++ b/query/quarantine/list.go
@@ -345,7 +345,7 @@
 func (l *List) add(e *entry, c Crash) bool {
 	i := slices.IndexFunc(e.crashes, c.sameAs)
 	switch {
-	case i >= 0 && e.crashes[i].Submission == 0 && c.Submission != 0:
+	case i >= 0 && e.crashes[i].Submission == 0 && c.Submission != 0 && !c.isSilent():
 		e.crashes[i].Submission = c.Submission
 	case i >= 0 && e.crashes[i].isSilent() && c.isSilent():
 		return e.crashes[i].merge(c)
