--- a/adapter/peer/object_test.go
+++ b/adapter/peer/object_test.go
@@ -33,15 +33,14 @@
 // Guards against a configuration that the store holds and no instance takes from another one, because the product's own encoding
 // of it is larger than a value of the store (review/6).
 func TestLargestConfigurationOfTheStoreReachesOtherInstances(t *testing.T) {
+	const storedRouteBytes = 185 // of a route in the store's encoding
 	var table routing.Table
-	size := 0
-	for n := 0; size < platform.MaxValueBytes; n++ {
-		name := fmt.Sprint("r", n)
+	for n := range platform.MaxValueBytes / storedRouteBytes {
+		name := fmt.Sprint("route-", n)
 		table.Routes = append(table.Routes, routing.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Timeout: time.Second, Objective: time.Second, MaxAttempts: 2, Repeatable: true,
+			Name: name, Host: "shop.example", Prefix: "/" + name + "/", Timeout: time.Second, Objective: time.Second, MaxAttempts: 2, Repeatable: true,
 			Split: []routing.WeightedService{{Service: "s", Weight: 1}},
 		})
-		size += len(fmt.Sprintf(`{"name":%q,"host":"h","path-prefix":"/%s/","timeout-ms":1000,"backend":"s"}`, name, name)) // As in the store.
 	}
 	data, err := json.Marshal(&table)
 	require.NoError(t, err)
--- a/instance/gateway/suspicion_exchange.go
+++ b/instance/gateway/suspicion_exchange.go
@@ -135,7 +135,7 @@
 // that targets had answered one before, which would be lost with the instances that know it.
 func (s *Service) onQuarantineStored(stored []quarantine.Confirmed) {
 	now := time.Now()
-	answered := make(map[quarantine.Fingerprint]bool, len(stored)) // whether the store knows of an answer
+	answered := make(map[quarantine.Fingerprint]bool, len(stored)) // set if the stored request has the time of an answer
 	s.suspects.mu.Lock()
 	for _, c := range stored {
 		answered[c.Fingerprint] = c.AnsweredMillis > 0
--- a/query/quarantine/moment.go
+++ b/query/quarantine/moment.go
@@ -111,8 +111,8 @@
 	return alone + shared/sharedMoments
 }
 
-// weight returns the number of crashes as which a moment counts that is not shared. The targets of a single submission count up
-// to one less than confirms a request, since one event may have met them all.
+// weight returns how many crashes a moment counts for that is not shared. A single submission at several targets counts for two at
+// most, not for the three that confirm a request: one event may have met all of them.
 func (m silentMoment) weight() int {
 	isOther := func(c Crash) bool { return c.Submission != m[0].Submission }
 	if len(m) > 1 && !slices.ContainsFunc(m, isOther) {
--- a/query/quarantine/unanswered_test.go
+++ b/query/quarantine/unanswered_test.go
@@ -60,8 +60,8 @@
 	require.Len(t, u.Take("new"), 1)
 }
 
-// Guards against a request that is refused because it was in flight at targets that went dark together, and against one that is
-// not refused although it takes its targets one after the other.
+// Guards against a request that is refused because it was in flight at targets that went dark together, and against a request
+// that crashes one target after another and is let through.
 func TestSilentCrashesCountByMoment(t *testing.T) {
 	silent := func(target string, submission query.RequestID, began, shown time.Duration) quarantine.Crash {
 		return quarantine.Crash{Target: query.TargetID(target), Submission: submission, Began: start.Add(began), At: start.Add(shown)}
