--- a/emulator/soak/soak.go
+++ b/emulator/soak/soak.go
@@ -80,6 +80,7 @@
 	requests    atomic.Int64
 	served      atomic.Int64
 	faultCounts map[string]int
+	limits      callerLimits // of callers' requests, in each configuration
 
 	mu               sync.Mutex             // guards the fields below
 	searchers        map[string][]*searcher // by service
@@ -105,7 +106,7 @@
 	defer func() { _ = os.RemoveAll(dir) }() // Leftover temporary files are harmless.
 	s := &soak{
 		seed: cfg.Seed, random: rand.New(rand.NewPCG(cfg.Seed, 1)), store: newStore(), recorder: newRecorder(), faultCounts: map[string]int{},
-		searchers: map[string][]*searcher{},
+		searchers: map[string][]*searcher{}, limits: defaultCallerLimits,
 	}
 	if err := s.start(dir, cfg.Program, cfg.Instances); err != nil {
 		return Result{}, err
@@ -167,12 +168,8 @@
 		return errors.Wrap(err, "start the listener of the store")
 	}
 	go func() { _ = http.Serve(l, s.store) }() // It runs until the process exits.
-	for _, service := range services() {
-		for range 2 {
-			if _, err := s.addSearcher(service); err != nil {
-				return err
-			}
-		}
+	if err := s.startSearchers(); err != nil {
+		return err
 	}
 	for n := range fragileCount {
 		if err := s.startFragile(n, rand.New(rand.NewPCG(s.seed, fragileStream+uint64(n)))); err != nil {
@@ -199,6 +196,17 @@
 	return nil
 }
 
+func (s *soak) startSearchers() error {
+	for _, service := range services() {
+		for range 2 {
+			if _, err := s.addSearcher(service); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func shardNames() []string {
 	var names []string
 	for n := range shardCount {
@@ -280,7 +288,9 @@
 			route("fragile", "/fragile/", "idempotent", map[string]any{"backend": fragileService}),
 			route("moved", "/moved/", "idempotent", map[string]any{"backend": movedService(v)}),
 		},
-		"services": list, "limits": map[string]any{"max-body-bytes": 10000, "header-timeout-ms": 3000},
+		"services": list, "limits": map[string]any{
+			"max-header-bytes": s.limits.headBytes, "max-body-bytes": s.limits.bodyBytes, "header-timeout-ms": s.limits.headTime.Milliseconds(),
+		},
 	})
 }
 
