--- a/instance/conndrain/conns.go
+++ b/instance/conndrain/conns.go
@@ -67,11 +67,8 @@
 
 // OnConnState is the ConnState hook of the server.
 func (c *Conns) OnConnState(conn net.Conn, s http.ConnState) {
-	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
-		conn = wrapped.NetConn()
-	}
-	tracked, ok := conn.(*trackedConn)
-	if !ok {
+	tracked := unwrap(conn)
+	if tracked == nil {
 		return
 	}
 	tracked.setState(s)
@@ -82,6 +79,20 @@
 	}
 }
 
+// unwrap returns the tracked connection inside a connection, nil if there is none.
+func unwrap(conn net.Conn) *trackedConn {
+	for {
+		if tracked, ok := conn.(*trackedConn); ok {
+			return tracked
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil
+		}
+		conn = wrapper.NetConn()
+	}
+}
+
 // Drain closes the idle connections that have no input, until none is left and no new one has arrived for
 // acceptQuietPeriod. Requests that arrive meanwhile are answered by the server. It returns early if ctx is done.
 func (c *Conns) Drain(ctx context.Context) {
@@ -128,6 +139,9 @@
 	readDeadline time.Time // as the server set it
 }
 
+// NetConn returns the underlying connection.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
 func (c *trackedConn) isHTTP2() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/instance/edge/conn_limiter.go
+++ b/instance/edge/conn_limiter.go
@@ -1,19 +1,13 @@
 package edge
 
 import (
-	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
-	"syscall"
-
-	"github.com/pkg/errors"
 )
 
-// callerConnShare is the fraction of the process's file descriptors that connections of callers may use before they
-// are closed after their responses. The rest is for connections with a request in progress, for 8 connections to each
-// of some hundred targets, and for peers.
-const callerConnShare = 0.5
+// keptConnShare is the fraction of the connections of callers that may be kept open after their responses.
+const keptConnShare = 5.0 / 6
 
 // connLimiter limits the connections that callers keep open. Without it, a burst from many callers leaves idle
 // connections that use all descriptors until their idle timeout, and the instance can neither accept callers nor
@@ -23,13 +17,9 @@
 	open    atomic.Int64
 }
 
-// newConnLimiter returns a limiter for callerConnShare of the process's file descriptor limit.
-func newConnLimiter() (*connLimiter, error) {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return nil, errors.Wrap(err, "read the file descriptor limit")
-	}
-	return &connLimiter{maxOpen: int64(callerConnShare * float64(min(limit.Cur, math.MaxInt32)))}, nil
+// newConnLimiter returns a limiter for keptConnShare of a number of connections.
+func newConnLimiter(connections int) *connLimiter {
+	return &connLimiter{maxOpen: int64(keptConnShare * float64(connections))}
 }
 
 // onConnState is the ConnState hook of the server for callers.
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -23,6 +23,7 @@
 	"hyssopcroft.example/instance/conndrain"
 	"hyssopcroft.example/instance/directory"
 	"hyssopcroft.example/instance/gateway"
+	"hyssopcroft.example/instance/ingress"
 	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/instance/relay"
 	"hyssopcroft.example/kernel"
@@ -40,15 +41,19 @@
 	// writeTimeout limits the time from the header of a request until the caller has read the response. It allows
 	// for the longest request.
 	writeTimeout = time.Minute
-	// maxHeaderBytes limits the size of a request header.
-	maxHeaderBytes = 64 << 10
 	// timelineEvents is the number of timeline events that the process retains.
 	timelineEvents = 1024
 	// heapShare is the fraction of the memory above which the garbage collector runs more often. The rest is for
 	// stacks, system buffers and the binary.
-	heapShare = 0.7
-	// bodyShare is the fraction of the memory that large bodies of callers' requests may occupy.
-	bodyShare = 0.15
+	heapShare = 0.65
+	// callerConnShare is the fraction of the file descriptors that connections of callers may use, callerMemoryShare the
+	// fraction of the memory for these connections and their requests. The other descriptors are for targets, peers
+	// and the store.
+	callerConnShare, callerMemoryShare = 0.6, 0.3
+	// internalConnShare and internalMemoryShare are the same for peers, readiness and metrics together.
+	internalConnShare, internalMemoryShare = 0.15, 0.15
+	// maxPeerHeaderBytes limits the header of a request of a peer.
+	maxPeerHeaderBytes = 64 << 10
 )
 
 // Adapter connects an instance to its platform.
@@ -69,6 +74,8 @@
 	gateway        *gateway.Service
 	fleet          *members.Service
 	gate           *gate
+	callersGuard   *ingress.Guard
+	internalGuard  *ingress.Guard // of peers, readiness and metrics
 	callers        *http.Server
 	callerConns    *conndrain.Conns
 	servers        []*http.Server // the other servers, closed after callers has shut down
@@ -85,6 +92,9 @@
 		settings: s, log: log, kernel: kernel.New(), gate: newGate(s.shutdownTimeout(), log),
 		listeners: map[*http.Server]net.Listener{}, callerConns: conndrain.New(),
 	}
+	if err := e.newGuards(registry); err != nil {
+		return nil, err
+	}
 	c := counters.NewSet()
 	ring := timeline.NewRing(s.Instance, timelineEvents, hlc.New(time.Now))
 	self := membership.Member{
@@ -107,8 +117,8 @@
 			Share: s.ExtraShare, Slack: s.ExtraSlack, Span: time.Duration(s.ExtraSeconds * float64(time.Second)),
 		},
 		TargetHeartbeat: time.Duration(s.TargetHeartbeatMS * float64(time.Millisecond)),
-		FollowsEarlier:  !s.FirstStart, BodyMemory: int64(bodyShare * float64(s.MemoryMB<<20)),
-		Metrics: gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
+		FollowsEarlier:  !s.FirstStart,
+		Metrics:         gateway.NewMetrics(registry), Bus: e.kernel.Bus(), Members: fleet,
 		SendSuspicion: relays.ReportSuspicion, SaveQuarantined: objects.AddQuarantined, ReleaseQuarantined: objects.RemoveQuarantined, Forward: relays.Forward, ConnectRelay: relays.Connect,
 	})
 	saver := directory.NewTargetSaver(a.Store, e.kernel.Bus(), fleet, log)
@@ -117,22 +127,12 @@
 			return nil, err
 		}
 	}
-	if err := e.listen(e.peerServer(fleet, objects, c), s.Control); err != nil {
+	if err := e.listen(e.peerServer(fleet, objects, c), s.Control, e.internalGuard); err != nil {
 		return nil, err
 	}
-	limiter, err := newConnLimiter()
-	if err != nil {
-		return nil, err
-	}
-	e.callers = e.server(limiter.wrap(e.gate.wrap(a.CallerHandler(e.gateway))))
-	e.callers.ConnState = func(conn net.Conn, state http.ConnState) {
-		limiter.onConnState(conn, state)
-		e.callerConns.OnConnState(conn, state)
-	}
-	if err := e.listen(e.callers, s.Callers); err != nil {
+	if err := e.listenForCallers(a.CallerHandler(e.gateway)); err != nil {
 		return nil, err
 	}
-	e.listeners[e.callers] = e.callerConns.Wrap(e.listeners[e.callers])
 	ready := chi.NewRouter()
 	ready.Get("/ready", e.serveReady)
 	metrics := chi.NewRouter()
@@ -142,15 +142,63 @@
 		s.Readiness: ready,
 		net.JoinHostPort(s.IP, strconv.Itoa(s.MetricsPort)): metrics,
 	} {
-		server := e.server(handler)
+		server := e.server(e.internalGuard.Handler(handler, headerTimeout))
+		server.ConnState, server.ConnContext = ingress.OnConnState, ingress.ConnContext
 		e.servers = append(e.servers, server)
-		if err := e.listen(server, address); err != nil {
+		if err := e.listen(server, address, e.internalGuard); err != nil {
 			return nil, err
 		}
 	}
 	return e, nil
 }
 
+// newGuards bounds what callers, and what the clients of the other listeners, make the process hold.
+func (e *Edge) newGuards(registry *prometheus.Registry) error {
+	turnedAway := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "hyssopcroft_clients_turned_away_total", Help: "Requests and connections of clients that were turned away for lack of memory or connections, or for their headers.",
+	}, []string{"listener"})
+	registry.MustRegister(turnedAway)
+	memory := int64(e.settings.MemoryMB) << 20
+	newGuard := func(listener string, connShare, memoryShare float64, head func() ingress.HeadLimits) (*ingress.Guard, error) {
+		limits, err := ingress.LimitsFor(connShare, memoryShare, memory)
+		if err != nil {
+			return nil, err
+		}
+		return ingress.New(ingress.Config{
+			Limits: limits, Head: head, Log: e.log, OnTurnedAway: func(string) { turnedAway.WithLabelValues(listener).Inc() },
+		}), nil
+	}
+	var err error
+	if e.callersGuard, err = newGuard("callers", callerConnShare, callerMemoryShare, e.headLimits); err != nil {
+		return err
+	}
+	e.internalGuard, err = newGuard("internal", internalConnShare, internalMemoryShare, nil)
+	return err
+}
+
+// headLimits returns the limits of a caller's header in the configuration in force.
+func (e *Edge) headLimits() ingress.HeadLimits {
+	limits, _ := e.gateway.Limits() // Without a configuration they are zero, which stands for the defaults.
+	return ingress.HeadLimits{Bytes: limits.HeaderBytes, Time: limits.HeaderTimeout}
+}
+
+func (e *Edge) listenForCallers(handler http.Handler) error {
+	limiter := newConnLimiter(e.callersGuard.Limits().Connections)
+	e.callers = e.server(e.callersGuard.Handler(limiter.wrap(e.gate.wrap(handler)), 0))
+	e.callers.ConnContext = ingress.ConnContext
+	e.callers.ConnState = func(conn net.Conn, state http.ConnState) {
+		limiter.onConnState(conn, state)
+		ingress.OnConnState(conn, state)
+		e.callerConns.OnConnState(conn, state)
+	}
+	l, err := net.Listen("tcp", e.settings.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	e.listeners[e.callers], err = e.callersGuard.Wrap(l, e.callerConns.Wrap)
+	return err
+}
+
 // peerServer returns the server for the other instances.
 func (e *Edge) peerServer(fleet *members.Service, objects *configsync.Service, c *counters.Set) *http.Server {
 	mux := http.NewServeMux()
@@ -162,7 +210,11 @@
 	mux.Handle(path, peer.ConfirmForwarded(handler))
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{Handler: mux, Protocols: &protocols, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler: e.internalGuard.Handler(mux, headerTimeout), Protocols: &protocols, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
+		HTTP2:     &http.HTTP2Config{MaxReceiveBufferPerConnection: ingress.HTTP2ReceiveBytes, MaxReceiveBufferPerStream: ingress.HTTP2ReceiveBytes},
+		ConnState: ingress.OnConnState, ConnContext: ingress.ConnContext,
+	}
 	e.servers = append(e.servers, server)
 	return server
 }
@@ -181,18 +233,18 @@
 
 func (e *Edge) server(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h, ReadHeaderTimeout: headerTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: ingress.ServerHeadBytes,
 		IdleTimeout: time.Duration(e.settings.IdleTimeout), ErrorLog: slog.NewLogLogger(e.log.Handler(), slog.LevelWarn),
 	}
 }
 
-func (e *Edge) listen(s *http.Server, address string) error {
+func (e *Edge) listen(s *http.Server, address string, guard *ingress.Guard) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	e.listeners[s] = l
-	return nil
+	e.listeners[s], err = guard.Wrap(l, nil)
+	return err
 }
 
 // serveReady reports to the load balancer whether the instance accepts requests.
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -136,7 +136,6 @@
 	reasonOverload    = "targets refuse requests or requests are late; the instance lets in fewer"
 	reasonRateLimited = "targets have stated that they accept no more requests for now"
 	reasonBusy        = "the instance has as many requests in flight as it can hold"
-	reasonBodies      = "the bodies of other requests occupy the memory that is set aside for them"
 	reasonNoRelay     = "no instance that sends to the targets answered"
 	reasonUnreached   = "no target of the service could be reached"
 	reasonCrashes     = "targets crashed while they ran this request; it is not sent again for now"
--- a/instance/gateway/service.go
+++ b/instance/gateway/service.go
@@ -53,8 +53,6 @@
 	Regions map[string]string
 	// ExtraAttempts bounds the extra attempts (hedges and retries) at each service.
 	ExtraAttempts hedge.BudgetLimits
-	// BodyMemory is the memory in bytes that large bodies of requests in progress may occupy, 0 for no limit.
-	BodyMemory int64
 	// TargetHeartbeat is the time between two heartbeats of a target, 0 if it is not known.
 	TargetHeartbeat time.Duration
 	// FollowsEarlier is set if an earlier process may have sent extra attempts in the place of this one.
@@ -89,7 +87,6 @@
 	ready       chan struct{} // closed once routes and targets have been read
 	lastAttempt atomic.Uint64
 	inFlight    atomic.Int64
-	bodyBytes   atomic.Int64              // reserved for large bodies
 	endBy       atomic.Pointer[time.Time] // set once the instance stops
 	ending      chan struct{}             // closed at endBy
 	ctx         context.Context           // of the work in the background, done once the service stops
