--- a/adapter/problem/problem.go
+++ b/adapter/problem/problem.go
@@ -93,6 +93,15 @@
 	WriteJSON(w, p.Status, errorBody{Error: p})
 }
 
+// Encode returns the body of the response for p.
+func Encode(p *Problem) []byte {
+	body, err := json.Marshal(errorBody{Error: p})
+	if err != nil {
+		panic(err) // unreachable: a problem can be encoded
+	}
+	return body
+}
+
 // WriteJSON sends a JSON response with the given status.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -15,6 +15,7 @@
 	"hyssopcroft.example/adapter/caller"
 	"hyssopcroft.example/adapter/peer"
 	"hyssopcroft.example/adapter/platform"
+	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/adapter/stamp"
 	"hyssopcroft.example/adapter/target"
 	"hyssopcroft.example/control/drain"
@@ -23,6 +24,7 @@
 	"hyssopcroft.example/instance/configsync"
 	"hyssopcroft.example/instance/conndrain"
 	"hyssopcroft.example/instance/entry"
+	"hyssopcroft.example/instance/ingress"
 	"hyssopcroft.example/instance/limits"
 	"hyssopcroft.example/instance/members"
 	"hyssopcroft.example/instance/operator"
@@ -42,6 +44,7 @@
 	drain    *drainer
 
 	server      *http.Server
+	guard       *ingress.Guard
 	connections *connections
 	// httpConns closes the HTTP/1.1 connections; connections closes the rest.
 	httpConns  *conndrain.Conns
@@ -140,17 +143,60 @@
 		settings: s, log: log, kernel: k, members: m, drain: d, connections: newConnections(), httpConns: conndrain.New(),
 		idle: []*http.Transport{store, claimPeers, limitPeers}, listener: listener, closeTrace: closeTrace,
 	}
-	a.server = newServer(s, op, d, c,
+	if a.guard, err = newGuard(s, log, c); err != nil {
+		_ = listener.Close() // The earlier error is returned.
+		return nil, err
+	}
+	a.server = newServer(a.guard, s, op, d, c,
 		route(peer.MembershipHandler(m)), route(peer.DistributionHandler(cfg)), route(peer.ExecutionHandler(cl)).stamped(stamps),
 		route(peer.LendingHandler(li)).stamped(stamps), route(peer.RelayHandler(rel)).stamped(stamps))
 	a.server.ConnState = func(c net.Conn, s http.ConnState) {
 		a.connections.onStateChange(c, s)
+		ingress.OnConnState(c, s)
 		a.httpConns.OnConnState(c, s)
 	}
-	a.server.ConnContext = peer.ConnContext(m.Traffic())
+	countTraffic := peer.ConnContext(m.Traffic())
+	a.server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return countTraffic(ingress.ConnContext(ctx, c), c)
+	}
 	return a, nil
 }
 
+const (
+	// clientConnShare is the fraction of the file descriptors, and clientMemoryShare the fraction of the memory, that
+	// callers, operators and peers may use.
+	clientConnShare, clientMemoryShare = 0.6, 0.3
+	// maxHeaderBytes limits the header of a request.
+	maxHeaderBytes = 32 << 10
+)
+
+// newGuard bounds what clients make the process hold.
+func newGuard(s Settings, log *slog.Logger, c *counters.Set) (*ingress.Guard, error) {
+	limits, err := ingress.LimitsFor(clientConnShare, clientMemoryShare, int64(s.MemoryMB)<<20)
+	if err != nil {
+		return nil, err
+	}
+	turnedAway := c.Counter("clients_turned_away")
+	return ingress.New(ingress.Config{
+		Limits: limits, Log: log, OnTurnedAway: func(string) { turnedAway.Add(1) }, Refusal: encodeRefusal,
+		Head: func() ingress.HeadLimits { return ingress.HeadLimits{Bytes: maxHeaderBytes, Time: readHeaderTimeout} },
+	}), nil
+}
+
+// encodeRefusal encodes the refusal of a request that was not read.
+func encodeRefusal(status int, reason string) []byte {
+	p := problem.Problem{Code: problem.Overloaded, Message: reason, RunState: problem.NotRun}
+	switch status {
+	case http.StatusRequestTimeout:
+		p.Code = problem.BodyLate
+	case http.StatusRequestHeaderFieldsTooLarge:
+		p.Code = problem.TooLarge
+	case http.StatusServiceUnavailable:
+		p.RetryAfterMillis = ingress.RetryAfter.Milliseconds()
+	}
+	return problem.Encode(&p)
+}
+
 // peerRoute is the handler of one twirp service and the prefix of its paths.
 type peerRoute struct {
 	prefix  string
@@ -165,7 +211,7 @@
 	return peerRoute{p.prefix, stamps.Handler(p.handler)}
 }
 
-func newServer(s Settings, operators admin.Backend, callers *drainer, c *counters.Set, peers ...peerRoute) *http.Server {
+func newServer(guard *ingress.Guard, s Settings, operators admin.Backend, callers *drainer, c *counters.Set, peers ...peerRoute) *http.Server {
 	r := chi.NewRouter()
 	r.Group(func(r chi.Router) {
 		r.Use(withBodyTimeout(time.Duration(s.BodyTimeout)))
@@ -181,7 +227,11 @@
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: r, Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: time.Duration(s.IdleTimeout)}
+	return &http.Server{
+		Handler: guard.Handler(r, time.Duration(s.BodyTimeout)), Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout: time.Duration(s.IdleTimeout), MaxHeaderBytes: ingress.ServerHeadBytes,
+		HTTP2: &http.HTTP2Config{MaxReceiveBufferPerConnection: ingress.HTTP2ReceiveBytes, MaxReceiveBufferPerStream: ingress.HTTP2ReceiveBytes},
+	}
 }
 
 // readHeaderTimeout bounds the time in which a client sends a request header. The connection is closed
@@ -193,8 +243,12 @@
 	if err := a.kernel.Start(ctx); err != nil {
 		return errors.Wrap(err, "start services")
 	}
+	listener, err := a.guard.Wrap(a.listener, a.httpConns.Wrap)
+	if err != nil {
+		return err
+	}
 	go func() {
-		if err := a.server.Serve(peer.Listener{Listener: a.httpConns.Wrap(a.listener)}); !errors.Is(err, http.ErrServerClosed) {
+		if err := a.server.Serve(peer.Listener{Listener: listener}); !errors.Is(err, http.ErrServerClosed) {
 			a.log.Error("HTTP server failed", "error", err)
 		}
 	}()
--- a/instance/app/settings.go
+++ b/instance/app/settings.go
@@ -40,6 +40,8 @@
 	BodyTimeout settings.Duration `json:"body_timeout"`
 	// IdleTimeout is the time after which an idle connection is closed.
 	IdleTimeout settings.Duration `json:"idle_timeout"`
+	// MemoryMB is the memory available to the process; 0 stands for that of the machine.
+	MemoryMB int `json:"memory_mb"`
 	// TraceFile is the file to which decisions are recorded. If it is empty, they are not recorded.
 	TraceFile string `json:"trace_file"`
 }
