--- a/cmd/hyssopctl/soak.go
+++ b/cmd/hyssopctl/soak.go
@@ -48,8 +48,8 @@
 			return err
 		}
 	} else {
-		fmt.Printf("seed %d: %d requests, %d served, faults %v, %d crashes on one request, %d violations\n",
-			cmd.Seed, report.Requests, report.Served, report.Faults, report.Crashes, len(report.Violations))
+		fmt.Printf("seed %d: %d requests, %d served, faults %v, %d crashes on one request, %d crowds, %d violations\n",
+			cmd.Seed, report.Requests, report.Served, report.Faults, report.Crashes, report.Crowds, len(report.Violations))
 	}
 	if len(report.Violations) > 0 {
 		return errors.Errorf("the soak with seed %d found:\n%s", cmd.Seed, strings.Join(report.Violations, "\n"))
--- a/emulator/soak/instance.go
+++ b/emulator/soak/instance.go
@@ -21,6 +21,8 @@
 	shutdownTimeout = 6 * time.Second
 	// recoveryTime is the time after a fault during which an instance may still fail requests.
 	recoveryTime = 5 * time.Second
+	// instanceMemoryMB is the memory of an instance.
+	instanceMemoryMB = 96
 	// maxLogBytes is the size above which the captured output of a process is discarded.
 	maxLogBytes = 1 << 20
 )
@@ -92,7 +94,7 @@
 		"instance": i.name, "failure_domain": fmt.Sprintf("d%d", n%2), "region": "r", "regions": map[string]string{"d0": "r", "d1": "r"},
 		"callers": i.callerAddress, "readiness": i.readinessAddress, "control": address(2), "ip": ip, "metrics_port": ports[3],
 		"store": storeProxy.Addr().String(), "seeds": seeds, "shutdown_seconds": shutdownTimeout.Seconds(),
-		"extra_share": 0.2, "extra_slack": 50, "extra_seconds": 10,
+		"extra_share": 0.2, "extra_slack": 50, "extra_seconds": 10, "memory_mb": instanceMemoryMB,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode settings")
--- a/emulator/soak/misbehaving.go
+++ b/emulator/soak/misbehaving.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -136,6 +137,50 @@
 	return nil
 }
 
+const (
+	// soakCrowd is the number of clients that misbehave at a time in a soak.
+	soakCrowd = 200
+	// crowdStream is the random stream of the crowds.
+	crowdStream = 2000
+	// maxCrowdPause is the longest time between two crowds.
+	maxCrowdPause = 2 * time.Second
+)
+
+// sendCrowds lets clients misbehave at one random instance at a time, until done is closed, and checks its memory.
+func (s *soak) sendCrowds(done <-chan struct{}) {
+	random := rand.New(rand.NewPCG(s.seed, crowdStream))
+	pause := func(most time.Duration) (ended bool) {
+		select {
+		case <-done:
+			return true
+		case <-time.After(time.Duration(random.Int64N(int64(most)))):
+			return false
+		}
+	}
+	for !pause(maxCrowdPause) {
+		i, m := s.instances[random.IntN(len(s.instances))], misbehaviors[random.IntN(len(misbehaviors))]
+		s.crowds.Add(1)
+		c := startCrowd(soakCrowd, i.callerAddress, m, s.limits)
+		ended := pause(maxFaultDuration)
+		i.checkMemory(s.recorder, m.name)
+		c.stop()
+		if ended {
+			return
+		}
+	}
+}
+
+// checkMemory adds a violation if the process has held more than its memory.
+func (i *instance) checkMemory(r *recorder, crowd string) {
+	i.mu.Lock()
+	pid := i.process.Process.Pid
+	i.mu.Unlock()
+	_, greatest, err := residentBytes(pid)
+	if err == nil && greatest > instanceMemoryMB<<20 { // With an error, the process has been killed.
+		r.addViolation("memory: %s held %d MB of %d, the latest crowd sent %q", i.name, greatest>>20, instanceMemoryMB, crowd)
+	}
+}
+
 // reconnectPause is the time after which a misbehaving client opens its connection again.
 const reconnectPause = 20 * time.Millisecond
 
--- a/emulator/soak/misbehaving_test.go
+++ b/emulator/soak/misbehaving_test.go
@@ -79,9 +79,16 @@
 // usage is the most that a process has held.
 type usage struct {
 	bytes       int64 // resident, together with what the kernel has received for it
+	resident    int64
+	unread      int64
 	descriptors int
 }
 
+// String returns the usage for the log of a test.
+func (u usage) String() string {
+	return fmt.Sprintf("%d MB (at most %d resident, %d unread), %d descriptors", u.bytes>>20, u.resident>>20, u.unread>>20, u.descriptors)
+}
+
 // observe adds the present usage. It reports whether the process runs.
 func (u *usage) observe(t *testing.T, p *process, port int) {
 	t.Helper()
@@ -97,6 +104,7 @@
 	descriptors, err := openDescriptors(p.Process.Pid)
 	require.NoError(t, err)
 	u.bytes = max(u.bytes, greatest, present+unread)
+	u.resident, u.unread = max(u.resident, greatest), max(u.unread, unread)
 	u.descriptors = max(u.descriptors, descriptors)
 }
 
@@ -212,7 +220,7 @@
 		t.Run(m.name, func(t *testing.T) {
 			p, address, served := startGateway(t, program, ampleDescriptors)
 			u := press(t, p, address, crowdSize, m, crowdLimits, served)
-			t.Logf("%d MB, %d descriptors", u.bytes>>20, u.descriptors)
+			t.Log(u)
 			require.LessOrEqual(t, u.bytes, int64(memoryBytes))
 		})
 	}
@@ -232,7 +240,7 @@
 		t.Run(m.name, func(t *testing.T) {
 			p, address, served := startGateway(t, program, scarceDescriptors)
 			u := press(t, p, address, crowdSize, m, crowdLimits, served)
-			t.Logf("%d MB, %d descriptors", u.bytes>>20, u.descriptors)
+			t.Log(u)
 			require.LessOrEqual(t, float64(u.descriptors), (1-minFreeDescriptors)*scarceDescriptors)
 		})
 	}
@@ -260,7 +268,7 @@
 		t.Run(m.name, func(t *testing.T) {
 			p, address, served := startOwn(t, program)
 			u := press(t, p, address, ownCrowdSize, m, crowdLimits, served)
-			t.Logf("%d MB, %d descriptors", u.bytes>>20, u.descriptors)
+			t.Log(u)
 			require.LessOrEqual(t, u.bytes, int64(ownMemoryBytes))
 		})
 	}
--- a/emulator/soak/soak.go
+++ b/emulator/soak/soak.go
@@ -3,7 +3,8 @@
 // coverage is correct; a request that was refused as not run has not run; non-idempotent requests run at most once; a
 // draining target gets no requests after a grace period; a graceful stop interrupts no requests; the version of the
 // routes never decreases; a target gets no more requests than it states; a request that has crashed three targets crashes
-// no more; and the gateways recover after the last fault.
+// no more; crowds of clients that misbehave make no instance exceed its memory; and the gateways recover after the last
+// fault.
 package soak
 
 import (
@@ -68,6 +69,7 @@
 	Served     int64          // answered with status 200
 	Faults     map[string]int // number of faults by name
 	Crashes    int            // of targets, on the one request that crashes them
+	Crowds     int64          // of clients that misbehaved
 	Violations []string
 }
 
@@ -79,6 +81,7 @@
 	instances   []*instance
 	requests    atomic.Int64
 	served      atomic.Int64
+	crowds      atomic.Int64 // of clients that misbehave
 	faultCounts map[string]int
 	limits      callerLimits // of callers' requests, in each configuration
 
@@ -127,7 +130,12 @@
 	limited.rateLimit = limitedRate
 	limited.mu.Unlock()
 	time.Sleep(settleTime)
+	faultsDone := make(chan struct{})
+	var crowds sync.WaitGroup
+	crowds.Go(func() { s.sendCrowds(faultsDone) })
 	s.injectFaults(cfg.Duration)
+	close(faultsDone)
+	crowds.Wait()
 	time.Sleep(recoveryTime)
 	undisturbedSince := time.Now()
 	time.Sleep(settleTime)
@@ -145,7 +153,7 @@
 	if float64(served) < minServedShare*float64(requests) || requests == 0 {
 		s.recorder.addViolation("recovery: %d of %d requests served after the last fault", served, requests)
 	}
-	r := Result{Requests: s.requests.Load(), Served: s.served.Load(), Faults: s.faultCounts, Crashes: s.crashCount(), Violations: s.recorder.finalCheck()}
+	r := Result{Requests: s.requests.Load(), Served: s.served.Load(), Faults: s.faultCounts, Crashes: s.crashCount(), Crowds: s.crowds.Load(), Violations: s.recorder.finalCheck()}
 	if len(r.Violations) > 0 && cfg.LogDir != "" {
 		return r, s.writeLogs(cfg.LogDir)
 	}
