--- a/control/membership/node.go
+++ b/control/membership/node.go
@@ -111,9 +111,10 @@
 }
 
 // Isolated reports whether the last exchange with each neighbour has failed. The instance then learns nothing from the others.
+// A starting neighbour, with which there was no exchange yet, is no sign of that.
 func (n *Node) Isolated() bool {
 	for _, id := range n.neighbours {
-		if m, known := n.Get(id); known && m.State == Live && n.peerOf(id).misses == 0 {
+		if m, known := n.Get(id); known && m.State <= Live && n.peerOf(id).misses == 0 {
 			return false
 		}
 	}
--- a/control/membership/node_test.go
+++ b/control/membership/node_test.go
@@ -148,3 +148,20 @@
 	f.run(maxSpreadTime)
 	require.Zero(t, f.disagreements())
 }
+
+// Guards against the instances of a starting fleet that count as isolated until their neighbours are live, and read the store
+// more often than they need to; and against one that does not, although no neighbour answers.
+func TestStartingNeighboursAreNoSignOfIsolation(t *testing.T) {
+	now := time.Unix(1000, 0)
+	member := func(id string) membership.Member {
+		return membership.Member{ID: id, Address: id, FailureDomain: "d", State: membership.Starting}
+	}
+	n := membership.NewNode(member("a"), now, rand.New(rand.NewPCG(1, 1)))
+	n.OnInstanceList([]membership.Member{member("b"), member("c")}, now)
+	n.OnWake(now)
+	require.False(t, n.Isolated(), "no exchange has failed")
+	n.OnMiss(member("b"), now)
+	require.False(t, n.Isolated(), "one neighbour may answer")
+	n.OnMiss(member("c"), now)
+	require.True(t, n.Isolated())
+}
