--- a/instance/app/body_test.go
+++ b/instance/app/body_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -14,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hyssopcroft.example/adapter/problem"
+	"hyssopcroft.example/instance/ingress"
 )
 
 // Guards against a connection that stays open indefinitely because the caller stops sending after one byte of
@@ -65,6 +68,22 @@
 	}
 }
 
+// Guards against a body that is refused for lack of memory with a status that says that the request is malformed.
+func TestBodyWithoutMemoryIsNotRun(t *testing.T) {
+	guard := ingress.New(ingress.Config{Limits: ingress.Limits{Memory: 64 << 10}, Log: slog.New(slog.DiscardHandler)})
+	handler := guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var v string
+		if p := problem.DecodeBody(w, r, 60<<10, &v); p != nil {
+			problem.Write(w, p)
+		}
+	}), 0)
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", strings.NewReader(`"`+strings.Repeat("x", 50<<10)+`"`)))
+	require.Equal(t, http.StatusServiceUnavailable, w.Code, w.Body.String())
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+	require.Contains(t, w.Body.String(), `"not_run"`)
+}
+
 // oneConn is a listener with one connection.
 type oneConn struct {
 	conn   net.Conn
--- a/instance/ingress/guard.go
+++ b/instance/ingress/guard.go
@@ -11,8 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"hyssopcroft.example/adapter/problem"
 	"hyssopcroft.example/kernel"
 )
 
@@ -31,7 +30,7 @@
 )
 
 // ErrNoMemory means that there is no memory for a request. No part of it has run.
-var ErrNoMemory = errors.New("the headers and bodies of other requests occupy the memory that is set aside for them")
+var ErrNoMemory = problem.ErrNoMemory
 
 // Config holds the dependencies of a Guard.
 type Config struct {
--- a/instance/ingress/request.go
+++ b/instance/ingress/request.go
@@ -186,8 +186,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.read(p)
 	if reserveErr := b.hold.add(bodyCopies * int64(n)); reserveErr != nil {
-		b.hold.endInput()
-		return 0, reserveErr
+		return 0, b.turnAway()
 	}
 	return n, err
 }
@@ -210,13 +209,20 @@
 		}
 	case err != nil && err != io.EOF:
 		if c := b.hold.conn; c != nil && c.evicted.Load() {
-			err = ErrNoMemory
+			return n, b.turnAway()
 		}
 		b.hold.endInput()
 	}
 	return n, err
 }
 
+// turnAway ends the input of a client without memory. The handler refuses the request.
+func (b *body) turnAway() error {
+	b.hold.endInput()
+	b.hold.guard.onTurnedAway(ErrNoMemory.Error())
+	return ErrNoMemory
+}
+
 // refuse refuses a request that has not run, and closes its connection.
 func (g *Guard) refuse(w http.ResponseWriter, reason error) {
 	g.onTurnedAway(reason.Error())
@@ -244,8 +250,7 @@
 		if len(buf) == cap(buf) && int64(len(buf)) < most {
 			size := int(min(most, max(minBodyBuffer, bodyGrowth*int64(cap(buf)))))
 			if err := b.hold.add(int64(size)); err != nil {
-				b.hold.endInput()
-				return nil, err
+				return nil, b.turnAway()
 			}
 			before := cap(buf)
 			buf = append(make([]byte, 0, size), buf...)
