--- a/emulator/soak/misbehaving_test.go
+++ b/emulator/soak/misbehaving_test.go
@@ -264,6 +264,7 @@
 		{name: "large header of short fields", send: text(searchLine + shortFields(largeHeadBytes))},
 		{name: "large header of short fields, incomplete body", send: text(searchLine + shortFields(largeHeadBytes) + "Content-Length: 100\r\n\r\n{")},
 		{name: "large header of one field", send: text(searchLine + "Field: " + strings.Repeat("x", largeHeadBytes))},
+		{name: "endless header of HTTP/2", send: text(endlessHTTP2Header())},
 	} {
 		t.Run(m.name, func(t *testing.T) {
 			p, address, served := startOwn(t, program)
@@ -274,6 +275,26 @@
 	}
 }
 
+// endlessHTTP2Header returns the begin of an HTTP/2 connection, and largeHeadBytes of the shortest fields without their end.
+func endlessHTTP2Header() string {
+	const (
+		frameBytes            = 16 << 10
+		headers, continuation = 1, 9
+		field                 = "\x00\x01a\x00" // not indexed, a name of one byte, no value
+	)
+	frame := func(kind byte, payload string) string {
+		n := len(payload)
+		return string([]byte{byte(n >> 16), byte(n >> 8), byte(n), kind, 0, 0, 0, 0, 1}) + payload
+	}
+	var b strings.Builder
+	b.WriteString("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + "\x00\x00\x00\x04\x00\x00\x00\x00\x00")
+	b.WriteString(frame(headers, strings.Repeat(field, frameBytes/len(field))))
+	for b.Len() < largeHeadBytes {
+		b.WriteString(frame(continuation, strings.Repeat(field, frameBytes/len(field))))
+	}
+	return b.String()
+}
+
 // startOwn starts an instance for searches and the stand-ins around it.
 func startOwn(t *testing.T, program string) (p *process, address string, served func() bool) {
 	t.Helper()
--- a/instance/app/app.go
+++ b/instance/app/app.go
@@ -229,8 +229,8 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler: guard.Handler(r, time.Duration(s.BodyTimeout)), Protocols: &protocols, ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout: time.Duration(s.IdleTimeout), MaxHeaderBytes: ingress.ServerHeadBytes,
-		HTTP2: &http.HTTP2Config{MaxReceiveBufferPerConnection: ingress.HTTP2ReceiveBytes, MaxReceiveBufferPerStream: ingress.HTTP2ReceiveBytes},
+		IdleTimeout: time.Duration(s.IdleTimeout), MaxHeaderBytes: ingress.HTTP2HeadBytes,
+		HTTP2: &http.HTTP2Config{MaxReadFrameSize: ingress.HTTP2FrameBytes, MaxReceiveBufferPerConnection: ingress.HTTP2ReceiveBytes, MaxReceiveBufferPerStream: ingress.HTTP2ReceiveBytes},
 	}
 }
 
--- a/instance/edge/edge.go
+++ b/instance/edge/edge.go
@@ -52,8 +52,6 @@
 	callerConnShare, callerMemoryShare = 0.6, 0.3
 	// internalConnShare and internalMemoryShare are the same for peers, readiness and metrics together.
 	internalConnShare, internalMemoryShare = 0.15, 0.15
-	// maxPeerHeaderBytes limits the header of a request of a peer.
-	maxPeerHeaderBytes = 64 << 10
 )
 
 // Adapter connects an instance to its platform.
@@ -211,8 +209,8 @@
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{
-		Handler: e.internalGuard.Handler(mux, headerTimeout), Protocols: &protocols, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxPeerHeaderBytes,
-		HTTP2:     &http.HTTP2Config{MaxReceiveBufferPerConnection: ingress.HTTP2ReceiveBytes, MaxReceiveBufferPerStream: ingress.HTTP2ReceiveBytes},
+		Handler: e.internalGuard.Handler(mux, headerTimeout), Protocols: &protocols, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: ingress.HTTP2HeadBytes,
+		HTTP2:     &http.HTTP2Config{MaxReadFrameSize: ingress.HTTP2FrameBytes, MaxReceiveBufferPerConnection: ingress.HTTP2ReceiveBytes, MaxReceiveBufferPerStream: ingress.HTTP2ReceiveBytes},
 		ConnState: ingress.OnConnState, ConnContext: ingress.ConnContext,
 	}
 	e.servers = append(e.servers, server)
--- a/instance/ingress/conn.go
+++ b/instance/ingress/conn.go
@@ -127,9 +127,11 @@
 	refused atomic.Bool
 	http2   atomic.Bool
 
-	scanner   headScanner
-	collected []byte // header that did not arrive whole
-	delivered int    // bytes of collected that the server has
+	scanner    headScanner
+	collected  []byte       // header that did not arrive whole
+	delivered  int          // bytes of collected that the server has
+	frames     frameScanner // of an HTTP/2 connection
+	framesHeld int64        // memory reserved for frames
 	// lastLines is the number of line ends in the last input behind a header. The server may have read them ahead.
 	lastLines int
 	lastBytes int       // of the same input
@@ -265,7 +267,11 @@
 		return c.readHead(p)
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.http2.Load() {
+	if c.http2.Load() {
+		if frameErr := c.chargeFrames(p[:n]); frameErr != nil {
+			return 0, frameErr
+		}
+	} else if n > 0 {
 		c.lastBytes = min(n, serverBufferBytes)
 		c.lastLines = bytes.Count(p[n-c.lastBytes:n], []byte{'\n'})
 		c.advance(n)
@@ -340,6 +346,9 @@
 		c.hold.complete()
 		err = c.hold.add(http2Bytes)
 		c.http2.Store(true)
+		if err == nil {
+			err = c.chargeFrames(head)
+		}
 	} else {
 		c.rank.Store(neverEvict) // Until the server has parsed it.
 		err = c.hold.add(headCost(c.scanner.total, c.scanner.lines))
@@ -350,6 +359,24 @@
 	return nil
 }
 
+// chargeFrames reserves memory for what the server keeps of the frames of an HTTP/2 connection. It closes the connection if
+// there is none.
+func (c *conn) chargeFrames(p []byte) error {
+	c.frames.scan(p)
+	cost := c.frames.cost(HTTP2HeadBytes)
+	more := cost - c.framesHeld
+	c.framesHeld = cost
+	if more <= 0 {
+		c.hold.remove(-more)
+		return nil
+	}
+	if err := c.hold.add(more); err != nil {
+		c.guard.onTurnedAway(err.Error())
+		return err
+	}
+	return nil
+}
+
 // chargeReadAhead reserves memory for the part of a header that the server may have read behind the last request.
 func (c *conn) chargeReadAhead() error {
 	if c.lastLines == 0 {
--- a/instance/ingress/http2_test.go
+++ b/instance/ingress/http2_test.go
@@ -51,3 +51,38 @@
 		})
 	}
 }
+
+func frame(kind, flags byte, payload string) string {
+	n := len(payload)
+	return string([]byte{byte(n >> 16), byte(n >> 8), byte(n), kind, flags, 0, 0, 0, 1}) + payload
+}
+
+// Guards against headers of HTTP/2 that do not end, or large frames, that are not counted, wherever the network splits them.
+func TestFramesAreCounted(t *testing.T) {
+	const preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+	settings := frame(4, 0, "")
+	for name, c := range map[string]struct {
+		input   string
+		encoded int
+		largest int
+	}{
+		"preface":        {preface, 0, 0},
+		"whole header":   {preface + settings + frame(frameHeaders, flagEndHeaders, "abc"), 0, 3},
+		"open header":    {preface + settings + frame(frameHeaders, 0, "abc"), 3, 3},
+		"continued":      {preface + frame(frameHeaders, 0, "abc") + frame(frameContinued, 0, "defg"), 7, 4},
+		"ended":          {preface + frame(frameHeaders, 0, "abc") + frame(frameContinued, flagEndHeaders, ""), 0, 3},
+		"part of header": {preface + frame(frameHeaders, flagEndHeaders, "abcd")[:frameHeaderBytes+2], 2, 4},
+		"large data":     {preface + frame(0, 0, strings.Repeat("x", 20000)), 0, 20000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for split := range min(len(c.input), 100) {
+				var s frameScanner
+				s.scan([]byte(c.input[:split]))
+				s.scan([]byte(c.input[split:]))
+				require.Equal(t, c.encoded, s.encoded, "split at %d", split)
+				require.Equal(t, c.largest, s.largest)
+				require.LessOrEqual(t, s.cost(HTTP2HeadBytes), int64(HTTP2FrameBytes)+headCost(HTTP2HeadBytes, HTTP2HeadBytes/http2MinField))
+			}
+		})
+	}
+}
--- a/instance/ingress/limits.go
+++ b/instance/ingress/limits.go
@@ -46,6 +46,13 @@
 // request on it. It is the least that the protocol allows.
 const HTTP2ReceiveBytes = 64 << 10
 
+// HTTP2FrameBytes is the size of the largest frame of an HTTP/2 connection, and HTTP2HeadBytes the limit for
+// http.Server.MaxHeaderBytes of a server that speaks HTTP/2.
+const HTTP2FrameBytes, HTTP2HeadBytes = 16 << 10, 64 << 10
+
+// http2MinField is the size that the shortest field counts with against HTTP2HeadBytes.
+const http2MinField = 32
+
 // ServerHeadBytes is the limit for http.Server.MaxHeaderBytes behind a Listener, which itself refuses larger headers.
 const ServerHeadBytes = 4 * maxHeadBytes
 
