--- /dev/null
+++ b/review/standin3/world.go
@@ -0,0 +1,284 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// world is a deployment on loopback addresses: gateways as processes, the store and the searchers in this one.
+type world struct {
+	dir      string
+	store    *store
+	storeAt  string
+	zones    []string
+	gateways []*gateway
+	start    time.Time
+	record   *os.File
+
+	mu        sync.Mutex
+	searchers []*searcher
+}
+
+// gateway is one process of the deploy file.
+type gateway struct {
+	name, zone                  string
+	callers, readiness, control string
+	settings                    string
+	log                         *os.File
+	cmd                         *exec.Cmd
+}
+
+func newWorld(recordPath string, zones []string) (*world, error) {
+	dir, err := os.MkdirTemp("", "review3-")
+	if err != nil {
+		return nil, err
+	}
+	record, err := os.Create(recordPath)
+	if err != nil {
+		return nil, err
+	}
+	w := &world{dir: dir, store: newStore(), zones: zones, start: time.Now(), record: record}
+	w.storeAt, err = w.store.start()
+	return w, err
+}
+
+// logf adds a line to the record, with the time since the start.
+func (w *world) logf(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fmt.Fprintf(w.record, "%8.3f  %s\n", time.Since(w.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// at returns the time since the start in seconds.
+func (w *world) at(t time.Time) float64 { return t.Sub(w.start).Seconds() }
+
+// loopback returns the n-th address of this process, which no other process uses.
+func loopback(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+(pid>>8)%200, pid%250+1, n)
+}
+
+func freePort(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// startGateways starts one gateway for each zone in the list, with the settings of a small deployment.
+func (w *world) startGateways(zoneOf []string) error {
+	regions := map[string]string{}
+	for _, z := range w.zones {
+		regions[z] = "region-" + z
+	}
+	var seeds []string
+	for n, zone := range zoneOf {
+		g := &gateway{name: fmt.Sprintf("front-%s-%d", zone, n+1), zone: zone}
+		ip := loopback(n + 10)
+		for _, a := range []*string{&g.callers, &g.readiness, &g.control} {
+			address, err := freePort(ip)
+			if err != nil {
+				return err
+			}
+			*a = address
+		}
+		if len(seeds) < 3 {
+			seeds = append(seeds, g.control)
+		}
+		w.gateways = append(w.gateways, g)
+	}
+	for n, g := range w.gateways {
+		ip := loopback(n + 10)
+		settings, err := json.Marshal(map[string]any{
+			"instance": g.name, "failure_domain": g.zone, "region": regions[g.zone], "regions": regions,
+			"callers": g.callers, "readiness": g.readiness, "control": g.control, "ip": ip, "store": w.storeAt,
+			"first_start": true, "seeds": seeds, "shutdown_seconds": 6, "memory_mb": 284, "core_share": 0.4, "core_speed": 1,
+			"extra_share": 0.2, "extra_slack": 52, "target_heartbeat_ms": 1200, "extra_seconds": 10,
+		})
+		if err != nil {
+			return err
+		}
+		g.settings = filepath.Join(w.dir, g.name+".json")
+		if err := os.WriteFile(g.settings, settings, 0o600); err != nil {
+			return err
+		}
+		if g.log, err = os.Create(filepath.Join(w.dir, g.name+".log")); err != nil {
+			return err
+		}
+		if err := g.run(); err != nil {
+			return err
+		}
+	}
+	return w.awaitReady()
+}
+
+func (g *gateway) run() error {
+	g.cmd = exec.Command("target/hyssopcroft", "gateway")
+	g.cmd.Env = []string{"HYSSOPCROFT_CONFIG=" + g.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	g.cmd.Stdout, g.cmd.Stderr = g.log, g.log
+	return g.cmd.Start()
+}
+
+func (w *world) awaitReady() error {
+	client := http.Client{Timeout: time.Second}
+	for _, g := range w.gateways {
+		deadline := time.Now().Add(15 * time.Second)
+		for {
+			resp, err := client.Get("http://" + g.readiness + "/ready")
+			if err == nil {
+				resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(deadline) {
+				return fmt.Errorf("%s is not ready", g.name)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// stop ends all processes that the world has started.
+func (w *world) stop() {
+	for _, g := range w.gateways {
+		if g.cmd != nil && g.cmd.Process != nil {
+			_ = g.cmd.Process.Kill() // It may have ended.
+			_ = g.cmd.Wait()
+		}
+	}
+	if os.Getenv("KEEP_LOGS") == "" {
+		_ = os.RemoveAll(w.dir)
+	}
+	w.record.Close()
+}
+
+// setConfig writes config/main.
+func (w *world) setConfig(version int, routes []map[string]any, services map[string]int) {
+	var list []map[string]any
+	for name, connections := range services {
+		list = append(list, map[string]any{"name": name, "health-path": "/healthz", "max-connections": connections, "protocol": "h1", "tls": false})
+	}
+	w.store.put("config", "main", map[string]any{
+		"version": version, "routes": routes, "services": list,
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+	})
+	w.logf("the store has acknowledged version %d of the configuration", version)
+}
+
+// arrival is a request that a searcher has received.
+type arrival struct {
+	at      time.Time
+	id      string
+	path    string
+	ran     bool
+	service string
+}
+
+// searcher is a stand-in for a searcher, sound unless its fields say otherwise.
+type searcher struct {
+	world             *world
+	id, service, zone string
+	address           string
+	born              int64
+	work              time.Duration
+
+	mu       sync.Mutex
+	sequence int
+	silent   bool // it writes no heartbeats
+	limit    string
+	arrivals []arrival
+	server   *http.Server
+}
+
+func (w *world) addSearcher(id, service, zone string, work time.Duration) (*searcher, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &searcher{world: w, id: id, service: service, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(), work: work}
+	s.server = &http.Server{Handler: s}
+	go func() { _ = s.server.Serve(l) }() // It ends with the searcher.
+	s.heartbeat()
+	go func() {
+		for {
+			time.Sleep(1200 * time.Millisecond)
+			s.heartbeat()
+		}
+	}()
+	w.mu.Lock()
+	w.searchers = append(w.searchers, s)
+	w.mu.Unlock()
+	return s, nil
+}
+
+// entry returns what the searcher writes about itself. The sequence stays as it is, since a change of it alone is no event.
+func (s *searcher) entry() map[string]any {
+	return map[string]any{
+		"backend": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 2, "state": "ready",
+		"warmup-left-ms": 0, "sequence": 1, "born": s.born,
+	}
+}
+
+func (s *searcher) heartbeat() {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if !silent {
+		s.world.store.put("servers", s.id, s.entry())
+	}
+}
+
+// silence ends the heartbeats.
+func (s *searcher) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = true
+}
+
+// exit ends the searcher at once.
+func (s *searcher) exit() { _ = s.server.Close() }
+
+func (s *searcher) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if r.Header.Get("Expect-Instance") != s.id {
+		w.Header().Set("Instance-Id", s.id)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body := new(bytes.Buffer)
+	_, _ = body.ReadFrom(r.Body) // A body that breaks off is not looked at.
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, arrival{at: time.Now(), id: id, path: r.URL.Path, ran: true, service: s.service})
+	limit := s.limit
+	s.mu.Unlock()
+	select {
+	case <-time.After(s.work):
+	case <-r.Context().Done():
+		return
+	}
+	if limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
+	w.Header().Set("Server-Stamp", s.id+"."+id)
+	_, _ = w.Write([]byte(s.service + " answers " + r.URL.Path)) // The client may have gone.
+}
+
+func (s *searcher) arrived() []arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]arrival(nil), s.arrivals...)
+}
