--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -204,3 +204,74 @@
 	w.logf("answers by status: %v; %d requests were run by a service that no configuration allows, %d clients got its answer", c.byStatus(), wrong, len(foreign))
 	return wrong > 0, nil
 }
+
+// lapsedThenRestored kills all gateways. The store is away afterwards, so that all entries lapse, and comes back; a moment later
+// a drill restores it from a copy of the time before the outage, in which all entries stand.
+func lapsedThenRestored(w *world, trouble bool) (bool, error) {
+	const (
+		outage, between, away = 6600 * time.Millisecond, 800 * time.Millisecond, 500 * time.Millisecond
+		recovery, observed    = 12 * time.Second, 20 * time.Second
+		gathered              = "kafi81c"
+	)
+	w.setConfig(7, []map[string]any{single("fetch", "/goka902/", gathered, "idempotent")}, map[string]int{gathered: 96})
+	var all []*searcher
+	for n := range 9 {
+		s, err := w.addSearcher(fmt.Sprintf("i-%08x", 0x7f3a9100+n), gathered, w.zones[n%3], 20*time.Millisecond)
+		if err != nil {
+			return false, err
+		}
+		all = append(all, s)
+	}
+	if err := w.startGateways(sixMachines); err != nil {
+		return false, err
+	}
+	w.logf("all gateways are ready")
+	c := newClients(w)
+	c.send(2, 100*time.Millisecond, http.MethodGet, host, "/goka902/", 3*time.Second)
+	time.Sleep(2 * stableWindow)
+	if err := w.killAll(); err != nil {
+		return false, err
+	}
+	back := time.Now()
+	w.logf("all gateways were killed and are back")
+	time.Sleep(2 * time.Second)
+	if trouble {
+		content, revision := w.store.copyNow()
+		w.outage(all, outage)
+		time.Sleep(between)
+		w.store.setDown(true)
+		w.logf("a drill takes the store away")
+		time.Sleep(away)
+		w.store.restore(content, revision)
+		w.store.setDown(false)
+		w.logf("the store is back from a copy of the time before the outage, with %d entries of searchers", len(content["servers"]))
+	}
+	time.Sleep(time.Until(back.Add(recovery)))
+	from := time.Now()
+	time.Sleep(observed)
+	for _, s := range all {
+		if !w.store.has("servers", s.id) {
+			w.logf("%s has no entry", s.id)
+		}
+	}
+	c.stop()
+	before, servedBefore, after, served := 0, 0, 0, 0
+	for _, a := range c.answers {
+		ok := a.status == http.StatusOK
+		switch {
+		case a.sent.Before(back.Add(-time.Second)):
+			before++
+			if ok {
+				servedBefore++
+			}
+		case a.sent.After(from):
+			after++
+			if ok {
+				served++
+			}
+		}
+	}
+	w.logf("before the gateways were killed %d of %d requests were served", servedBefore, before)
+	w.logf("of the requests sent later than %v after they were back %d of %d were served", recovery, served, after)
+	return 4*served < after && 4*servedBefore >= before, nil
+}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -16,6 +16,7 @@
 	"drain":  cutWatches,
 	"denied": largeHeads,
 	"route":  foreignEntry,
+	"copy":   lapsedThenRestored,
 }
 
 func main() {
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -44,6 +45,9 @@
 	cutAfter time.Duration // a watch that has waited for so long is cut off; 0 for never
 	cuts     int
 	calls    int
+	down     bool   // resets each call
+	era      int    // the number of restores
+	oldest   uint64 // watches from before it get 410
 }
 
 // retention is the time for which changes are kept for watches.
@@ -120,7 +124,54 @@
 	return s.calls, s.cuts
 }
 
+// setDown makes the store reset each call, or ends that. Watches that wait are cut off.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// copyNow returns a copy of the content.
+func (s *store) copyNow() (map[string]map[string]object, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]map[string]object{}
+	for kind, objects := range s.objects {
+		out[kind] = maps.Clone(objects)
+	}
+	return out, s.revision
+}
+
+// restore replaces the content by a copy and begins another era: revisions go back, and the history is gone.
+func (s *store) restore(content map[string]map[string]object, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.revision, s.history = content, revision, nil
+	s.era++
+	s.oldest = revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// has reports whether an object exists.
+func (s *store) has(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.objects[kind][name]
+	return ok && !s.down
+}
+
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	down := s.down
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	s.mu.Unlock()
+	if down {
+		cutOff(w)
+		return
+	}
 	path := strings.TrimPrefix(r.URL.Path, "/objects/")
 	kind, name, hasName := strings.Cut(path, "/")
 	s.mu.Lock()
@@ -212,7 +263,16 @@
 			}
 		}
 		at, changed, cutAfter := s.revision, s.changed, s.cutAfter
+		down, gone := s.down, after < s.oldest || after > s.revision || w.Header().Get("Store-Era") != strconv.Itoa(s.era)
 		s.mu.Unlock()
+		if down {
+			cutOff(w)
+			return
+		}
+		if gone {
+			reply(w, http.StatusGone, map[string]any{})
+			return
+		}
 		now := time.Now()
 		if len(events) > 0 || !now.Before(end) {
 			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
@@ -248,7 +308,6 @@
 
 func reply(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", "0")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v) // The client may have gone.
 }
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -129,6 +129,49 @@
 	return g.cmd.Start()
 }
 
+// killAll kills all gateways at once and starts them again.
+func (w *world) killAll() error {
+	for _, g := range w.gateways {
+		if err := g.cmd.Process.Kill(); err != nil {
+			return err
+		}
+	}
+	for _, g := range w.gateways {
+		_ = g.cmd.Wait() // It was killed.
+		raw, err := os.ReadFile(g.settings)
+		if err != nil {
+			return err
+		}
+		raw = bytes.Replace(raw, []byte(`"first_start":true`), []byte(`"first_start":false`), 1)
+		if err := os.WriteFile(g.settings, raw, 0o600); err != nil {
+			return err
+		}
+		if err := g.run(); err != nil {
+			return err
+		}
+	}
+	return w.awaitReady()
+}
+
+// outage takes the store away for a time. The entries of the searchers lapse meanwhile. Each searcher reaches the store again
+// from 1 to 1.8 s after its return on.
+func (w *world) outage(searchers []*searcher, d time.Duration) {
+	w.store.setDown(true)
+	for _, s := range searchers {
+		s.setAway(true)
+	}
+	w.logf("the store is away")
+	time.Sleep(d)
+	for _, s := range searchers {
+		w.store.remove("servers", s.id)
+	}
+	w.store.setDown(false)
+	w.logf("the store is back; all entries of searchers have lapsed")
+	for n, s := range searchers {
+		time.AfterFunc(time.Second+time.Duration(n)*100*time.Millisecond, func() { s.setAway(false) })
+	}
+}
+
 func (w *world) awaitReady() error {
 	client := http.Client{Timeout: time.Second}
 	for _, g := range w.gateways {
@@ -195,8 +238,10 @@
 	work              time.Duration
 
 	mu       sync.Mutex
-	sequence int
+	sequence int  // of its latest write
+	written  int  // the sequence in its entry
 	silent   bool // it writes no heartbeats
+	away     bool // it does not reach the store
 	limit    string
 	arrivals []arrival
 	server   *http.Server
@@ -223,21 +268,32 @@
 	return s, nil
 }
 
-// entry returns what the searcher writes about itself. The sequence stays as it is, since a change of it alone is no event.
+// entry returns what the searcher's entry says.
 func (s *searcher) entry() map[string]any {
 	return map[string]any{
 		"backend": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": 2, "state": "ready",
-		"warmup-left-ms": 0, "sequence": 1, "born": s.born,
+		"warmup-left-ms": 0, "sequence": s.written, "born": s.born,
 	}
 }
 
 func (s *searcher) heartbeat() {
 	s.mu.Lock()
-	silent := s.silent
-	s.mu.Unlock()
-	if !silent {
-		s.world.store.put("servers", s.id, s.entry())
+	defer s.mu.Unlock()
+	if s.silent || s.away {
+		return
 	}
+	s.sequence++
+	if !s.world.store.has("servers", s.id) {
+		s.written = s.sequence // A write that changes only the sequence leaves the entry as it is.
+	}
+	s.world.store.put("servers", s.id, s.entry())
+}
+
+// setAway makes the searcher not reach the store, or ends that.
+func (s *searcher) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
 }
 
 // silence ends the heartbeats.
