--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -13,10 +13,10 @@
 
 // cases holds a function for each case. It reports whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
-	"drain":  cutWatches,
 	"denied": largeHeads,
 	"route":  foreignEntry,
 	"copy":   lapsedThenRestored,
+	"deadly": deadlyPairs,
 }
 
 func main() {
