--- a/review/standin3/clients.go
+++ b/review/standin3/clients.go
@@ -82,9 +82,14 @@
 	}
 }
 
+// stop ends the clients and adds each request and its answer to the record.
 func (c *clients) stop() {
 	close(c.stopAt)
 	c.done.Wait()
+	for _, a := range c.answers {
+		c.world.logf("request %s (%s) sent to %s at %.3f s, answered after %.3f s with status %d (0: none), stamp %q",
+			a.id, a.path, a.gateway, c.world.at(a.sent), a.took.Seconds(), a.status, a.stamp)
+	}
 }
 
 // byStatus counts the answers by status.
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -219,12 +219,11 @@
 	w.logf("the store has acknowledged version %d of the configuration", version)
 }
 
-// arrival is a request that a searcher has received.
+// arrival is a request that a searcher has begun to run.
 type arrival struct {
 	at      time.Time
 	id      string
 	path    string
-	ran     bool
 	service string
 }
 
@@ -325,8 +324,9 @@
 	body := new(bytes.Buffer)
 	_, _ = body.ReadFrom(r.Body) // A body that breaks off is not looked at.
 	s.mu.Lock()
-	s.arrivals = append(s.arrivals, arrival{at: time.Now(), id: id, path: r.URL.Path, ran: true, service: s.service})
+	s.arrivals = append(s.arrivals, arrival{at: time.Now(), id: id, path: r.URL.Path, service: s.service})
 	s.mu.Unlock()
+	s.world.logf("searcher %s of %s runs request %s (%s)", s.id, s.service, id, r.URL.Path)
 	if s.deadly != nil && r.URL.Path == deadlyPath {
 		s.deadly(id)
 	}
